--- /dev/null
+++ b/Makefile
@@ -0,0 +1,32 @@
+BIN := bin
+SEED ?= 1
+CHECKS ?= 1500
+MODULES := $(sort $(dir $(wildcard */go.mod)))
+
+.PHONY: build test demo fuzz measure bench generate fmt
+
+build:
+	go build -o $(BIN)/ ./cmd/...
+
+generate: ## Regenerates the code of the schema files; needs protoc.
+	./tools/generate.sh
+
+fmt:
+	gofmt -w $(MODULES)
+
+test: build
+	./tools/check.sh
+	go test work
+
+demo: build
+	./$(BIN)/lentilpick-load demo --bin $(BIN) --examples examples
+
+fuzz:
+	go test ./proof/... -run Stateful -rapid.seed=$(SEED) -rapid.checks=$(CHECKS) -count=1 -v
+
+measure: build
+	mkdir -p out
+	./$(BIN)/lentilpick-measure --seed $(SEED) --out out
+
+bench:
+	go test ./routing ./planning -run '^$$' -bench . -benchmem
--- /dev/null
+++ b/configuration/change.go
@@ -0,0 +1,231 @@
+package configuration
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"net/netip"
+	"time"
+
+	"github.com/lentilpick/lentilpick/types"
+)
+
+// Errors of this package. Every error that Validate or the fold returns wraps
+// one of them.
+var (
+	// ErrInvalid reports a change whose content is not allowed.
+	ErrInvalid = errors.New("change is not valid")
+	// ErrConflict reports a change whose base revision is not current.
+	ErrConflict = errors.New("base revision is not current")
+)
+
+// ObjectKind names what a change touches.
+type ObjectKind string
+
+// Kinds of object.
+const (
+	ObjectService   ObjectKind = "service"
+	ObjectTarget    ObjectKind = "target"
+	ObjectWorkspace ObjectKind = "workspace"
+)
+
+// Change is one change by an operator. Exactly one of Service, Target and
+// Workspace is set, unless Delete is set; then ID names the object.
+type Change struct {
+	// ID identifies the change, so that a lost answer can be resolved by
+	// reading the log back.
+	ID string `json:"change_id"`
+	// Operator names who made the change, for the history.
+	Operator string `json:"operator,omitempty"`
+	// Kind and ObjectID name the object.
+	Kind     ObjectKind `json:"kind"`
+	ObjectID string     `json:"object_id"`
+	// Base is the revision at which the object last changed, 0 for a new object.
+	Base types.Revision `json:"base_revision"`
+	// Delete removes the object.
+	Delete    bool       `json:"delete,omitempty"`
+	Service   *Service   `json:"service,omitempty"`
+	Target    *Target    `json:"target,omitempty"`
+	Workspace *Workspace `json:"workspace,omitempty"`
+}
+
+// Limits on the content of a change.
+const (
+	MaxNameBytes     = 128
+	MaxAdapters      = 64
+	MaxServicesOfWS  = 256
+	MaxShare         = 1000
+	MaxWeight        = 1000.0
+	maxRate          = 1e9
+	maxIteration     = 10 * time.Second
+	maxEngineStreams = 65536
+)
+
+// FieldError names the field that makes a change invalid. It wraps ErrInvalid.
+type FieldError struct {
+	Field  string
+	Reason string
+}
+
+// Error implements error.
+func (e *FieldError) Error() string { return e.Field + ": " + e.Reason }
+
+// Unwrap returns ErrInvalid.
+func (e *FieldError) Unwrap() error { return ErrInvalid }
+
+func invalid(field, format string, args ...any) error {
+	return &FieldError{Field: field, Reason: fmt.Sprintf(format, args...)}
+}
+
+// Validate checks a change against the configuration that it would apply to.
+// It returns nil or a *FieldError.
+func Validate(c *Config, ch *Change) error {
+	if err := checkName("change_id", ch.ID); err != nil {
+		return err
+	}
+	if err := checkName("object_id", ch.ObjectID); err != nil {
+		return err
+	}
+	switch ch.Kind {
+	case ObjectService:
+		return validateService(c, ch)
+	case ObjectTarget:
+		return validateTarget(c, ch)
+	case ObjectWorkspace:
+		return validateWorkspace(c, ch)
+	}
+	return invalid("kind", "%q is not one of service, target, workspace", ch.Kind)
+}
+
+func validateService(c *Config, ch *Change) error {
+	id := types.ServiceID(ch.ObjectID)
+	if ch.Delete {
+		for _, t := range c.Targets {
+			if t.Value.Service == id {
+				return invalid("object_id", "service %q still has target %q", id, t.Value.ID)
+			}
+		}
+		return nil
+	}
+	s := ch.Service
+	if s == nil {
+		return invalid("service", "is missing")
+	}
+	if s.ID != id {
+		return invalid("service.id", "%q differs from object_id %q", s.ID, id)
+	}
+	if math.IsNaN(s.RoleChangeWeight) || s.RoleChangeWeight < 0 || s.RoleChangeWeight > MaxWeight {
+		return invalid("service.role_change_weight", "%v is outside 0 to %v", s.RoleChangeWeight, MaxWeight)
+	}
+	if s.MinPerRole < 0 || s.MinPerRole > maxEngineStreams {
+		return invalid("service.min_per_role", "%d is outside 0 to %d", s.MinPerRole, maxEngineStreams)
+	}
+	if old, ok := c.Services[id]; ok && old.Value.Kind != s.Kind {
+		return invalid("service.kind", "cannot change from %s to %s", old.Value.Kind, s.Kind)
+	}
+	return nil
+}
+
+func validateTarget(c *Config, ch *Change) error {
+	if ch.Delete {
+		return nil
+	}
+	t := ch.Target
+	if t == nil {
+		return invalid("target", "is missing")
+	}
+	if string(t.ID) != ch.ObjectID {
+		return invalid("target.id", "%q differs from object_id %q", t.ID, ch.ObjectID)
+	}
+	s, ok := c.Services[t.Service]
+	if !ok {
+		return invalid("target.service", "service %q does not exist", t.Service)
+	}
+	if _, err := netip.ParseAddrPort(t.Address); err != nil {
+		return invalid("target.address", "%q is not an IP address with a port", t.Address)
+	}
+	if err := checkName("target.data_centre", string(t.DataCentre)); err != nil {
+		return err
+	}
+	if t.State >= targetStateCount {
+		return invalid("target.state", "%d is not a state", t.State)
+	}
+	if s.Value.Kind == types.KindPlain {
+		return nil
+	}
+	return validateEngine(t)
+}
+
+func validateEngine(t *Target) error {
+	if err := checkName("target.model", string(t.Model)); err != nil {
+		return err
+	}
+	if err := checkName("target.version", t.Version); err != nil {
+		return err
+	}
+	if t.Role >= types.RoleCount {
+		return invalid("target.role", "%d is not a role", t.Role)
+	}
+	if len(t.Adapters) > MaxAdapters {
+		return invalid("target.adapters", "%d adapters, at most %d are allowed", len(t.Adapters), MaxAdapters)
+	}
+	r := t.Rates
+	if !inRange(r.PrefillTokensPerSecond, 1, maxRate) {
+		return invalid("target.rates.prefill_tokens_per_second", "%v is outside 1 to %v", r.PrefillTokensPerSecond, maxRate)
+	}
+	if !inRange(r.KVTransferTokensPerSecond, 0, maxRate) {
+		return invalid("target.rates.kv_transfer_tokens_per_second", "%v is outside 0 to %v", r.KVTransferTokensPerSecond, maxRate)
+	}
+	if r.IterationBase < 0 || r.IterationBase > maxIteration {
+		return invalid("target.rates.iteration_base_ns", "%d is outside 0 to %d", r.IterationBase, maxIteration)
+	}
+	if r.DecodeCost < 0 || r.DecodeCost > maxIteration {
+		return invalid("target.rates.decode_cost_ns", "%d is outside 0 to %d", r.DecodeCost, maxIteration)
+	}
+	if r.MaxStreams < 1 || r.MaxStreams > maxEngineStreams {
+		return invalid("target.rates.max_streams", "%d is outside 1 to %d", r.MaxStreams, maxEngineStreams)
+	}
+	return nil
+}
+
+func inRange(v, low, high float64) bool { return v >= low && v <= high }
+
+func validateWorkspace(c *Config, ch *Change) error {
+	if ch.Delete {
+		return nil
+	}
+	w := ch.Workspace
+	if w == nil {
+		return invalid("workspace", "is missing")
+	}
+	if string(w.ID) != ch.ObjectID {
+		return invalid("workspace.id", "%q differs from object_id %q", w.ID, ch.ObjectID)
+	}
+	if w.Share < 1 || w.Share > MaxShare {
+		return invalid("workspace.share", "%d is outside 1 to %d", w.Share, MaxShare)
+	}
+	if len(w.Services) > MaxServicesOfWS {
+		return invalid("workspace.services", "%d services, at most %d are allowed", len(w.Services), MaxServicesOfWS)
+	}
+	for _, s := range w.Services {
+		if _, ok := c.Services[s]; !ok {
+			return invalid("workspace.services", "service %q does not exist", s)
+		}
+	}
+	return nil
+}
+
+func checkName(field, v string) error {
+	if v == "" {
+		return invalid(field, "is missing")
+	}
+	if len(v) > MaxNameBytes {
+		return invalid(field, "is %d bytes long, at most %d are allowed", len(v), MaxNameBytes)
+	}
+	for _, r := range v {
+		if r < 0x21 || r == 0x7f {
+			return invalid(field, "contains a space or control character")
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/configuration/fold_test.go
@@ -0,0 +1,70 @@
+package configuration
+
+import (
+	"errors"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lentilpick/lentilpick/types"
+)
+
+func putService(id, changeID string, base types.Revision) Record {
+	return Record{Change: &Change{
+		ID: changeID, Kind: ObjectService, ObjectID: id, Base: base,
+		Service: &Service{ID: types.ServiceID(id)},
+	}}
+}
+
+// Guards against two operators both winning a race for one object.
+func TestOneWinnerAmongRacingChanges(t *testing.T) {
+	f := NewFold()
+	assert.NilError(t, f.Apply(0, putService("a", "c1", 0)))
+	assert.NilError(t, f.Apply(1, putService("a", "c2", 0)))
+	first, _ := f.Result("c1")
+	second, _ := f.Result("c2")
+	assert.Assert(t, first.Accepted())
+	assert.Assert(t, second.Conflict)
+	assert.Equal(t, second.Current, types.Revision(1))
+	assert.Equal(t, f.Config().Revision, types.Revision(1))
+}
+
+// Guards against a duplicate append changing the verdict or the revision.
+func TestDuplicateAppendCountsOnce(t *testing.T) {
+	f := NewFold()
+	assert.NilError(t, f.Apply(0, putService("a", "c1", 0)))
+	assert.NilError(t, f.Apply(1, putService("a", "c1", 0)))
+	r, _ := f.Result("c1")
+	assert.Assert(t, r.Accepted())
+	assert.Equal(t, f.Config().Revision, types.Revision(1))
+}
+
+// Guards against a skipped record and against an old snapshot reverting the
+// configuration.
+func TestGapAndOldSnapshot(t *testing.T) {
+	f := NewFold()
+	old := f.Snapshot()
+	assert.NilError(t, f.Apply(0, putService("a", "c1", 0)))
+	err := f.Apply(2, putService("b", "c2", 0))
+	assert.Assert(t, errors.Is(err, ErrGap))
+	assert.Equal(t, f.Next(), types.Offset(1))
+	assert.Assert(t, !f.Load(old))
+	assert.Equal(t, f.Config().Revision, types.Revision(1))
+}
+
+// Guards against an undecodable record blocking the fold.
+func TestUndecodedRecordDoesNotBlock(t *testing.T) {
+	f := NewFold()
+	assert.NilError(t, f.Apply(0, Record{}))
+	assert.NilError(t, f.Apply(1, putService("a", "c1", 0)))
+	assert.Equal(t, f.Undecoded(), 1)
+	assert.Equal(t, f.Config().Revision, types.Revision(1))
+}
+
+// Guards against a change that names a service that does not exist.
+func TestTargetNeedsService(t *testing.T) {
+	err := Validate(New(), &Change{ID: "c", Kind: ObjectTarget, ObjectID: "t", Target: &Target{ID: "t", Service: "none"}})
+	var fe *FieldError
+	assert.Assert(t, errors.As(err, &fe))
+	assert.Equal(t, fe.Field, "target.service")
+}
--- /dev/null
+++ b/membership/assign.go
@@ -0,0 +1,38 @@
+package membership
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/lentilpick/lentilpick/types"
+)
+
+// weight is the weight of a member for a key in rendezvous (highest random
+// weight) hashing, Thaler and Ravishankar 1998.
+func weight(member, key string) uint64 {
+	d := xxhash.New()
+	_, _ = d.WriteString(member)
+	_, _ = d.Write([]byte{0})
+	_, _ = d.WriteString(key)
+	return d.Sum64()
+}
+
+// Best returns the member with the highest weight for the key, or the zero
+// value when there are no members. All daemons that see the same members agree
+// without exchanging messages.
+func Best[M ~string](members []M, key string) M {
+	var best M
+	var top uint64
+	for _, m := range members {
+		w := weight(string(m), key)
+		if best == "" || w > top || (w == top && m < best) {
+			best, top = m, w
+		}
+	}
+	return best
+}
+
+// Reads reports whether self is the daemon that reads the load report of the
+// target, among the live members of the target's data centre.
+func Reads(self types.VMID, live []types.VMID, target types.TargetID) bool {
+	return Best(live, string(target)) == self
+}
--- /dev/null
+++ b/membership/peers.go
@@ -0,0 +1,66 @@
+package membership
+
+import (
+	"slices"
+	"time"
+
+	"github.com/lentilpick/lentilpick/types"
+)
+
+// Peer is what is known of another control daemon.
+type Peer struct {
+	VM          types.VMID
+	DataCentre  types.DataCentreID
+	Incarnation string
+	Revision    types.Revision
+	LastSeen    time.Time
+	Stopping    bool
+}
+
+// Table holds the peers of one daemon. It is not safe for concurrent use.
+type Table struct {
+	self         types.VMID
+	suspectAfter time.Duration
+	peers        map[types.VMID]*Peer
+}
+
+// NewTable returns a table without peers. A peer that was not heard of for
+// suspectAfter is not live.
+func NewTable(self types.VMID, suspectAfter time.Duration) *Table {
+	return &Table{self: self, suspectAfter: suspectAfter, peers: map[types.VMID]*Peer{}}
+}
+
+// Heard records a message of a peer.
+func (t *Table) Heard(p Peer) {
+	if p.VM == t.self {
+		return
+	}
+	t.peers[p.VM] = &p
+}
+
+// Peers returns all peers, sorted by VM.
+func (t *Table) Peers() []Peer {
+	out := make([]Peer, 0, len(t.peers))
+	for _, p := range t.peers {
+		out = append(out, *p)
+	}
+	slices.SortFunc(out, func(a, b Peer) int {
+		if a.VM < b.VM {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
+// Live returns this daemon and the live peers of a data centre, sorted.
+func (t *Table) Live(dc types.DataCentreID, now time.Time) []types.VMID {
+	out := []types.VMID{t.self}
+	for _, p := range t.peers {
+		if p.DataCentre == dc && !p.Stopping && now.Sub(p.LastSeen) < t.suspectAfter {
+			out = append(out, p.VM)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
--- /dev/null
+++ b/records/records.go
@@ -0,0 +1,146 @@
+// Package records encodes the project's own records in the platform's log as
+// JSON and decodes them. Decoding is strict: an unknown kind, an unknown field
+// or an oversized record is an error, which the readers report with the offset.
+package records
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/lentilpick/lentilpick/authority"
+	"github.com/lentilpick/lentilpick/configuration"
+	"github.com/lentilpick/lentilpick/idempotency"
+	"github.com/lentilpick/lentilpick/types"
+)
+
+// Errors of this package.
+var (
+	// ErrMalformed reports a record that is not valid JSON of a known shape.
+	ErrMalformed = errors.New("record does not decode")
+	// ErrTooLarge reports a record over MaxBytes.
+	ErrTooLarge = errors.New("record is too large")
+)
+
+// MaxBytes bounds one record. A snapshot of 3,700 workspaces and 11,000
+// targets is about 8 MB.
+const MaxBytes = 16 << 20
+
+type configEnvelope struct {
+	Change   *configuration.Change `json:"change,omitempty"`
+	Snapshot *snapshot             `json:"snapshot,omitempty"`
+}
+
+type snapshot struct {
+	Next       types.Offset                                                       `json:"next"`
+	Revision   types.Revision                                                     `json:"revision"`
+	Services   map[types.ServiceID]configuration.Entry[configuration.Service]     `json:"services"`
+	Targets    map[types.TargetID]configuration.Entry[configuration.Target]       `json:"targets"`
+	Workspaces map[types.WorkspaceID]configuration.Entry[configuration.Workspace] `json:"workspaces"`
+	Recent     []configuration.Result                                             `json:"recent"`
+}
+
+// EncodeChange encodes a configuration change.
+func EncodeChange(c *configuration.Change) ([]byte, error) {
+	return encode(configEnvelope{Change: c})
+}
+
+// EncodeSnapshot encodes a configuration snapshot.
+func EncodeSnapshot(s *configuration.Snapshot) ([]byte, error) {
+	c := s.Config
+	return encode(configEnvelope{Snapshot: &snapshot{
+		Next: s.Next, Revision: c.Revision, Services: c.Services, Targets: c.Targets,
+		Workspaces: c.Workspaces, Recent: s.Recent,
+	}})
+}
+
+// DecodeConfiguration decodes a record of the configuration stream. The error
+// wraps ErrMalformed or ErrTooLarge.
+func DecodeConfiguration(b []byte) (configuration.Record, error) {
+	var e configEnvelope
+	if err := decode(b, &e); err != nil {
+		return configuration.Record{}, err
+	}
+	switch {
+	case e.Change != nil && e.Snapshot == nil:
+		return configuration.Record{Change: e.Change}, nil
+	case e.Snapshot != nil && e.Change == nil:
+		s, err := e.Snapshot.toSnapshot()
+		return configuration.Record{Snapshot: s}, err
+	}
+	return configuration.Record{}, fmt.Errorf("neither one change nor one snapshot: %w", ErrMalformed)
+}
+
+func (s *snapshot) toSnapshot() (*configuration.Snapshot, error) {
+	if s.Next < 0 || s.Services == nil || s.Targets == nil || s.Workspaces == nil {
+		return nil, fmt.Errorf("incomplete snapshot: %w", ErrMalformed)
+	}
+	c := &configuration.Config{
+		Revision: s.Revision, Services: s.Services, Targets: s.Targets, Workspaces: s.Workspaces,
+	}
+	return &configuration.Snapshot{Next: s.Next, Config: c, Recent: s.Recent}, nil
+}
+
+// EncodeLease encodes a lease record.
+func EncodeLease(r *authority.Record) ([]byte, error) { return encode(r) }
+
+// DecodeLease decodes a lease record. The error wraps ErrMalformed or ErrTooLarge.
+func DecodeLease(b []byte) (*authority.Record, error) {
+	var r authority.Record
+	if err := decode(b, &r); err != nil {
+		return nil, err
+	}
+	switch r.Kind {
+	case authority.KindClaim, authority.KindRenew, authority.KindRelease:
+		return &r, nil
+	}
+	return nil, fmt.Errorf("lease record of kind %q: %w", r.Kind, ErrMalformed)
+}
+
+// EncodeKeys encodes a batch of key records as one log record.
+func EncodeKeys(r []idempotency.Record) ([]byte, error) { return encode(r) }
+
+// DecodeKeys decodes a batch of key records. The error wraps ErrMalformed or
+// ErrTooLarge.
+func DecodeKeys(b []byte) ([]idempotency.Record, error) {
+	var r []idempotency.Record
+	if err := decode(b, &r); err != nil {
+		return nil, err
+	}
+	for _, k := range r {
+		switch k.Kind {
+		case idempotency.KindIntent, idempotency.KindReleased, idempotency.KindCompleted, idempotency.KindUnknown:
+		default:
+			return nil, fmt.Errorf("key record of kind %q: %w", k.Kind, ErrMalformed)
+		}
+	}
+	return r, nil
+}
+
+func encode(v any) ([]byte, error) {
+	b, err := json.Marshal(v)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrMalformed, err)
+	}
+	if len(b) > MaxBytes {
+		return nil, fmt.Errorf("%d bytes: %w", len(b), ErrTooLarge)
+	}
+	return b, nil
+}
+
+func decode(b []byte, v any) error {
+	if len(b) > MaxBytes {
+		return fmt.Errorf("%d bytes: %w", len(b), ErrTooLarge)
+	}
+	d := json.NewDecoder(bytes.NewReader(b))
+	d.DisallowUnknownFields()
+	if err := d.Decode(v); err != nil {
+		return fmt.Errorf("%w: %w", ErrMalformed, err)
+	}
+	if _, err := d.Token(); !errors.Is(err, io.EOF) {
+		return fmt.Errorf("data after the record: %w", ErrMalformed)
+	}
+	return nil
+}
