--- /dev/null
+++ b/daemon/metrics.go
@@ -0,0 +1,78 @@
+package daemon
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.opentelemetry.io/otel/attribute"
+	otelprom "go.opentelemetry.io/otel/exporters/prometheus"
+	"go.opentelemetry.io/otel/metric"
+	sdkmetric "go.opentelemetry.io/otel/sdk/metric"
+)
+
+// ErrMetrics reports that the metrics could not be set up.
+var ErrMetrics = merry.New("metrics could not be set up")
+
+// Metrics is the OpenTelemetry meter of one process and its HTTP handler.
+type Metrics struct {
+	Meter   metric.Meter
+	Handler http.Handler
+}
+
+// NewMetrics sets up the meter with an exporter in the Prometheus text format.
+func NewMetrics(name string) (*Metrics, error) {
+	reg := prometheus.NewRegistry()
+	exp, err := otelprom.New(otelprom.WithRegisterer(reg), otelprom.WithoutScopeInfo())
+	if err != nil {
+		return nil, merry.Wrap(ErrMetrics, merry.WithCause(err))
+	}
+	provider := sdkmetric.NewMeterProvider(sdkmetric.WithReader(exp))
+	return &Metrics{
+		Meter:   provider.Meter(name),
+		Handler: promhttp.HandlerFor(reg, promhttp.HandlerOpts{}),
+	}, nil
+}
+
+// ReasonCounter counts events by a reason from a small enumeration. The
+// attribute sets are built once, so that Add does not allocate them.
+type ReasonCounter struct {
+	counter metric.Int64Counter
+	options []metric.AddOption
+}
+
+// NewReasonCounter returns a counter with the attribute "reason" for each name.
+// The index of a name is its reason.
+func (m *Metrics) NewReasonCounter(name, description string, reasons []string) (*ReasonCounter, error) {
+	c, err := m.Meter.Int64Counter(name, metric.WithDescription(description))
+	if err != nil {
+		return nil, merry.Wrap(ErrMetrics, merry.WithCause(err))
+	}
+	rc := &ReasonCounter{counter: c}
+	for _, r := range reasons {
+		set := attribute.NewSet(attribute.String("reason", r))
+		rc.options = append(rc.options, metric.WithAttributeSet(set))
+		c.Add(context.Background(), 0, metric.WithAttributeSet(set))
+	}
+	return rc, nil
+}
+
+// Add counts one event.
+func (c *ReasonCounter) Add(reason int) {
+	c.counter.Add(context.Background(), 1, c.options[reason])
+}
+
+// Gauge registers a gauge that is read when the metrics are collected.
+func (m *Metrics) Gauge(name, description string, read func() int64) error {
+	_, err := m.Meter.Int64ObservableGauge(name, metric.WithDescription(description),
+		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+			o.Observe(read())
+			return nil
+		}))
+	if err != nil {
+		return merry.Wrap(ErrMetrics, merry.WithCause(err))
+	}
+	return nil
+}
--- /dev/null
+++ b/server/admin/admin.go
@@ -0,0 +1,172 @@
+// Package admin serves the administration API of a control daemon.
+package admin
+
+import (
+	"context"
+	"crypto/subtle"
+	"errors"
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"connectrpc.com/connect"
+
+	adminv1 "github.com/lentilpick/lentilpick/api/admin/v1"
+	"github.com/lentilpick/lentilpick/api/admin/v1/adminv1connect"
+
+	"github.com/lentilpick/lentilpick/configuration"
+	"github.com/lentilpick/lentilpick/server/control"
+	"github.com/lentilpick/lentilpick/types"
+)
+
+// Backend is what the API needs of the control daemon.
+type Backend interface {
+	Config() *control.ConfigLog
+	Status(now time.Time) control.Status
+}
+
+const (
+	applyTimeout = 10 * time.Second
+	maxRequest   = 1 << 20
+)
+
+// Service implements the AdminService.
+type Service struct{ backend Backend }
+
+// NewHandler returns the HTTP handler of the API. With a token every call
+// needs it as a bearer token.
+func NewHandler(b Backend, token string) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(adminv1connect.NewAdminServiceHandler(&Service{b}, connect.WithReadMaxBytes(maxRequest)))
+	if token == "" {
+		return mux
+	}
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		got, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+		if subtle.ConstantTimeCompare([]byte(got), []byte(token)) != 1 {
+			http.Error(w, "a bearer token is required", http.StatusUnauthorized)
+			return
+		}
+		mux.ServeHTTP(w, r)
+	})
+}
+
+// Apply implements the API.
+func (s *Service) Apply(ctx context.Context, req *connect.Request[adminv1.ApplyRequest]) (*connect.Response[adminv1.ApplyResponse], error) {
+	ch, err := toChange(req.Msg)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInvalidArgument, err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, applyTimeout)
+	defer cancel()
+	res, err := s.backend.Config().Apply(ctx, ch)
+	if err != nil {
+		return nil, applyError(err)
+	}
+	if res.Conflict {
+		return nil, connect.NewError(connect.CodeAborted,
+			fmt.Errorf("%s; read the object, then send the change again with base revision %d", res.Refusal, res.Current))
+	}
+	if !res.Accepted() {
+		return nil, connect.NewError(connect.CodeInvalidArgument, errors.New(res.Refusal))
+	}
+	return connect.NewResponse(&adminv1.ApplyResponse{Revision: uint64(res.Revision)}), nil
+}
+
+func applyError(err error) error {
+	switch {
+	case errors.Is(err, configuration.ErrInvalid):
+		return connect.NewError(connect.CodeInvalidArgument, err)
+	case errors.Is(err, control.ErrNotPublished):
+		return connect.NewError(connect.CodeUnavailable, err)
+	}
+	return connect.NewError(connect.CodeUnknown, err)
+}
+
+// GetConfiguration implements the API.
+func (s *Service) GetConfiguration(context.Context, *connect.Request[adminv1.GetConfigurationRequest]) (*connect.Response[adminv1.GetConfigurationResponse], error) {
+	c := s.backend.Config().Config()
+	out := &adminv1.GetConfigurationResponse{Revision: uint64(c.Revision)}
+	for _, e := range c.Services {
+		out.Services = append(out.Services, &adminv1.ServiceEntry{Revision: uint64(e.Revision), Service: fromService(e.Value)})
+	}
+	for _, e := range c.Targets {
+		out.Targets = append(out.Targets, &adminv1.TargetEntry{Revision: uint64(e.Revision), Target: fromTarget(e.Value)})
+	}
+	for _, e := range c.Workspaces {
+		out.Workspaces = append(out.Workspaces, &adminv1.WorkspaceEntry{Revision: uint64(e.Revision), Workspace: fromWorkspace(e.Value)})
+	}
+	slices.SortFunc(out.Services, func(a, b *adminv1.ServiceEntry) int {
+		return strings.Compare(a.GetService().GetId(), b.GetService().GetId())
+	})
+	slices.SortFunc(out.Targets, func(a, b *adminv1.TargetEntry) int {
+		return strings.Compare(a.GetTarget().GetId(), b.GetTarget().GetId())
+	})
+	slices.SortFunc(out.Workspaces, func(a, b *adminv1.WorkspaceEntry) int {
+		return strings.Compare(a.GetWorkspace().GetId(), b.GetWorkspace().GetId())
+	})
+	return connect.NewResponse(out), nil
+}
+
+// GetStatus implements the API.
+func (s *Service) GetStatus(context.Context, *connect.Request[adminv1.GetStatusRequest]) (*connect.Response[adminv1.GetStatusResponse], error) {
+	st := s.backend.Status(time.Now())
+	out := &adminv1.GetStatusResponse{
+		Vm: string(st.VM), DataCentre: string(st.DataCentre), Revision: uint64(st.Revision), UndecodedRecords: uint64(st.Undecoded),
+		Lease: &adminv1.LeaseStatus{HolderVm: string(st.Lease.Holder.VM), FencingNumber: uint64(st.Lease.Fence), HeldByThisDaemon: st.LeaseHeld},
+	}
+	for _, d := range st.Daemons {
+		out.Daemons = append(out.Daemons, &adminv1.DaemonStatus{
+			Vm: string(d.VM), DataCentre: string(d.DataCentre), Revision: uint64(d.Revision), AgeMs: uint32(d.Age.Milliseconds()), Kind: d.Kind,
+		})
+	}
+	slices.SortFunc(st.Targets, func(a, b control.TargetStatus) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	for _, t := range st.Targets {
+		out.Targets = append(out.Targets, targetStatus(t))
+	}
+	return connect.NewResponse(out), nil
+}
+
+func targetStatus(t control.TargetStatus) *adminv1.TargetStatus {
+	out := &adminv1.TargetStatus{Id: string(t.ID), Order: t.Order}
+	if !t.Known {
+		return out
+	}
+	r := t.Report
+	out.Role, out.Model, out.Version = fromRole(r.Role), string(r.Model), r.Version
+	out.Leaving, out.Changing, out.Running = r.Leaving, r.Changing, uint32(r.Running)
+	out.ReportAgeMs = uint32(t.Age.Milliseconds())
+	return out
+}
+
+func toChange(r *adminv1.ApplyRequest) (*configuration.Change, error) {
+	ch := &configuration.Change{ID: r.GetChangeId(), Base: types.Revision(r.GetBaseRevision())}
+	switch o := r.GetObject().(type) {
+	case *adminv1.ApplyRequest_Service:
+		s, err := toService(o.Service)
+		if err != nil {
+			return nil, err
+		}
+		ch.Kind, ch.ObjectID, ch.Service = configuration.ObjectService, string(s.ID), s
+	case *adminv1.ApplyRequest_Target:
+		t, err := toTarget(o.Target)
+		if err != nil {
+			return nil, err
+		}
+		ch.Kind, ch.ObjectID, ch.Target = configuration.ObjectTarget, string(t.ID), t
+	case *adminv1.ApplyRequest_Workspace:
+		w := toWorkspace(o.Workspace)
+		ch.Kind, ch.ObjectID, ch.Workspace = configuration.ObjectWorkspace, string(w.ID), w
+	case *adminv1.ApplyRequest_DeleteService:
+		ch.Kind, ch.ObjectID, ch.Delete = configuration.ObjectService, o.DeleteService, true
+	case *adminv1.ApplyRequest_DeleteTarget:
+		ch.Kind, ch.ObjectID, ch.Delete = configuration.ObjectTarget, o.DeleteTarget, true
+	case *adminv1.ApplyRequest_DeleteWorkspace:
+		ch.Kind, ch.ObjectID, ch.Delete = configuration.ObjectWorkspace, o.DeleteWorkspace, true
+	default:
+		return nil, errors.New("object: is missing")
+	}
+	return ch, nil
+}
--- /dev/null
+++ b/server/control/service.go
@@ -0,0 +1,246 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+
+	peerv1 "github.com/lentilpick/lentilpick/api/peer/v1"
+
+	"github.com/lentilpick/lentilpick/idempotency"
+	"github.com/lentilpick/lentilpick/membership"
+	"github.com/lentilpick/lentilpick/platform"
+	"github.com/lentilpick/lentilpick/server/wire"
+	"github.com/lentilpick/lentilpick/types"
+)
+
+const viewEvery = 250 * time.Millisecond
+
+// entryState is what an entry daemon reported last.
+type entryState struct {
+	revision types.Revision
+	at       time.Time
+}
+
+// entries holds the entry daemons that report to this control daemon and the
+// demand that they reported.
+type entries struct {
+	mu     sync.Mutex
+	states map[string]entryState
+	demand map[types.ModelID]*peerv1.ModelDemand
+}
+
+func newEntries() *entries {
+	return &entries{states: map[string]entryState{}, demand: map[types.ModelID]*peerv1.ModelDemand{}}
+}
+
+const maxEntries = 64
+
+func (e *entries) report(r *peerv1.ReportLoadRequest, now time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if _, ok := e.states[r.GetVm()]; !ok && len(e.states) >= maxEntries {
+		return
+	}
+	e.states[r.GetVm()] = entryState{types.Revision(r.GetRevision()), now}
+	for _, d := range r.GetDemand() {
+		m := types.ModelID(d.GetModel())
+		sum, ok := e.demand[m]
+		if !ok {
+			sum = &peerv1.ModelDemand{Model: d.GetModel()}
+			e.demand[m] = sum
+		}
+		sum.PrefillTokens += d.GetPrefillTokens()
+		sum.DecodeTokens += d.GetDecodeTokens()
+		sum.Requests += d.GetRequests()
+	}
+}
+
+func (e *entries) all() map[string]entryState {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	out := make(map[string]entryState, len(e.states))
+	for k, v := range e.states {
+		out[k] = v
+	}
+	return out
+}
+
+// viewService implements the ViewService of the peer protocol.
+type viewService struct{ d *Daemon }
+
+// WatchView implements the service.
+func (s viewService) WatchView(ctx context.Context, req *connect.Request[peerv1.WatchViewRequest], stream *connect.ServerStream[peerv1.View]) error {
+	sent := types.Revision(req.Msg.GetRevision())
+	tick := time.NewTicker(viewEvery)
+	defer tick.Stop()
+	for {
+		changed := s.d.config.Changed()
+		v, err := s.d.view(sent, time.Now())
+		if err != nil {
+			return connect.NewError(connect.CodeInternal, err)
+		}
+		if err := stream.Send(v); err != nil {
+			return err
+		}
+		sent = max(sent, types.Revision(v.GetRevision()))
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-s.d.stopping:
+			return connect.NewError(connect.CodeUnavailable, errors.New("control daemon is stopping"))
+		case <-changed:
+		case <-tick.C:
+		}
+	}
+}
+
+// view returns the message for an entry daemon that has revision sent.
+func (d *Daemon) view(sent types.Revision, now time.Time) (*peerv1.View, error) {
+	snap := d.config.Snapshot()
+	v := &peerv1.View{
+		Revision: uint64(snap.Config.Revision), Loads: d.fleet.loads(now, false), Leaving: d.fleet.leaving(snap.Config),
+	}
+	if snap.Config.Revision > sent {
+		b, err := encodeSnapshot(snap)
+		if err != nil {
+			return nil, err
+		}
+		v.Configuration = b
+	}
+	return v, nil
+}
+
+// ReportLoad implements the service.
+func (s viewService) ReportLoad(_ context.Context, req *connect.Request[peerv1.ReportLoadRequest]) (*connect.Response[peerv1.ReportLoadResponse], error) {
+	s.d.entries.report(req.Msg, time.Now())
+	return connect.NewResponse(&peerv1.ReportLoadResponse{}), nil
+}
+
+// ClaimKey implements the service.
+func (s viewService) ClaimKey(ctx context.Context, req *connect.Request[peerv1.ClaimKeyRequest]) (*connect.Response[peerv1.ClaimKeyResponse], error) {
+	m := req.Msg
+	key := wire.FromKey(m.GetKey())
+	if key.Key == "" || m.GetAttempt() == "" {
+		return nil, connect.NewError(connect.CodeInvalidArgument, errors.New("key or attempt is missing"))
+	}
+	home := s.d.home(key)
+	if home != s.d.dc && !m.GetForwarded() {
+		return s.forwardClaim(ctx, home, m)
+	}
+	v, a, err := s.d.keys.Claim(ctx, key, m.GetAttempt(), m.GetDigest())
+	if err != nil {
+		return connect.NewResponse(&peerv1.ClaimKeyResponse{Verdict: peerv1.KeyVerdict_KEY_VERDICT_UNAVAILABLE}), nil
+	}
+	return connect.NewResponse(&peerv1.ClaimKeyResponse{Verdict: wireVerdict(v), Answer: wire.ToAnswer(a)}), nil
+}
+
+func wireVerdict(v idempotency.Verdict) peerv1.KeyVerdict {
+	switch v {
+	case idempotency.VerdictRun:
+		return peerv1.KeyVerdict_KEY_VERDICT_RUN
+	case idempotency.VerdictInProgress:
+		return peerv1.KeyVerdict_KEY_VERDICT_IN_PROGRESS
+	case idempotency.VerdictCompleted:
+		return peerv1.KeyVerdict_KEY_VERDICT_COMPLETED
+	case idempotency.VerdictConflict:
+		return peerv1.KeyVerdict_KEY_VERDICT_CONFLICT
+	case idempotency.VerdictUnknown:
+		return peerv1.KeyVerdict_KEY_VERDICT_UNKNOWN
+	}
+	return peerv1.KeyVerdict_KEY_VERDICT_UNAVAILABLE
+}
+
+// forwardClaim asks the control daemons of the key's home data centre, one
+// after the other. Asking twice for one attempt is harmless.
+func (s viewService) forwardClaim(ctx context.Context, home types.DataCentreID, m *peerv1.ClaimKeyRequest) (*connect.Response[peerv1.ClaimKeyResponse], error) {
+	out := &peerv1.ClaimKeyRequest{Key: m.GetKey(), Attempt: m.GetAttempt(), Digest: m.GetDigest(), Forwarded: true}
+	for _, c := range s.d.clientsIn(home) {
+		resp, err := c.view.ClaimKey(ctx, connect.NewRequest(out))
+		if err == nil {
+			return resp, nil
+		}
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	return connect.NewResponse(&peerv1.ClaimKeyResponse{Verdict: peerv1.KeyVerdict_KEY_VERDICT_UNAVAILABLE}), nil
+}
+
+// FinishKey implements the service.
+func (s viewService) FinishKey(ctx context.Context, req *connect.Request[peerv1.FinishKeyRequest]) (*connect.Response[peerv1.FinishKeyResponse], error) {
+	m := req.Msg
+	key := wire.FromKey(m.GetKey())
+	kind, ok := keyEnds[m.GetEnd()]
+	if !ok || key.Key == "" {
+		return nil, connect.NewError(connect.CodeInvalidArgument, fmt.Errorf("end %v of key %q is not valid", m.GetEnd(), key.Key))
+	}
+	if home := s.d.home(key); home != s.d.dc && !m.GetForwarded() {
+		return s.forwardFinish(ctx, home, m)
+	}
+	err := s.d.keys.Finish(idempotency.Record{Kind: kind, Key: key, Attempt: m.GetAttempt(), Answer: wire.FromAnswer(m.GetAnswer())})
+	if err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	return connect.NewResponse(&peerv1.FinishKeyResponse{}), nil
+}
+
+var keyEnds = map[peerv1.KeyEnd]idempotency.Kind{
+	peerv1.KeyEnd_KEY_END_RELEASED:  idempotency.KindReleased,
+	peerv1.KeyEnd_KEY_END_COMPLETED: idempotency.KindCompleted,
+	peerv1.KeyEnd_KEY_END_UNKNOWN:   idempotency.KindUnknown,
+}
+
+func (s viewService) forwardFinish(ctx context.Context, home types.DataCentreID, m *peerv1.FinishKeyRequest) (*connect.Response[peerv1.FinishKeyResponse], error) {
+	out := &peerv1.FinishKeyRequest{Key: m.GetKey(), Attempt: m.GetAttempt(), End: m.GetEnd(), Answer: m.GetAnswer(), Forwarded: true}
+	err := errors.New("no control daemon in the key's home data centre answers")
+	for _, c := range s.d.clientsIn(home) {
+		var resp *connect.Response[peerv1.FinishKeyResponse]
+		if resp, err = c.view.FinishKey(ctx, connect.NewRequest(out)); err == nil {
+			return resp, nil
+		}
+	}
+	return nil, connect.NewError(connect.CodeUnavailable, err)
+}
+
+// home returns the data centre whose log stream holds the records of a key.
+func (d *Daemon) home(k idempotency.Key) types.DataCentreID {
+	var dcs []types.DataCentreID
+	for dc := range d.config.Config().DataCentres() {
+		dcs = append(dcs, dc)
+	}
+	return membership.Best(dcs, string(k.Service)+"\x00"+string(k.Workspace)+"\x00"+k.Key)
+}
+
+// peerService implements the PeerService of the peer protocol.
+type peerService struct{ d *Daemon }
+
+// Exchange implements the service.
+func (s peerService) Exchange(_ context.Context, req *connect.Request[peerv1.ExchangeRequest]) (*connect.Response[peerv1.ExchangeResponse], error) {
+	now := time.Now()
+	observePeer(s.d.fleet, req.Msg.GetState(), now)
+	return connect.NewResponse(&peerv1.ExchangeResponse{State: s.d.peerState(now)}), nil
+}
+
+// FetchSnapshot implements the service.
+func (s peerService) FetchSnapshot(context.Context, *connect.Request[peerv1.FetchSnapshotRequest]) (*connect.Response[peerv1.FetchSnapshotResponse], error) {
+	snap := s.d.config.Snapshot()
+	b, err := encodeSnapshot(snap)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInternal, err)
+	}
+	return connect.NewResponse(&peerv1.FetchSnapshotResponse{Revision: uint64(snap.Config.Revision), Configuration: b}), nil
+}
+
+// AppendKeys implements the service.
+func (s peerService) AppendKeys(ctx context.Context, req *connect.Request[peerv1.AppendKeysRequest]) (*connect.Response[peerv1.AppendKeysResponse], error) {
+	o, err := s.d.platform.Append(ctx, platform.KeyStream(s.d.dc), req.Msg.GetBatches())
+	if err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	return connect.NewResponse(&peerv1.AppendKeysResponse{Offset: int64(o)}), nil
+}
--- /dev/null
+++ b/server/control/settings.go
@@ -0,0 +1,103 @@
+// Package control is the control daemon: it follows the platform's log, serves
+// the administration and peer APIs, contends for the lease of its data centre,
+// orders targets and claims idempotency keys.
+package control
+
+import (
+	"time"
+
+	"github.com/lentilpick/lentilpick/authority"
+	"github.com/lentilpick/lentilpick/daemon"
+)
+
+// Settings of the control daemon.
+type Settings struct {
+	VM         string `toml:"vm"`
+	DataCentre string `toml:"data_centre"`
+	LogLevel   string `toml:"log_level"`
+	// Listen is the address for entry daemons and peers; it also serves the metrics.
+	Listen string `toml:"listen"`
+	// Admin is the address of the administration API. Without AdminToken it
+	// has to be a loopback address.
+	Admin      string `toml:"admin"`
+	AdminToken string `toml:"admin_token"`
+	// Platform is the address of the log service and the VM list.
+	Platform string `toml:"platform"`
+	// Peers are the other control daemons of the deployment.
+	Peers []Peer `toml:"peer"`
+
+	LeaseDuration time.Duration `toml:"lease_duration"`
+	LeaseRenewal  time.Duration `toml:"lease_renewal"`
+	// Quarantine is the time before targets that do not check fencing numbers
+	// are ordered by a new holder.
+	Quarantine time.Duration `toml:"quarantine"`
+	// ReportInterval is the time between two reads of a target's load report.
+	ReportInterval time.Duration `toml:"report_interval"`
+	// OrderInterval is the time between two comparisons of a target's state
+	// with its configuration.
+	OrderInterval time.Duration `toml:"order_interval"`
+	// KeyBatch is the time for which key records are collected.
+	KeyBatch time.Duration `toml:"key_batch"`
+	// KeyWindow is how long a key is remembered; at most half of LogRetention.
+	KeyWindow time.Duration `toml:"key_window"`
+	// KeyInProgress is how long an attempt may be in progress before it counts
+	// as unknown.
+	KeyInProgress time.Duration `toml:"key_in_progress"`
+	// LogRetention is how long the platform's log keeps records.
+	LogRetention time.Duration `toml:"log_retention"`
+	StopTimeout  time.Duration `toml:"stop_timeout"`
+}
+
+// Peer is another control daemon.
+type Peer struct {
+	VM         string `toml:"vm"`
+	DataCentre string `toml:"data_centre"`
+	Address    string `toml:"address"`
+}
+
+// DefaultSettings returns the settings that a file can override.
+func DefaultSettings() *Settings {
+	return &Settings{
+		LogLevel: "info", LeaseDuration: 6 * time.Second, LeaseRenewal: 2 * time.Second,
+		Quarantine: 2 * time.Minute, ReportInterval: 500 * time.Millisecond, OrderInterval: 500 * time.Millisecond,
+		KeyBatch: 100 * time.Millisecond, KeyWindow: time.Hour, KeyInProgress: time.Minute,
+		LogRetention: 24 * time.Hour, StopTimeout: 10 * time.Second,
+	}
+}
+
+// Validate implements daemon.Validator.
+func (s *Settings) Validate(c *daemon.Checker) {
+	c.Name("vm", s.VM)
+	c.Name("data_centre", s.DataCentre)
+	c.OneOf("log_level", s.LogLevel, "debug", "info", "warning", "error")
+	c.Address("listen", s.Listen)
+	c.Address("platform", s.Platform)
+	if s.AdminToken == "" {
+		c.Loopback("admin", s.Admin)
+	} else {
+		c.Address("admin", s.Admin)
+	}
+	for _, p := range s.Peers {
+		c.Name("peer.vm", p.VM)
+		c.Name("peer.data_centre", p.DataCentre)
+		c.Address("peer.address", p.Address)
+	}
+	c.Duration("lease_duration", s.LeaseDuration, 500*time.Millisecond, time.Minute)
+	c.Duration("lease_renewal", s.LeaseRenewal, 100*time.Millisecond, s.LeaseDuration/2)
+	c.Duration("quarantine", s.Quarantine, s.LeaseDuration, time.Hour)
+	c.Duration("report_interval", s.ReportInterval, 50*time.Millisecond, time.Minute)
+	c.Duration("order_interval", s.OrderInterval, 50*time.Millisecond, time.Minute)
+	c.Duration("key_batch", s.KeyBatch, 10*time.Millisecond, time.Second)
+	c.Duration("log_retention", s.LogRetention, time.Second, 365*24*time.Hour)
+	c.Duration("key_window", s.KeyWindow, time.Second, s.LogRetention/2)
+	c.Duration("key_in_progress", s.KeyInProgress, time.Second, s.KeyWindow)
+	c.Duration("stop_timeout", s.StopTimeout, time.Second, 10*time.Minute)
+}
+
+func (s *Settings) lease(incarnation string) authority.Settings {
+	return authority.Settings{
+		Self:     authority.Holder{VM: vmID(s.VM), Incarnation: incarnation},
+		Duration: s.LeaseDuration, RenewEvery: s.LeaseRenewal,
+		Margin: authority.MarginFor(s.LeaseDuration), Quarantine: s.Quarantine,
+	}
+}
--- /dev/null
+++ b/server/entry/answer.go
@@ -0,0 +1,121 @@
+package entry
+
+import (
+	"encoding/json"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/lentilpick/lentilpick/types"
+)
+
+type errorBody struct {
+	Error errorDetail `json:"error"`
+}
+
+type errorDetail struct {
+	RequestID    types.RequestID `json:"request_id,omitempty"`
+	Outcome      string          `json:"outcome"`
+	Reason       string          `json:"reason"`
+	Field        string          `json:"field,omitempty"`
+	Message      string          `json:"message"`
+	RetryAfterMs int             `json:"retry_after_ms,omitempty"`
+}
+
+// retryAfterMs is the hint to callers that were refused for load.
+const retryAfterMs = 500
+
+const (
+	outcomeNotRun  = "not_run"
+	outcomeUnknown = "unknown"
+)
+
+// refusal is what a caller is told when a request gets no answer.
+type refusal struct {
+	status int
+	detail errorDetail
+}
+
+// refuse turns an outcome into the answer for the caller.
+func refuse(id types.RequestID, o types.Outcome) refusal {
+	switch v := o.(type) {
+	case types.NotRun:
+		return refusal{notRunStatus(v.Reason()), detailFor(id, outcomeNotRun, v.Reason())}
+	case types.Unknown:
+		return refusal{unknownStatus(v.Reason()), detailFor(id, outcomeUnknown, v.Reason())}
+	}
+	return refusal{fasthttp.StatusInternalServerError, detailFor(id, outcomeUnknown, types.RefusedTargetFailed)}
+}
+
+func detailFor(id types.RequestID, outcome string, r types.RefusalReason) errorDetail {
+	d := errorDetail{RequestID: id, Outcome: outcome, Reason: r.String(), Message: messages[r]}
+	if r == types.RefusedKeyInProgress || (outcome == outcomeNotRun && isLoad(r)) {
+		d.RetryAfterMs = retryAfterMs
+	}
+	return d
+}
+
+func isLoad(r types.RefusalReason) bool {
+	switch r {
+	case types.RefusedWorkspaceLimit, types.RefusedDeadline, types.RefusedNoTarget, types.RefusedOverload,
+		types.RefusedPoolFull, types.RefusedStopping, types.RefusedRetryBudget:
+		return true
+	}
+	return false
+}
+
+func notRunStatus(r types.RefusalReason) int {
+	switch r {
+	case types.RefusedBadInput:
+		return fasthttp.StatusBadRequest
+	case types.RefusedUnknownModel, types.RefusedUnknownService:
+		return fasthttp.StatusNotFound
+	case types.RefusedUnknownWorkspace:
+		return fasthttp.StatusForbidden
+	case types.RefusedWorkspaceLimit, types.RefusedOverload:
+		return fasthttp.StatusTooManyRequests
+	case types.RefusedKeyConflict:
+		return fasthttp.StatusConflict
+	}
+	return fasthttp.StatusServiceUnavailable
+}
+
+func unknownStatus(r types.RefusalReason) int {
+	if r == types.RefusedKeyInProgress || r == types.RefusedKeyUnknown {
+		return fasthttp.StatusConflict
+	}
+	return fasthttp.StatusGatewayTimeout
+}
+
+var messages = [types.RefusalReasonCount]string{
+	types.RefusedBadInput:          "the request is not valid; correct the field",
+	types.RefusedUnknownModel:      "no engine carries this model or adapter",
+	types.RefusedUnknownService:    "no such service",
+	types.RefusedUnknownWorkspace:  "the workspace does not exist or may not call this service",
+	types.RefusedWorkspaceLimit:    "the workspace has too many requests in progress; send it again later",
+	types.RefusedDeadline:          "no target can meet the deadline; send it again with a later deadline",
+	types.RefusedNoTarget:          "no target is available; send it again later",
+	types.RefusedOverload:          "the daemon has too many requests in progress; send it again later",
+	types.RefusedPoolFull:          "the daemon has no free worker; send it again later",
+	types.RefusedStopping:          "the daemon is stopping; send it again to another one",
+	types.RefusedKeyInProgress:     "a request with this key is in progress; ask again for its result",
+	types.RefusedKeyConflict:       "the key was used for a different request; use another key",
+	types.RefusedKeyUnknown:        "an earlier request with this key may have run; check with the service before using another key",
+	types.RefusedKeyUnavailable:    "the key cannot be checked now; send it again later",
+	types.RefusedRetryBudget:       "the target failed and the retry budget of the service is used up",
+	types.RefusedTargetUnreachable: "the target cannot be reached",
+	types.RefusedTargetFailed:      "the target failed",
+	types.RefusedTargetSilent:      "the target stopped answering",
+	types.RefusedAnswerTruncated:   "the answer ended early",
+	types.RefusedCallerGone:        "the caller closed the connection",
+}
+
+func (r refusal) write(ctx *fasthttp.RequestCtx) {
+	b, err := json.Marshal(errorBody{r.detail})
+	if err != nil {
+		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetStatusCode(r.status)
+	ctx.SetContentType("application/json")
+	ctx.SetBody(b)
+}
--- /dev/null
+++ b/server/entry/counters.go
@@ -0,0 +1,120 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	peerv1 "github.com/lentilpick/lentilpick/api/peer/v1"
+
+	"github.com/lentilpick/lentilpick/daemon"
+	"github.com/lentilpick/lentilpick/types"
+)
+
+// counters are the metrics of the request path.
+type counters struct {
+	refusals *daemon.ReasonCounter
+	retries  *daemon.ReasonCounter
+	results  *daemon.ReasonCounter
+}
+
+const (
+	resultAnswered = iota
+	resultNotRun
+	resultUnknown
+)
+
+func newCounters(m *daemon.Metrics) (*counters, error) {
+	var c counters
+	var err error
+	refusals := names(int(types.RefusalReasonCount), func(i int) string { return types.RefusalReason(i).String() })
+	if c.refusals, err = m.NewReasonCounter("lentilpick_refusals", "Requests without an answer, by reason.", refusals); err != nil {
+		return nil, err
+	}
+	retries := names(int(types.RetryReasonCount), func(i int) string { return types.RetryReason(i).String() })
+	if c.retries, err = m.NewReasonCounter("lentilpick_retries", "Requests sent again, by reason.", retries); err != nil {
+		return nil, err
+	}
+	results := []string{"answered", outcomeNotRun, outcomeUnknown}
+	c.results, err = m.NewReasonCounter("lentilpick_requests", "Requests by result.", results)
+	return &c, err
+}
+
+func names(n int, name func(int) string) []string {
+	out := make([]string, n)
+	for i := range out {
+		out[i] = name(i)
+	}
+	return out
+}
+
+func (c *counters) refused(r types.RefusalReason) { c.refusals.Add(int(r)) }
+func (c *counters) retried(r types.RetryReason)   { c.retries.Add(int(r)) }
+
+// finished counts the outcome of a request.
+func (c *counters) finished(o types.Outcome) {
+	switch v := o.(type) {
+	case types.Answered:
+		c.results.Add(resultAnswered)
+	case types.NotRun:
+		c.results.Add(resultNotRun)
+		c.refused(v.Reason())
+	case types.Unknown:
+		c.results.Add(resultUnknown)
+		c.refused(v.Reason())
+	}
+}
+
+// modelDemand counts the work that callers asked of one model.
+type modelDemand struct {
+	requests, prefill, decode atomic.Uint64
+}
+
+// demand counts work by model since the last report.
+type demand struct{ models sync.Map }
+
+func (d *demand) add(m types.ModelID, prefillTokens, decodeTokens int) {
+	v, ok := d.models.Load(m)
+	if !ok {
+		v, _ = d.models.LoadOrStore(m, &modelDemand{})
+	}
+	md := v.(*modelDemand)
+	md.requests.Add(1)
+	md.prefill.Add(uint64(prefillTokens))
+	md.decode.Add(uint64(decodeTokens))
+}
+
+func (d *demand) take() []*peerv1.ModelDemand {
+	var out []*peerv1.ModelDemand
+	d.models.Range(func(k, v any) bool {
+		md := v.(*modelDemand)
+		out = append(out, &peerv1.ModelDemand{
+			Model: string(k.(types.ModelID)), Requests: md.requests.Swap(0),
+			PrefillTokens: md.prefill.Swap(0), DecodeTokens: md.decode.Swap(0),
+		})
+		return true
+	})
+	return out
+}
+
+const loadReportEvery = time.Second
+
+// reportLoad tells the control daemon once a second what is in flight.
+func (d *Daemon) reportLoad(ctx context.Context) {
+	tick := time.NewTicker(loadReportEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		r := &peerv1.ReportLoadRequest{
+			Vm: d.settings.VM, Revision: uint64(d.views.Load().Config.Revision), Demand: d.demand.take(),
+		}
+		if err := d.control.ReportLoad(ctx, r); err != nil {
+			d.log.WithError(err).Debug("load report was not delivered")
+		}
+	}
+}
--- /dev/null
+++ b/server/entry/daemon.go
@@ -0,0 +1,226 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/panjf2000/ants/v2"
+	"github.com/sirupsen/logrus"
+	"github.com/valyala/fasthttp"
+
+	"github.com/lentilpick/lentilpick/admission"
+	"github.com/lentilpick/lentilpick/daemon"
+	"github.com/lentilpick/lentilpick/engine"
+	"github.com/lentilpick/lentilpick/idempotency"
+	"github.com/lentilpick/lentilpick/routing"
+	"github.com/lentilpick/lentilpick/server/localview"
+	"github.com/lentilpick/lentilpick/types"
+)
+
+// ErrStart reports that the daemon could not start.
+var ErrStart = merry.New("entry daemon could not start")
+
+// KeyService decides whether keyed requests may run.
+type KeyService interface {
+	Claim(ctx context.Context, k idempotency.Key, attempt string, digest uint64) (idempotency.Verdict, *idempotency.Answer, error)
+	Finish(ctx context.Context, k idempotency.Key, attempt string, end idempotency.Kind, a *idempotency.Answer) error
+}
+
+// Targets sends requests to targets.
+type Targets interface {
+	Generate(address string, g *engine.Generate, deadline time.Time) (*engine.Stream, error)
+	Call(address string, c *engine.Call, deadline time.Time) (*engine.Reply, error)
+}
+
+// Daemon is the entry daemon.
+type Daemon struct {
+	settings  *Settings
+	log       *logrus.Entry
+	metrics   *daemon.Metrics
+	counters  *counters
+	views     *localview.Store
+	control   *localview.Client
+	keys      KeyService
+	targets   Targets
+	router    *routing.Router
+	admission *admission.Controller
+	pool      *ants.Pool
+	demand    demand
+	stopping  atomic.Bool
+	// attempts numbers the claims of this run of the daemon; incarnation tells
+	// the runs apart.
+	attempts    atomic.Uint64
+	incarnation string
+	// finishing counts the ends of keyed requests that are being recorded.
+	finishing sync.WaitGroup
+}
+
+// New returns a daemon that is not yet serving.
+func New(s *Settings, log *logrus.Entry) (*Daemon, error) {
+	m, err := daemon.NewMetrics("lentilpick-entry")
+	if err != nil {
+		return nil, merry.Wrap(ErrStart, merry.WithCause(err))
+	}
+	pool, err := ants.NewPool(s.MaxInFlight, ants.WithNonblocking(true))
+	if err != nil {
+		return nil, merry.Wrap(ErrStart, merry.WithCause(err))
+	}
+	d := &Daemon{
+		settings: s, log: log, metrics: m, pool: pool,
+		incarnation: strconv.FormatUint(rand.Uint64(), 36),
+		views:       localview.NewStore(types.DataCentreID(s.DataCentre)),
+		router:      routing.NewRouter(),
+		admission: admission.NewController(admission.Limits{
+			MaxInFlight: int64(s.MaxInFlight), WorkspaceInFlight: int64(s.WorkspaceInFlight),
+		}),
+		targets: engine.NewClient(engine.Settings{
+			DialTimeout: s.DialTimeout, Progress: s.ProgressTimeout, MaxIdle: s.ConnectionIdle,
+			MaxAge: s.ConnectionAge, MaxConns: s.MaxInFlight,
+		}),
+	}
+	d.control = localview.NewClient(s.VM, d.views, s.Control, log)
+	d.keys = d.control
+	if d.counters, err = newCounters(m); err != nil {
+		return nil, err
+	}
+	err = d.registerGauges()
+	return d, err
+}
+
+func (d *Daemon) registerGauges() error {
+	if err := d.metrics.Gauge("lentilpick_in_flight", "Requests in progress.", d.admission.InFlight); err != nil {
+		return err
+	}
+	return d.metrics.Gauge("lentilpick_revision", "Configuration revision in force.", func() int64 {
+		return int64(d.views.Load().Config.Revision)
+	})
+}
+
+// Run serves until the context ends, then stops gracefully within StopTimeout.
+func (d *Daemon) Run(ctx context.Context) error {
+	callers, err := net.Listen("tcp", d.settings.Listen)
+	if err != nil {
+		return merry.Wrap(ErrStart, merry.WithCause(err))
+	}
+	metrics, err := net.Listen("tcp", d.settings.Metrics)
+	if err != nil {
+		return merry.Wrap(ErrStart, merry.WithCause(err))
+	}
+	background, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go d.control.Run(background)
+	go d.reportLoad(background)
+	go func() { _ = http.Serve(metrics, d.metrics.Handler) }()
+	server := d.server()
+	failed := make(chan error, 1)
+	go func() { failed <- server.Serve(callers) }()
+	d.log.WithField(daemon.FieldAddress, d.settings.Listen).Info("serving callers")
+	select {
+	case err := <-failed:
+		return merry.Wrap(ErrStart, merry.WithCause(err))
+	case <-ctx.Done():
+	}
+	return d.stop(server)
+}
+
+func (d *Daemon) server() *fasthttp.Server {
+	return &fasthttp.Server{
+		Handler:                      d.handle,
+		Name:                         "lentilpick",
+		MaxRequestBodySize:           d.settings.MaxBodyBytes,
+		ReadTimeout:                  30 * time.Second,
+		IdleTimeout:                  time.Minute,
+		CloseOnShutdown:              true,
+		ErrorHandler:                 d.protocolError,
+		NoDefaultDate:                true,
+		DisablePreParseMultipartForm: true,
+	}
+}
+
+// stop lets the requests in progress finish. New requests on open connections
+// are refused as not run.
+func (d *Daemon) stop(server *fasthttp.Server) error {
+	d.log.Info("stopping")
+	d.stopping.Store(true)
+	ctx, cancel := context.WithTimeout(context.Background(), d.settings.StopTimeout)
+	defer cancel()
+	if err := server.ShutdownWithContext(ctx); err != nil {
+		d.log.WithError(err).Error("requests were in progress at the end of the stop timeout")
+		return merry.Wrap(err)
+	}
+	d.finishing.Wait()
+	d.log.Info("stopped")
+	return nil
+}
+
+func (d *Daemon) protocolError(ctx *fasthttp.RequestCtx, err error) {
+	status := fasthttp.StatusBadRequest
+	if errors.Is(err, fasthttp.ErrBodyTooLarge) {
+		status = fasthttp.StatusRequestEntityTooLarge
+	}
+	d.counters.refused(types.RefusedBadInput)
+	detail := detailFor("", outcomeNotRun, types.RefusedBadInput)
+	detail.Field, detail.Message = "http", err.Error()
+	refusal{status, detail}.write(ctx)
+}
+
+func (d *Daemon) handle(ctx *fasthttp.RequestCtx) {
+	now := time.Now()
+	path := string(ctx.Path())
+	switch {
+	case path == "/v1/completions":
+		d.handleCompletion(ctx, now)
+	case strings.HasPrefix(path, servicePrefix):
+		d.handleCall(ctx, now)
+	case path == "/healthz":
+		d.handleHealth(ctx)
+	default:
+		d.refuseInput(ctx, badInput("path", "no such path"), fasthttp.StatusNotFound)
+	}
+}
+
+func (d *Daemon) handleHealth(ctx *fasthttp.RequestCtx) {
+	if d.stopping.Load() || d.views.Load().Config.Revision == 0 {
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+	}
+}
+
+func (d *Daemon) refuseInput(ctx *fasthttp.RequestCtx, e *inputError, status int) {
+	d.counters.refused(types.RefusedBadInput)
+	detail := detailFor("", outcomeNotRun, types.RefusedBadInput)
+	detail.Field, detail.Message = e.Field, e.Message
+	refusal{status, detail}.write(ctx)
+}
+
+// admit checks the workspace and takes a place for the request.
+func (d *Daemon) admit(v *localview.View, ws types.WorkspaceID, s types.ServiceID, a *types.Attempt) (*localview.Workspace, types.Outcome) {
+	if d.stopping.Load() {
+		return nil, a.Refuse(types.RefusedStopping)
+	}
+	w, ok := v.Workspaces[ws]
+	if !ok || !w.Allows(s) {
+		return nil, a.Refuse(types.RefusedUnknownWorkspace)
+	}
+	if reason, ok := d.admission.Admit(w.Admission, w.Share); !ok {
+		return nil, a.Refuse(reason)
+	}
+	return w, nil
+}
+
+func (d *Daemon) markFailed(t *routing.Target, now time.Time) {
+	t.Counters.Failures.Add(1)
+	t.Counters.RetryAfter.Store(now.Add(d.settings.FailureBackoff).UnixNano())
+}
+
+// seed returns a random source for one decision; the global generator of
+// math/rand/v2 is safe for concurrent use and keeps state for each thread.
+func seed() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
--- /dev/null
+++ b/server/entry/exchange.go
@@ -0,0 +1,217 @@
+package entry
+
+import (
+	"errors"
+	"time"
+
+	"github.com/lentilpick/lentilpick/admission"
+	"github.com/lentilpick/lentilpick/daemon"
+	"github.com/lentilpick/lentilpick/engine"
+	"github.com/lentilpick/lentilpick/routing"
+	"github.com/lentilpick/lentilpick/server/localview"
+	"github.com/lentilpick/lentilpick/types"
+)
+
+// part is what an exchange passes to the caller's side. The last part has an
+// outcome.
+type part struct {
+	index   int
+	count   int
+	text    string
+	outcome types.Outcome
+}
+
+// partBuffer is how many parts may wait for a slow caller before the exchange
+// stops reading from the target.
+const partBuffer = 32
+
+// exchange serves one completion request: it dispatches to a target and, when
+// the target fails, resumes on another one at the token offset that the caller
+// has. It runs on a worker of the daemon's pool.
+type exchange struct {
+	daemon  *Daemon
+	request *completion
+	view    *localview.View
+	budget  *admission.RetryBudget
+	release func()
+
+	attempt types.Attempt
+	route   routing.Request
+	parts   chan part
+	gone    chan struct{} // closed when the caller is gone
+	tokens  int           // tokens passed to the caller
+}
+
+func newExchange(d *Daemon, c *completion, v *localview.View, budget *admission.RetryBudget) *exchange {
+	return &exchange{
+		daemon: d, request: c, view: v, budget: budget,
+		parts: make(chan part, partBuffer), gone: make(chan struct{}),
+		route: routing.Request{
+			Model: c.Model, Adapter: c.Adapter, PromptTokens: types.TokensOf(len(c.Prompt)), MaxTokens: c.MaxTokens,
+			Blocks: routing.Blocks(nil, []byte(c.Prompt)), Deadline: c.Deadline, TokenInterval: c.TokenInterval,
+		},
+	}
+}
+
+// run serves the request to its end. It always passes exactly one outcome.
+func (x *exchange) run() {
+	o := x.serve()
+	x.daemon.counters.finished(o)
+	x.release()
+	x.pass(part{outcome: o})
+	close(x.parts)
+}
+
+// pass hands a part to the caller's side and reports whether the caller is there.
+func (x *exchange) pass(p part) bool {
+	select {
+	case x.parts <- p:
+		return true
+	case <-x.gone:
+		return false
+	}
+}
+
+func (x *exchange) serve() types.Outcome {
+	x.budget.Earn()
+	for retries := 0; ; retries++ {
+		t, o := x.choose()
+		if o != nil {
+			return o
+		}
+		err := x.dispatch(t)
+		if err == nil {
+			return types.Answered{}
+		}
+		if errors.Is(err, errCallerGone) {
+			return x.attempt.Refuse(types.RefusedCallerGone)
+		}
+		f := classify(err)
+		x.daemon.failed(t, x.request.ID, err)
+		if retries == x.daemon.settings.MaxRetries {
+			return x.attempt.Refuse(f.refusal)
+		}
+		if !x.budget.Spend() {
+			return x.attempt.Refuse(types.RefusedRetryBudget)
+		}
+		x.daemon.counters.retried(f.retry)
+		x.route.Excluded = append(x.route.Excluded, t.ID)
+	}
+}
+
+func (x *exchange) choose() (*routing.Target, types.Outcome) {
+	v := x.daemon.views.Load()
+	if x.tokens > 0 {
+		x.route.Deadline = time.Time{} // the first token is out; only the end matters now
+	}
+	dec := x.daemon.router.Route(v.Fleet, &x.route, time.Now(), seed())
+	if dec.Target == nil {
+		return nil, x.attempt.Refuse(dec.Reason)
+	}
+	return dec.Target, nil
+}
+
+// errCallerGone ends a dispatch whose caller closed the connection.
+var errCallerGone = errors.New("caller is gone")
+
+func (x *exchange) dispatch(t *routing.Target) error {
+	load := startLoad(t, x.route.PromptTokens)
+	defer load.end()
+	d := x.attempt.Begin()
+	s, err := x.daemon.targets.Generate(t.Address, &engine.Generate{
+		RequestID: x.request.ID, Model: x.request.Model, Adapter: x.request.Adapter, Prompt: x.request.Prompt,
+		MaxTokens: x.request.MaxTokens, Priority: x.request.Priority, ResumeFrom: x.tokens,
+	}, time.Now().Add(x.daemon.settings.MaxAnswerTime))
+	if err != nil {
+		if errors.Is(err, engine.ErrNotSent) {
+			d.NotStarted()
+		}
+		return err
+	}
+	err = x.copy(s, load)
+	if err != nil {
+		s.Close()
+		return err
+	}
+	s.Finish()
+	t.Counters.Failures.Store(0)
+	return nil
+}
+
+// copy passes the events of a stream to the caller until its end marker.
+func (x *exchange) copy(s *engine.Stream, load *targetLoad) error {
+	for {
+		e, err := s.Next()
+		if err != nil {
+			return err
+		}
+		if e.Done {
+			return nil
+		}
+		load.firstToken()
+		if !x.pass(part{index: e.Index, count: e.Count, text: e.Text}) {
+			return errCallerGone
+		}
+		x.tokens += e.Count
+	}
+}
+
+// targetLoad keeps a target's counters while a request is on it.
+type targetLoad struct {
+	c       *routing.Counters
+	prefill int64
+	decodes bool
+}
+
+func startLoad(t *routing.Target, promptTokens int) *targetLoad {
+	l := &targetLoad{c: t.Counters, prefill: int64(promptTokens)}
+	l.c.InFlight.Add(1)
+	l.c.QueuedPrefill.Add(l.prefill)
+	return l
+}
+
+func (l *targetLoad) firstToken() {
+	if l.decodes {
+		return
+	}
+	l.decodes = true
+	l.c.QueuedPrefill.Add(-l.prefill)
+	l.c.Decoding.Add(1)
+}
+
+func (l *targetLoad) end() {
+	l.c.InFlight.Add(-1)
+	if l.decodes {
+		l.c.Decoding.Add(-1)
+		return
+	}
+	l.c.QueuedPrefill.Add(-l.prefill)
+}
+
+// failure says how a failed dispatch is counted.
+type failure struct {
+	retry   types.RetryReason
+	refusal types.RefusalReason
+}
+
+func classify(err error) failure {
+	switch {
+	case errors.Is(err, engine.ErrNotSent):
+		return failure{types.RetryUnreachable, types.RefusedTargetUnreachable}
+	case errors.Is(err, engine.ErrSilent):
+		return failure{types.RetryTargetSilent, types.RefusedTargetSilent}
+	case errors.Is(err, engine.ErrTruncated):
+		return failure{types.RetryTruncated, types.RefusedAnswerTruncated}
+	case errors.Is(err, engine.ErrRefused):
+		return failure{types.RetryTargetRefused, types.RefusedTargetFailed}
+	}
+	return failure{types.RetryTargetFailed, types.RefusedTargetFailed}
+}
+
+// failed takes a target out of use for the failure back-off.
+func (d *Daemon) failed(t *routing.Target, id types.RequestID, err error) {
+	d.markFailed(t, time.Now())
+	d.log.WithError(err).WithFields(map[string]any{
+		daemon.FieldTarget: t.ID, daemon.FieldRequest: id,
+	}).Warn("dispatch failed")
+}
--- /dev/null
+++ b/server/localview/view.go
@@ -0,0 +1,152 @@
+// Package localview keeps an entry daemon's view of the configuration and the
+// fleet. It reads the view from the control daemon of its own VM or, when that
+// one is down, of a peer, and publishes immutable snapshots.
+package localview
+
+import (
+	"sync/atomic"
+	"time"
+
+	peerv1 "github.com/lentilpick/lentilpick/api/peer/v1"
+
+	"github.com/lentilpick/lentilpick/admission"
+	"github.com/lentilpick/lentilpick/configuration"
+	"github.com/lentilpick/lentilpick/records"
+	"github.com/lentilpick/lentilpick/routing"
+	"github.com/lentilpick/lentilpick/server/wire"
+	"github.com/lentilpick/lentilpick/types"
+)
+
+// Workspace is a workspace with its admission state.
+type Workspace struct {
+	configuration.Workspace
+	Admission *admission.Workspace
+}
+
+// View is an immutable snapshot of what an entry daemon knows.
+type View struct {
+	Config     *configuration.Config
+	Fleet      *routing.Fleet
+	Workspaces map[types.WorkspaceID]*Workspace
+	Budgets    map[types.ServiceID]*admission.RetryBudget
+}
+
+// Store holds the current view. Load is safe for concurrent use; the other
+// methods are called by one goroutine.
+type Store struct {
+	local      types.DataCentreID
+	current    atomic.Pointer[View]
+	config     *configuration.Config
+	counters   map[types.TargetID]*routing.Counters
+	reports    map[types.TargetID]types.LoadReport
+	leaving    map[types.TargetID]bool
+	workspaces map[types.WorkspaceID]*admission.Workspace
+	budgets    map[types.ServiceID]*admission.RetryBudget
+}
+
+// NewStore returns a store with the empty configuration.
+func NewStore(local types.DataCentreID) *Store {
+	s := &Store{
+		local: local, config: configuration.New(),
+		counters:   map[types.TargetID]*routing.Counters{},
+		reports:    map[types.TargetID]types.LoadReport{},
+		leaving:    map[types.TargetID]bool{},
+		workspaces: map[types.WorkspaceID]*admission.Workspace{},
+		budgets:    map[types.ServiceID]*admission.RetryBudget{},
+	}
+	s.publish()
+	return s
+}
+
+// Load returns the current view.
+func (s *Store) Load() *View { return s.current.Load() }
+
+// Update folds a message of the control daemon and publishes a new view. The
+// error wraps records.ErrMalformed when the configuration does not decode; the
+// rest of the message is used all the same.
+func (s *Store) Update(v *peerv1.View, now time.Time) error {
+	var err error
+	if b := v.GetConfiguration(); len(b) > 0 {
+		err = s.updateConfig(b)
+	}
+	for _, l := range v.GetLoads()[:min(len(v.GetLoads()), wire.MaxLoads)] {
+		if id, r, ok := wire.FromLoad(l, now); ok {
+			s.reports[id] = r
+		}
+	}
+	clear(s.leaving)
+	for _, id := range v.GetLeaving() {
+		s.leaving[types.TargetID(id)] = true
+	}
+	s.publish()
+	return err
+}
+
+func (s *Store) updateConfig(b []byte) error {
+	r, err := records.DecodeConfiguration(b)
+	if err != nil {
+		return err
+	}
+	if r.Snapshot == nil || r.Snapshot.Config.Revision < s.config.Revision {
+		return nil // a control daemon that lags behind must not revert the configuration
+	}
+	s.config = r.Snapshot.Config
+	return nil
+}
+
+func (s *Store) publish() {
+	v := &View{
+		Config: s.config, Fleet: s.fleet(),
+		Workspaces: make(map[types.WorkspaceID]*Workspace, len(s.config.Workspaces)),
+		Budgets:    make(map[types.ServiceID]*admission.RetryBudget, len(s.config.Services)),
+	}
+	for id, w := range s.config.Workspaces {
+		v.Workspaces[id] = &Workspace{Workspace: w.Value, Admission: getOrNew(s.workspaces, id)}
+	}
+	for id := range s.config.Services {
+		v.Budgets[id] = getOrNew(s.budgets, id)
+	}
+	s.current.Store(v)
+}
+
+func getOrNew[K comparable, V any](m map[K]*V, k K) *V {
+	v, ok := m[k]
+	if !ok {
+		v = new(V)
+		m[k] = v
+	}
+	return v
+}
+
+func (s *Store) fleet() *routing.Fleet {
+	targets := make([]*routing.Target, 0, len(s.config.Targets))
+	for id, e := range s.config.Targets {
+		if e.Value.State == configuration.TargetWithdrawn {
+			continue
+		}
+		targets = append(targets, s.target(id, e.Value))
+	}
+	return routing.NewFleet(s.config.Revision, s.local, targets)
+}
+
+func (s *Store) target(id types.TargetID, c configuration.Target) *routing.Target {
+	t := &routing.Target{
+		ID: id, Service: c.Service, Kind: s.config.Services[c.Service].Value.Kind,
+		Address: c.Address, DataCentre: c.DataCentre, Model: c.Model, Version: c.Version,
+		Adapters: c.Adapters, Role: c.Role,
+		Leaving: c.State != configuration.TargetActive || s.leaving[id],
+		Rates:   types.EngineRates(c.Rates), Counters: getOrNew(s.counters, id),
+	}
+	r, ok := s.reports[id]
+	if !ok {
+		return t
+	}
+	t.Report, t.HasReport = r, true
+	t.Leaving = t.Leaving || r.Leaving
+	t.Changing = r.Changing
+	if t.Kind == types.KindEngine && r.Model != "" {
+		// What the engine says it carries wins over what it was ordered to carry.
+		t.Model, t.Version, t.Adapters, t.Role = r.Model, r.Version, r.Adapters, r.Role
+	}
+	return t
+}
