--- /dev/null
+++ b/cmd/internal/standins/settings.go
@@ -0,0 +1,80 @@
+// Package standins wires the stand-ins of the platform and the targets into
+// one process.
+package standins
+
+import (
+	"time"
+
+	"github.com/lentilpick/lentilpick/daemon"
+	"github.com/lentilpick/lentilpick/standin/vmlist"
+	"github.com/lentilpick/lentilpick/types"
+)
+
+// Settings of the stand-ins. A process runs the platform, targets or both.
+type Settings struct {
+	LogLevel string `toml:"log_level"`
+	// Control is the address on which faults are set and counts are read.
+	Control  string    `toml:"control"`
+	Platform *Platform `toml:"platform"`
+	Engine   []Engine  `toml:"engine"`
+	Plain    []Plain   `toml:"plain"`
+}
+
+// Platform is the stand-in for the platform's services.
+type Platform struct {
+	Listen           string        `toml:"listen"`
+	AppendsPerSecond int           `toml:"appends_per_second"`
+	Retention        time.Duration `toml:"retention"`
+	VMListLag        time.Duration `toml:"vm_list_lag"`
+	WeightsPerMinute int           `toml:"weights_per_minute"`
+	VM               []vmlist.VM   `toml:"vm"`
+}
+
+// Engine is the stand-in for one model engine.
+type Engine struct {
+	ID            string            `toml:"id"`
+	Listen        string            `toml:"listen"`
+	Role          types.Role        `toml:"role"`
+	Model         types.ModelID     `toml:"model"`
+	Version       string            `toml:"version"`
+	Adapters      []types.AdapterID `toml:"adapters"`
+	ChecksFencing bool              `toml:"checks_fencing"`
+	ReportLag     time.Duration     `toml:"report_lag"`
+	ChangeTime    time.Duration     `toml:"change_time"`
+}
+
+// Plain is the stand-in for one instance of a plain service. Instances with
+// the same service share their orders.
+type Plain struct {
+	ID          string        `toml:"id"`
+	Service     string        `toml:"service"`
+	Listen      string        `toml:"listen"`
+	ServiceTime time.Duration `toml:"service_time"`
+}
+
+// DefaultSettings returns the settings that a file can override.
+func DefaultSettings() *Settings { return &Settings{LogLevel: "info"} }
+
+// Validate implements daemon.Validator.
+func (s *Settings) Validate(c *daemon.Checker) {
+	c.OneOf("log_level", s.LogLevel, "debug", "info", "warning", "error")
+	c.Loopback("control", s.Control)
+	if p := s.Platform; p != nil {
+		c.Loopback("platform.listen", p.Listen)
+		c.Int("platform.appends_per_second", int64(p.AppendsPerSecond), 0, 1_000_000)
+		c.Duration("platform.retention", p.Retention, 0, 365*24*time.Hour)
+		c.Duration("platform.vm_list_lag", p.VMListLag, 0, time.Hour)
+		c.Int("platform.weights_per_minute", int64(p.WeightsPerMinute), 0, 1_000_000)
+	}
+	for _, e := range s.Engine {
+		c.Name("engine.id", e.ID)
+		c.Loopback("engine.listen", e.Listen)
+		c.Duration("engine.report_lag", e.ReportLag, 0, time.Minute)
+		c.Duration("engine.change_time", e.ChangeTime, 0, 10*time.Minute)
+	}
+	for _, p := range s.Plain {
+		c.Name("plain.id", p.ID)
+		c.Loopback("plain.listen", p.Listen)
+		c.Duration("plain.service_time", p.ServiceTime, 0, time.Minute)
+	}
+}
--- /dev/null
+++ b/cmd/lentilpick-load/main.go
@@ -0,0 +1,17 @@
+// Command lentilpick-load sends load to lentilpick and runs the demo.
+package main
+
+import (
+	"github.com/alecthomas/kong"
+
+	"github.com/lentilpick/lentilpick/cmd/internal/load"
+)
+
+var cli struct {
+	Demo load.DemoCmd `cmd:"" help:"Run both example deployments on loopback, send a mixed load and print a report."`
+}
+
+func main() {
+	k := kong.Parse(&cli, kong.Description("Sends load and counts the answers."))
+	k.FatalIfErrorf(k.Run())
+}
--- /dev/null
+++ b/standin/logservice/service.go
@@ -0,0 +1,207 @@
+// Package logservice is a stand-in for the platform's append-only log service,
+// for tests and the demo. It keeps records in memory for a limited time, limits
+// the append rate, and can be told to fail.
+package logservice
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+)
+
+// Errors of the service.
+var (
+	// ErrOutage reports that the service is down.
+	ErrOutage = errors.New("log service is down")
+	// ErrRate reports that the append rate is exceeded.
+	ErrRate = errors.New("append rate is exceeded")
+	// ErrExpired reports that the requested records have expired.
+	ErrExpired = errors.New("records have expired")
+)
+
+// Record is one record of a stream.
+type Record struct {
+	Offset int64
+	At     time.Time
+	Data   []byte
+}
+
+// Settings of the service.
+type Settings struct {
+	// AppendsPerSecond limits appends over all streams; 0 means no limit.
+	AppendsPerSecond int
+	// Retention is how long a record can be read; 0 means for ever.
+	Retention time.Duration
+}
+
+// Faults are the failures that the service shows.
+type Faults struct {
+	// Outage makes every call fail.
+	Outage bool `json:"outage"`
+	// LoseAnswers drops the answer to every n-th append after it took effect;
+	// 0 drops none.
+	LoseAnswers int `json:"lose_answers"`
+	// DuplicateAppends stores every n-th append twice; 0 stores none twice.
+	DuplicateAppends int `json:"duplicate_appends"`
+	// DelayMs delays every answer, in milliseconds.
+	DelayMs int `json:"delay_ms"`
+}
+
+type stream struct {
+	first   int64 // offset of records[0]
+	records []Record
+	changed chan struct{} // closed at the next append
+}
+
+// Service is the log. It is safe for concurrent use.
+type Service struct {
+	settings Settings
+	now      func() time.Time
+
+	mu      sync.Mutex
+	streams map[string]*stream
+	faults  Faults
+	second  int64
+	inSec   int
+	appends int64
+}
+
+// New returns an empty log that reads the time from now.
+func New(s Settings, now func() time.Time) *Service {
+	return &Service{settings: s, now: now, streams: map[string]*stream{}}
+}
+
+// SetFaults replaces the faults.
+func (s *Service) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+}
+
+// Faults returns the faults in force.
+func (s *Service) Faults() Faults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults
+}
+
+// Appends returns the number of accepted appends.
+func (s *Service) Appends() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.appends
+}
+
+// Append stores the data as consecutive records. lost says that the answer
+// must not reach the client although the append took effect. Errors:
+// ErrOutage, ErrRate.
+func (s *Service) Append(name string, data [][]byte) (first int64, lost bool, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults.Outage {
+		return 0, false, ErrOutage
+	}
+	if !s.takeToken() {
+		return 0, false, ErrRate
+	}
+	s.appends++
+	st := s.stream(name)
+	first = st.first + int64(len(st.records))
+	s.store(st, data)
+	if every(s.faults.DuplicateAppends, s.appends) {
+		s.store(st, data)
+	}
+	close(st.changed)
+	st.changed = make(chan struct{})
+	return first, every(s.faults.LoseAnswers, s.appends), nil
+}
+
+func every(n int, count int64) bool { return n > 0 && count%int64(n) == 0 }
+
+func (s *Service) store(st *stream, data [][]byte) {
+	now := s.now()
+	for _, d := range data {
+		o := st.first + int64(len(st.records))
+		st.records = append(st.records, Record{Offset: o, At: now, Data: d})
+	}
+}
+
+func (s *Service) takeToken() bool {
+	if s.settings.AppendsPerSecond == 0 {
+		return true
+	}
+	if sec := s.now().Unix(); sec != s.second {
+		s.second, s.inSec = sec, 0
+	}
+	s.inSec++
+	return s.inSec <= s.settings.AppendsPerSecond
+}
+
+func (s *Service) stream(name string) *stream {
+	st, ok := s.streams[name]
+	if !ok {
+		st = &stream{changed: make(chan struct{})}
+		s.streams[name] = st
+	}
+	return st
+}
+
+func (s *Service) expire(st *stream) {
+	if s.settings.Retention == 0 {
+		return
+	}
+	limit := s.now().Add(-s.settings.Retention)
+	n := 0
+	for n < len(st.records) && st.records[n].At.Before(limit) {
+		n++
+	}
+	st.records = st.records[n:]
+	st.first += int64(n)
+}
+
+// Page is the result of a read.
+type Page struct {
+	Oldest, Next int64
+	Records      []Record
+}
+
+// Read returns up to limit records from the given offset, and waits up to wait
+// for the first. With ErrExpired the page holds the offsets only. Errors:
+// ErrOutage, ErrExpired.
+func (s *Service) Read(ctx context.Context, name string, from int64, limit int, wait time.Duration) (Page, error) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		page, changed, err := s.read(name, from, limit)
+		if err != nil || len(page.Records) > 0 || wait <= 0 {
+			return page, err
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			wait = 0
+		case <-ctx.Done():
+			wait = 0
+		}
+	}
+}
+
+func (s *Service) read(name string, from int64, limit int) (Page, <-chan struct{}, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults.Outage {
+		return Page{}, nil, ErrOutage
+	}
+	st := s.stream(name)
+	s.expire(st)
+	p := Page{Oldest: st.first, Next: st.first + int64(len(st.records))}
+	if from < st.first {
+		return p, nil, ErrExpired
+	}
+	if from < p.Next {
+		end := min(from+int64(limit), p.Next)
+		p.Records = append(p.Records, st.records[from-st.first:end-st.first]...)
+	}
+	return p, st.changed, nil
+}
--- /dev/null
+++ b/standin/modelengine/http.go
@@ -0,0 +1,221 @@
+package modelengine
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/valyala/fasthttp"
+
+	"github.com/lentilpick/lentilpick/standin/web"
+	"github.com/lentilpick/lentilpick/types"
+)
+
+const maxTokensPerRequest = 1 << 16
+
+type generateRequest struct {
+	RequestID   types.RequestID `json:"request_id"`
+	Model       types.ModelID   `json:"model"`
+	Adapter     types.AdapterID `json:"adapter"`
+	Prompt      string          `json:"prompt"`
+	MaxTokens   int             `json:"max_tokens"`
+	Priority    int             `json:"priority"`
+	ResumeFrom  int             `json:"resume_from"`
+	KVSource    string          `json:"kv_source"`
+	PrefillOnly bool            `json:"prefill_only"`
+}
+
+type event struct {
+	RequestID    types.RequestID `json:"request_id"`
+	Index        int             `json:"index"`
+	Count        int             `json:"count,omitempty"`
+	Text         string          `json:"text,omitempty"`
+	Done         bool            `json:"done,omitempty"`
+	Tokens       int             `json:"tokens,omitempty"`
+	Checksum     string          `json:"checksum,omitempty"`
+	PromptTokens int             `json:"prompt_tokens,omitempty"`
+	CachedTokens int             `json:"cached_tokens,omitempty"`
+}
+
+type reportResponse struct {
+	Sequence            uint64            `json:"sequence"`
+	AgeMs               int64             `json:"age_ms"`
+	Role                types.Role        `json:"role"`
+	Model               types.ModelID     `json:"model"`
+	Version             string            `json:"version"`
+	Adapters            []types.AdapterID `json:"adapters,omitempty"`
+	QueuedPrefillTokens int               `json:"queued_prefill_tokens"`
+	DecodeStreams       int               `json:"decode_streams"`
+	Running             int               `json:"running"`
+	KVFreeTokens        int               `json:"kv_free_tokens"`
+	Leaving             bool              `json:"leaving"`
+	Changing            bool              `json:"changing"`
+}
+
+type stateResponse struct {
+	Role            types.Role          `json:"role"`
+	Model           types.ModelID       `json:"model"`
+	Version         string              `json:"version"`
+	Adapters        []types.AdapterID   `json:"adapters,omitempty"`
+	HighestFence    types.FencingNumber `json:"highest_fence"`
+	OrderInProgress string              `json:"order_in_progress,omitempty"`
+	Running         int                 `json:"running"`
+	Leaving         bool                `json:"leaving"`
+}
+
+// Server is the HTTP front end of one engine.
+type Server struct{ runner *Runner }
+
+// NewServer returns the front end of a runner.
+func NewServer(r *Runner) *Server { return &Server{runner: r} }
+
+// Handle serves the engine's protocol.
+func (s *Server) Handle(ctx *fasthttp.RequestCtx) {
+	switch string(ctx.Path()) {
+	case "/v1/completions":
+		s.generate(ctx)
+	case "/v1/report":
+		s.report(ctx)
+	case "/v1/state":
+		s.state(ctx)
+	case "/v1/orders":
+		s.order(ctx)
+	default:
+		web.Fail(ctx, fasthttp.StatusNotFound, "no such path")
+	}
+}
+
+// TokenText returns the text of one token. It depends on the request and the
+// position only, so that a resumed answer equals an uninterrupted one and a
+// mixed-up answer is recognised.
+func TokenText(id types.RequestID, index int) string {
+	return fmt.Sprintf("%08x.%d ", uint32(xxhash.Sum64String(string(id))), index)
+}
+
+func promptBlocks(prompt string) []uint64 {
+	const blockBytes = types.BlockTokens * types.BytesPerToken
+	var out []uint64
+	sum := xxhash.New()
+	for len(prompt) >= blockBytes {
+		_, _ = sum.WriteString(prompt[:blockBytes])
+		out = append(out, sum.Sum64())
+		prompt = prompt[blockBytes:]
+	}
+	return out
+}
+
+func (s *Server) generate(ctx *fasthttp.RequestCtx) {
+	var in generateRequest
+	if err := json.Unmarshal(ctx.PostBody(), &in); err != nil {
+		web.Fail(ctx, fasthttp.StatusBadRequest, err.Error())
+		return
+	}
+	if in.RequestID == "" || in.MaxTokens < 1 || in.MaxTokens > maxTokensPerRequest || in.ResumeFrom < 0 || in.ResumeFrom >= in.MaxTokens {
+		web.Fail(ctx, fasthttp.StatusBadRequest, "request_id, max_tokens or resume_from is not valid")
+		return
+	}
+	j := &Job{
+		ID: in.RequestID, PromptTokens: types.TokensOf(len(in.Prompt)), Blocks: promptBlocks(in.Prompt),
+		MaxTokens: in.MaxTokens, Priority: in.Priority, Produced: in.ResumeFrom, PrefillOnly: in.PrefillOnly,
+	}
+	out, err := s.runner.Submit(j, in.Model, in.Adapter)
+	if err != nil {
+		web.Fail(ctx, submitStatus(err), err.Error())
+		return
+	}
+	ctx.SetContentType("text/event-stream")
+	ctx.Response.Header.Set("X-Request-Id", string(in.RequestID))
+	ctx.SetBodyStreamWriter(func(w *bufio.Writer) { s.stream(w, j, out) })
+}
+
+func submitStatus(err error) int {
+	if errors.Is(err, ErrModel) {
+		return fasthttp.StatusNotFound
+	}
+	return fasthttp.StatusServiceUnavailable
+}
+
+func (s *Server) stream(w *bufio.Writer, j *Job, out <-chan Output) {
+	sum := xxhash.New()
+	index := j.Produced
+	if w.Flush() != nil { // sends the header before the first token
+		s.runner.Drop(j)
+		return
+	}
+	for o := range out {
+		if o.Cut {
+			return // no end marker: the client sees a truncated answer
+		}
+		if o.Tokens > 0 {
+			text := TokenText(j.ID, index)
+			_, _ = sum.WriteString(text)
+			writeEvent(w, &event{RequestID: j.ID, Index: index, Count: o.Tokens, Text: text})
+			index += o.Tokens
+		}
+		if o.Done {
+			writeEvent(w, &event{
+				RequestID: j.ID, Index: index, Done: true, Tokens: index,
+				Checksum: fmt.Sprintf("%016x", sum.Sum64()), PromptTokens: j.PromptTokens, CachedTokens: j.CachedTokens,
+			})
+		}
+		if w.Flush() != nil {
+			s.runner.Drop(j)
+			return
+		}
+	}
+}
+
+func writeEvent(w *bufio.Writer, e *event) {
+	b, err := json.Marshal(e)
+	if err != nil {
+		return
+	}
+	_, _ = w.WriteString("data: ")
+	_, _ = w.Write(b)
+	_, _ = w.WriteString("\n\n")
+}
+
+func (s *Server) report(ctx *fasthttp.RequestCtx) {
+	r, age := s.runner.Report()
+	web.Reply(ctx, reportResponse{
+		Sequence: r.Sequence, AgeMs: age.Milliseconds(), Role: r.Role, Model: r.Model, Version: r.Version,
+		Adapters: r.Adapters, QueuedPrefillTokens: r.QueuedPrefillTokens, DecodeStreams: r.DecodeStreams,
+		Running: r.Running, KVFreeTokens: r.KVFreeTokens, Leaving: r.Leaving, Changing: r.Changing,
+	})
+}
+
+func (s *Server) state(ctx *fasthttp.RequestCtx) {
+	var out stateResponse
+	s.runner.Do(func(e *Engine, now time.Time) []Output {
+		d := e.Description()
+		out = stateResponse{
+			Role: d.Role, Model: d.Model, Version: d.Version, Adapters: d.Adapters,
+			HighestFence: e.HighestFence(), OrderInProgress: e.OrderInProgress(now),
+			Running: e.Running(), Leaving: e.Leaving(),
+		}
+		return nil
+	})
+	web.Reply(ctx, out)
+}
+
+func (s *Server) order(ctx *fasthttp.RequestCtx) {
+	var o Order
+	if err := json.Unmarshal(ctx.PostBody(), &o); err != nil {
+		web.Fail(ctx, fasthttp.StatusBadRequest, err.Error())
+		return
+	}
+	var err error
+	s.runner.Do(func(e *Engine, now time.Time) []Output {
+		var cut []Output
+		cut, err = e.Apply(o, now)
+		return cut
+	})
+	if err != nil {
+		web.Fail(ctx, fasthttp.StatusConflict, err.Error())
+		return
+	}
+	web.Reply(ctx, struct{}{})
+}
--- /dev/null
+++ b/standin/web/web.go
@@ -0,0 +1,33 @@
+// Package web holds what the HTTP front ends of the stand-ins share.
+package web
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// Reply sends v as JSON.
+func Reply(ctx *fasthttp.RequestCtx, v any) {
+	b, err := json.Marshal(v)
+	if err != nil {
+		Fail(ctx, fasthttp.StatusInternalServerError, err.Error())
+		return
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(b)
+}
+
+// Fail sends an error message as JSON.
+func Fail(ctx *fasthttp.RequestCtx, status int, message string) {
+	Reply(ctx, map[string]string{"error": message})
+	ctx.SetStatusCode(status)
+}
+
+// Wait blocks for d.
+func Wait(d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	<-t.C
+}
