membership: replace the exchange of full reports by digest streams

Cause: each pair of control daemons exchanged full load reports in two calls a second; with about 60 bytes a target plus HTTP headers a daemon would exceed 13 KB/s at 12 daemons and 370 targets, and every daemon read the whole VM list each second. Change: a daemon streams its state to each peer of its data centre once a second and to one peer of each other data centre every three seconds. Loads are parallel lists that name a target by its position in the sorted list of the data centre. One daemon of a data centre reads the VM list; leaving targets reach the others with the digests.

--- a/api/peer/v1/peerv1connect/peer.connect.go
+++ b/api/peer/v1/peerv1connect/peer.connect.go
@@ -47,8 +47,8 @@
 	ViewServiceClaimKeyProcedure = "/lentilpick.peer.v1.ViewService/ClaimKey"
 	// ViewServiceFinishKeyProcedure is the fully-qualified name of the ViewService's FinishKey RPC.
 	ViewServiceFinishKeyProcedure = "/lentilpick.peer.v1.ViewService/FinishKey"
-	// PeerServiceExchangeProcedure is the fully-qualified name of the PeerService's Exchange RPC.
-	PeerServiceExchangeProcedure = "/lentilpick.peer.v1.PeerService/Exchange"
+	// PeerServiceWatchPeerProcedure is the fully-qualified name of the PeerService's WatchPeer RPC.
+	PeerServiceWatchPeerProcedure = "/lentilpick.peer.v1.PeerService/WatchPeer"
 	// PeerServiceFetchSnapshotProcedure is the fully-qualified name of the PeerService's FetchSnapshot
 	// RPC.
 	PeerServiceFetchSnapshotProcedure = "/lentilpick.peer.v1.PeerService/FetchSnapshot"
@@ -220,8 +220,10 @@
 
 // PeerServiceClient is a client for the lentilpick.peer.v1.PeerService service.
 type PeerServiceClient interface {
-	// Exchange is a heartbeat in both directions that carries load digests.
-	Exchange(context.Context, *connect.Request[v1.ExchangeRequest]) (*connect.Response[v1.ExchangeResponse], error)
+	// WatchPeer streams the state of the sender: once a second to a daemon of the
+	// same data centre, every three seconds to one of another data centre. Each
+	// message is also the heartbeat of the stream.
+	WatchPeer(context.Context, *connect.Request[v1.WatchPeerRequest]) (*connect.ServerStreamForClient[v1.PeerState], error)
 	// FetchSnapshot returns the folded configuration, for start-up during a log
 	// outage.
 	FetchSnapshot(context.Context, *connect.Request[v1.FetchSnapshotRequest]) (*connect.Response[v1.FetchSnapshotResponse], error)
@@ -240,10 +242,10 @@
 	baseURL = strings.TrimRight(baseURL, "/")
 	peerServiceMethods := v1.File_peer_v1_peer_proto.Services().ByName("PeerService").Methods()
 	return &peerServiceClient{
-		exchange: connect.NewClient[v1.ExchangeRequest, v1.ExchangeResponse](
+		watchPeer: connect.NewClient[v1.WatchPeerRequest, v1.PeerState](
 			httpClient,
-			baseURL+PeerServiceExchangeProcedure,
-			connect.WithSchema(peerServiceMethods.ByName("Exchange")),
+			baseURL+PeerServiceWatchPeerProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("WatchPeer")),
 			connect.WithClientOptions(opts...),
 		),
 		fetchSnapshot: connect.NewClient[v1.FetchSnapshotRequest, v1.FetchSnapshotResponse](
@@ -263,14 +265,14 @@
 
 // peerServiceClient implements PeerServiceClient.
 type peerServiceClient struct {
-	exchange      *connect.Client[v1.ExchangeRequest, v1.ExchangeResponse]
+	watchPeer     *connect.Client[v1.WatchPeerRequest, v1.PeerState]
 	fetchSnapshot *connect.Client[v1.FetchSnapshotRequest, v1.FetchSnapshotResponse]
 	appendKeys    *connect.Client[v1.AppendKeysRequest, v1.AppendKeysResponse]
 }
 
-// Exchange calls lentilpick.peer.v1.PeerService.Exchange.
-func (c *peerServiceClient) Exchange(ctx context.Context, req *connect.Request[v1.ExchangeRequest]) (*connect.Response[v1.ExchangeResponse], error) {
-	return c.exchange.CallUnary(ctx, req)
+// WatchPeer calls lentilpick.peer.v1.PeerService.WatchPeer.
+func (c *peerServiceClient) WatchPeer(ctx context.Context, req *connect.Request[v1.WatchPeerRequest]) (*connect.ServerStreamForClient[v1.PeerState], error) {
+	return c.watchPeer.CallServerStream(ctx, req)
 }
 
 // FetchSnapshot calls lentilpick.peer.v1.PeerService.FetchSnapshot.
@@ -285,8 +287,10 @@
 
 // PeerServiceHandler is an implementation of the lentilpick.peer.v1.PeerService service.
 type PeerServiceHandler interface {
-	// Exchange is a heartbeat in both directions that carries load digests.
-	Exchange(context.Context, *connect.Request[v1.ExchangeRequest]) (*connect.Response[v1.ExchangeResponse], error)
+	// WatchPeer streams the state of the sender: once a second to a daemon of the
+	// same data centre, every three seconds to one of another data centre. Each
+	// message is also the heartbeat of the stream.
+	WatchPeer(context.Context, *connect.Request[v1.WatchPeerRequest], *connect.ServerStream[v1.PeerState]) error
 	// FetchSnapshot returns the folded configuration, for start-up during a log
 	// outage.
 	FetchSnapshot(context.Context, *connect.Request[v1.FetchSnapshotRequest]) (*connect.Response[v1.FetchSnapshotResponse], error)
@@ -301,10 +305,10 @@
 // and JSON codecs. They also support gzip compression.
 func NewPeerServiceHandler(svc PeerServiceHandler, opts ...connect.HandlerOption) (string, http.Handler) {
 	peerServiceMethods := v1.File_peer_v1_peer_proto.Services().ByName("PeerService").Methods()
-	peerServiceExchangeHandler := connect.NewUnaryHandler(
-		PeerServiceExchangeProcedure,
-		svc.Exchange,
-		connect.WithSchema(peerServiceMethods.ByName("Exchange")),
+	peerServiceWatchPeerHandler := connect.NewServerStreamHandler(
+		PeerServiceWatchPeerProcedure,
+		svc.WatchPeer,
+		connect.WithSchema(peerServiceMethods.ByName("WatchPeer")),
 		connect.WithHandlerOptions(opts...),
 	)
 	peerServiceFetchSnapshotHandler := connect.NewUnaryHandler(
@@ -321,8 +325,8 @@
 	)
 	return "/lentilpick.peer.v1.PeerService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
-		case PeerServiceExchangeProcedure:
-			peerServiceExchangeHandler.ServeHTTP(w, r)
+		case PeerServiceWatchPeerProcedure:
+			peerServiceWatchPeerHandler.ServeHTTP(w, r)
 		case PeerServiceFetchSnapshotProcedure:
 			peerServiceFetchSnapshotHandler.ServeHTTP(w, r)
 		case PeerServiceAppendKeysProcedure:
@@ -336,8 +340,8 @@
 // UnimplementedPeerServiceHandler returns CodeUnimplemented from all methods.
 type UnimplementedPeerServiceHandler struct{}
 
-func (UnimplementedPeerServiceHandler) Exchange(context.Context, *connect.Request[v1.ExchangeRequest]) (*connect.Response[v1.ExchangeResponse], error) {
-	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("lentilpick.peer.v1.PeerService.Exchange is not implemented"))
+func (UnimplementedPeerServiceHandler) WatchPeer(context.Context, *connect.Request[v1.WatchPeerRequest], *connect.ServerStream[v1.PeerState]) error {
+	return connect.NewError(connect.CodeUnimplemented, errors.New("lentilpick.peer.v1.PeerService.WatchPeer is not implemented"))
 }
 
 func (UnimplementedPeerServiceHandler) FetchSnapshot(context.Context, *connect.Request[v1.FetchSnapshotRequest]) (*connect.Response[v1.FetchSnapshotResponse], error) {
--- a/server/control/daemon.go
+++ b/server/control/daemon.go
@@ -19,6 +19,7 @@
 	"github.com/lentilpick/lentilpick/daemon"
 	"github.com/lentilpick/lentilpick/engine"
 	"github.com/lentilpick/lentilpick/idempotency"
+	"github.com/lentilpick/lentilpick/membership"
 	"github.com/lentilpick/lentilpick/platform"
 	"github.com/lentilpick/lentilpick/types"
 )
@@ -30,7 +31,6 @@
 
 const (
 	poolSize       = 256
-	vmListEvery    = time.Second
 	snapshotCheck  = 5 * time.Second
 	targetTimeout  = 2 * time.Second
 	startFromPeers = 3 * time.Second
@@ -52,7 +52,7 @@
 	entries     *entries
 	orders      *orderer
 	reports     *reportReader
-	peers       *exchanger
+	peers       *peerWatcher
 	pool        *ants.Pool
 	stopping    chan struct{}
 	admin       http.Handler
@@ -87,7 +87,9 @@
 		dc: d.dc, log: log, config: d.config.Config, gate: d.gate, gone: d.fleet.vmGone, client: targets, pool: pool,
 		every: s.OrderInterval, busy: map[types.TargetID]bool{}, state: map[types.TargetID]string{},
 	}
-	d.peers = &exchanger{log: log, pool: pool, fleet: d.fleet, clients: newPeerClients(s.Peers), state: d.peerState}
+	d.peers = &peerWatcher{
+		vm: s.VM, dc: d.dc, log: log, fleet: d.fleet, config: d.config.Config, clients: newPeerClients(s.Peers),
+	}
 	return d, d.registerGauges()
 }
 
@@ -131,19 +133,60 @@
 	return out
 }
 
-func (d *Daemon) peerState(now time.Time) *peerv1.PeerState {
+// peerState returns the message to a daemon of the same data centre, or of
+// another one.
+func (d *Daemon) peerState(local bool, now time.Time) *peerv1.PeerState {
+	c := d.config.Config()
 	s := &peerv1.PeerState{
 		Vm: d.settings.VM, DataCentre: d.settings.DataCentre, Incarnation: d.incarnation,
-		Revision: uint64(d.config.Config().Revision), Loads: d.fleet.loads(now, true),
+		Revision: uint64(c.Revision), Leaving: d.fleet.ownLeaving(c),
 	}
 	select {
 	case <-d.stopping:
 		s.Stopping = true
 	default:
 	}
+	if local {
+		s.Loads = d.fleet.ownDigest(c, d.dc, now)
+		s.Demand = d.entries.totals()
+		s.Daemons = daemonStates(d.ownEntries(now))
+		return s
+	}
+	s.Loads = d.fleet.digest(c, d.dc, now)
+	s.Daemons = daemonStates(d.localDaemons(now))
 	return s
 }
 
+func daemonStates(list []DaemonStatus) []*peerv1.DaemonState {
+	out := make([]*peerv1.DaemonState, 0, len(list))
+	for _, s := range list {
+		out = append(out, &peerv1.DaemonState{
+			Vm: string(s.VM), Revision: uint64(s.Revision), AgeMs: uint32(s.Age.Milliseconds()), Kind: s.Kind,
+		})
+	}
+	return out
+}
+
+// ownEntries returns the entry daemons that report to this daemon.
+func (d *Daemon) ownEntries(now time.Time) []DaemonStatus {
+	var out []DaemonStatus
+	for vm, e := range d.entries.all() {
+		out = append(out, DaemonStatus{vmID(vm), d.dc, e.revision, now.Sub(e.at), "entry"})
+	}
+	return out
+}
+
+// localDaemons returns the daemons of this data centre that this daemon hears of.
+func (d *Daemon) localDaemons(now time.Time) []DaemonStatus {
+	out := []DaemonStatus{{VM: vmID(d.settings.VM), DataCentre: d.dc, Revision: d.config.Config().Revision, Kind: "control"}}
+	for _, s := range d.fleet.daemons(now) {
+		if s.DataCentre == d.dc {
+			out = append(out, s)
+		}
+	}
+	return append(out, d.ownEntries(now)...)
+}
+
 // Run serves until the context ends, then hands over the lease and stops.
 func (d *Daemon) Run(ctx context.Context) error {
 	work, cancel := context.WithCancel(context.Background())
@@ -187,8 +230,8 @@
 	go d.lease.run(ctx)
 	go d.reports.run(ctx)
 	go d.orders.run(ctx)
-	go d.peers.run(ctx)
-	go d.every(ctx, vmListEvery, d.readVMs)
+	d.peers.run(ctx)
+	go d.every(ctx, d.settings.VMListInterval, d.readVMs)
 	go d.every(ctx, snapshotCheck, d.appendSnapshot)
 	keysDone := make(chan struct{})
 	go func() {
@@ -211,8 +254,16 @@
 	}
 }
 
+// readVMs reads the platform's list on one daemon of the data centre, and on the
+// lease holder, which needs it to tell whether an earlier holder's VM is gone.
+// The others learn of leaving targets from their peers.
 func (d *Daemon) readVMs(ctx context.Context) {
-	vms, err := d.platform.VMs(ctx)
+	now := time.Now()
+	_, err := d.gate.Check(now, true, true)
+	if err != nil && membership.Best(d.fleet.live(d.dc, now), "vm list") != vmID(d.settings.VM) {
+		return
+	}
+	vms, err := d.platform.VMs(ctx, d.dc)
 	if err != nil {
 		d.log.WithError(err).Debug("VM list was not read")
 		return
@@ -310,12 +361,11 @@
 		VM: vmID(d.settings.VM), DataCentre: d.dc, Revision: c.Revision, Lease: *d.lease.status.Load(),
 		LeaseHeld: err == nil, Undecoded: d.config.Undecoded(),
 	}
-	s.Daemons = append(s.Daemons, DaemonStatus{VM: s.VM, DataCentre: s.DataCentre, Revision: s.Revision, Kind: "control"})
-	for _, p := range d.fleet.allPeers() {
-		s.Daemons = append(s.Daemons, DaemonStatus{p.VM, p.DataCentre, p.Revision, now.Sub(p.LastSeen), "control"})
-	}
-	for vm, e := range d.entries.all() {
-		s.Daemons = append(s.Daemons, DaemonStatus{vmID(vm), d.dc, e.revision, now.Sub(e.at), "entry"})
+	s.Daemons = d.localDaemons(now)
+	for _, r := range d.fleet.daemons(now) {
+		if r.DataCentre != d.dc {
+			s.Daemons = append(s.Daemons, r)
+		}
 	}
 	for id := range c.Targets {
 		r, ok := d.fleet.report(id)
--- a/server/control/fleet.go
+++ b/server/control/fleet.go
@@ -20,35 +20,52 @@
 	"github.com/lentilpick/lentilpick/types"
 )
 
-// fleetState holds the newest load reports and the signs that targets or VMs
-// are leaving. It is on the control path only.
+// fleetState holds the newest load reports, the peers, and the signs that
+// targets or VMs are leaving. It is on the control path only.
 type fleetState struct {
 	mu      sync.Mutex
 	reports map[types.TargetID]types.LoadReport
 	// own holds the targets that this daemon reads itself.
-	own map[types.TargetID]bool
-	// leavingVMs holds the IP addresses of VMs that the platform lists as leaving.
-	leavingVMs map[netip.Addr]bool
-	listedVMs  map[types.VMID]bool
-	listKnown  bool
-	peers      *membership.Table
+	own   map[types.TargetID]bool
+	peers *membership.Table
+	vms   vmList
+	// told holds the leaving targets that each peer named.
+	told map[types.VMID][]types.TargetID
+	// named holds the daemons that each peer named: its entry daemon, or all
+	// daemons of another data centre.
+	named map[types.VMID][]DaemonStatus
+	// lists belongs to the configuration revision listsAt.
+	lists   map[types.DataCentreID]*membership.TargetList
+	listsAt types.Revision
 }
 
+// vmList is the platform's list of VMs as it was last read.
+type vmList struct {
+	known   bool
+	names   map[types.VMID]bool
+	leaving map[netip.Addr]bool
+}
+
+// suspectAfter is the time without a message after which a peer is not live.
+// It is three heartbeats within a data centre.
+const suspectAfter = 3 * time.Second
+
 func newFleetState(self types.VMID) *fleetState {
 	return &fleetState{
 		reports: map[types.TargetID]types.LoadReport{}, own: map[types.TargetID]bool{},
-		leavingVMs: map[netip.Addr]bool{}, listedVMs: map[types.VMID]bool{},
-		peers: membership.NewTable(self, suspectAfter),
+		peers: membership.NewTable(self, suspectAfter), told: map[types.VMID][]types.TargetID{},
+		named: map[types.VMID][]DaemonStatus{},
 	}
 }
 
-// suspectAfter is the time without an exchange after which a peer is not live.
-const suspectAfter = 3 * time.Second
-
 // put stores a report unless a newer one is known.
 func (f *fleetState) put(id types.TargetID, r types.LoadReport, own bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.putLocked(id, r, own)
+}
+
+func (f *fleetState) putLocked(id types.TargetID, r types.LoadReport, own bool) {
 	if old, ok := f.reports[id]; ok && old.At.After(r.At) {
 		return
 	}
@@ -60,17 +77,72 @@
 	}
 }
 
-// loads returns the digests of the targets; with ownOnly, of those that this
-// daemon reads itself.
-func (f *fleetState) loads(now time.Time, ownOnly bool) []*peerv1.TargetLoad {
+// putDigest stores the reports of a peer's digest.
+func (f *fleetState) putDigest(c *configuration.Config, d *peerv1.LoadDigest, now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	out := make([]*peerv1.TargetLoad, 0, len(f.reports))
-	for id, r := range f.reports {
-		if !ownOnly || f.own[id] {
-			out = append(out, wire.ToLoad(id, &r, now))
+	l := f.listsFor(c)[types.DataCentreID(d.GetDataCentre())]
+	if l == nil {
+		return
+	}
+	wire.FromDigest(d, l, c, now, func(id types.TargetID, r types.LoadReport) { f.putLocked(id, r, false) })
+}
+
+// listsFor returns the target lists of a configuration. The lock is held.
+func (f *fleetState) listsFor(c *configuration.Config) map[types.DataCentreID]*membership.TargetList {
+	if f.lists == nil || f.listsAt != c.Revision {
+		f.lists, f.listsAt = wire.TargetLists(c), c.Revision
+		f.forget(c)
+	}
+	return f.lists
+}
+
+// forget drops the reports of targets that are not configured any more. The
+// lock is held.
+func (f *fleetState) forget(c *configuration.Config) {
+	for id := range f.reports {
+		if _, ok := c.Targets[id]; !ok {
+			delete(f.reports, id)
+			delete(f.own, id)
 		}
 	}
+}
+
+// ownDigest returns the loads of the targets that this daemon reads.
+func (f *fleetState) ownDigest(c *configuration.Config, dc types.DataCentreID, now time.Time) *peerv1.LoadDigest {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	l := f.listsFor(c)[dc]
+	if l == nil {
+		return nil
+	}
+	reports := make(map[types.TargetID]types.LoadReport, len(f.own))
+	for id := range f.own {
+		reports[id] = f.reports[id]
+	}
+	return wire.ToDigest(l, c, reports, now)
+}
+
+// digest returns the loads of all targets of a data centre.
+func (f *fleetState) digest(c *configuration.Config, dc types.DataCentreID, now time.Time) *peerv1.LoadDigest {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	l := f.listsFor(c)[dc]
+	if l == nil {
+		return nil
+	}
+	return wire.ToDigest(l, c, f.reports, now)
+}
+
+// digests returns the loads of all targets, by data centre.
+func (f *fleetState) digests(c *configuration.Config, now time.Time) []*peerv1.LoadDigest {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	lists := f.listsFor(c)
+	out := make([]*peerv1.LoadDigest, 0, len(lists))
+	for _, l := range lists {
+		out = append(out, wire.ToDigest(l, c, f.reports, now))
+	}
 	return out
 }
 
@@ -81,10 +153,23 @@
 	return r, ok
 }
 
-func (f *fleetState) heard(p membership.Peer) {
+// heard records a message of a peer and the leaving targets that it named.
+func (f *fleetState) heard(p membership.Peer, leaving []string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.peers.Heard(p)
+	told := make([]types.TargetID, len(leaving))
+	for i, id := range leaving {
+		told[i] = types.TargetID(id)
+	}
+	f.told[p.VM] = told
+}
+
+// setNamed records the daemons that a peer named.
+func (f *fleetState) setNamed(by types.VMID, daemons []DaemonStatus) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.named[by] = daemons
 }
 
 func (f *fleetState) live(dc types.DataCentreID, now time.Time) []types.VMID {
@@ -93,63 +178,90 @@
 	return f.peers.Live(dc, now)
 }
 
-func (f *fleetState) allPeers() []membership.Peer {
+// daemons returns the peers and the daemons that they named.
+func (f *fleetState) daemons(now time.Time) []DaemonStatus {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.peers.Peers()
+	seen := map[types.VMID]bool{}
+	var out []DaemonStatus
+	for _, p := range f.peers.Peers() {
+		seen[p.VM] = true
+		out = append(out, DaemonStatus{p.VM, p.DataCentre, p.Revision, now.Sub(p.LastSeen), "control"})
+	}
+	for _, list := range f.named {
+		for _, d := range list {
+			if d.Kind == "entry" || !seen[d.VM] {
+				out = append(out, d)
+			}
+		}
+	}
+	return out
 }
 
 func (f *fleetState) setVMs(vms []platform.VM) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	clear(f.leavingVMs)
-	clear(f.listedVMs)
-	f.listKnown = true
+	l := vmList{known: true, names: map[types.VMID]bool{}, leaving: map[netip.Addr]bool{}}
 	for _, v := range vms {
-		f.listedVMs[v.Name] = true
+		l.names[v.Name] = true
 		a, err := netip.ParseAddr(v.Address)
 		if err == nil && v.Leaving {
-			f.leavingVMs[a] = true
+			l.leaving[a] = true
 		}
 	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.vms = l
 }
 
 // vmGone reports whether the platform's list was read and lacks the VM.
 func (f *fleetState) vmGone(vm types.VMID) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.listKnown && !f.listedVMs[vm]
+	return f.vms.known && !f.vms.names[vm]
 }
 
-// leaving returns the targets on VMs that the platform lists as leaving.
-func (f *fleetState) leaving(c *configuration.Config) []string {
+// ownLeaving returns the targets on VMs that the platform lists as leaving and
+// those whose own report says so.
+func (f *fleetState) ownLeaving(c *configuration.Config) []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if len(f.leavingVMs) == 0 {
-		return nil
-	}
 	var out []string
 	for id, t := range c.Targets {
-		a, err := netip.ParseAddrPort(t.Value.Address)
-		if err == nil && f.leavingVMs[a.Addr()] {
+		if f.reports[id].Leaving || f.listedLeaving(t.Value.Address) {
 			out = append(out, string(id))
 		}
 	}
 	return out
 }
 
-// forget drops the reports of targets that are not configured any more.
-func (f *fleetState) forget(c *configuration.Config) {
+func (f *fleetState) listedLeaving(address string) bool {
+	if len(f.vms.leaving) == 0 {
+		return false
+	}
+	a, err := netip.ParseAddrPort(address)
+	return err == nil && f.vms.leaving[a.Addr()]
+}
+
+// leaving returns the targets that are leaving by this daemon's signs or those
+// of any peer that was heard of lately.
+func (f *fleetState) leaving(c *configuration.Config, now time.Time) []string {
+	out := f.ownLeaving(c)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for id := range f.reports {
-		if _, ok := c.Targets[id]; !ok {
-			delete(f.reports, id)
-			delete(f.own, id)
+	for _, p := range f.peers.Peers() {
+		if now.Sub(p.LastSeen) > leavingKept {
+			continue
+		}
+		for _, id := range f.told[p.VM] {
+			out = append(out, string(id))
 		}
 	}
+	return out
 }
 
+// leavingKept is how long a peer's notice of leaving targets holds after its
+// last message, so that the notice outlives the peer by a few heartbeats.
+const leavingKept = 10 * time.Second
+
 // reportReader reads the load reports of the targets that are assigned to this
 // daemon.
 type reportReader struct {
@@ -178,7 +290,6 @@
 
 func (r *reportReader) readAll(now time.Time) {
 	c := r.config()
-	r.fleet.forget(c)
 	live := r.fleet.live(r.dc, now)
 	for id, t := range c.Targets {
 		if t.Value.DataCentre != r.dc || !membership.Reads(r.self, live, id) {
--- a/server/control/peers.go
+++ b/server/control/peers.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"connectrpc.com/connect"
-	"github.com/panjf2000/ants/v2"
 	"github.com/sirupsen/logrus"
 
 	peerv1 "github.com/lentilpick/lentilpick/api/peer/v1"
@@ -16,13 +16,19 @@
 	"github.com/lentilpick/lentilpick/daemon"
 	"github.com/lentilpick/lentilpick/membership"
 	"github.com/lentilpick/lentilpick/records"
-	"github.com/lentilpick/lentilpick/server/wire"
 	"github.com/lentilpick/lentilpick/types"
 )
 
 const (
-	exchangeEvery   = time.Second
-	exchangeTimeout = 2 * time.Second
+	// heartbeatLocal and heartbeatRemote are the times between two messages to a
+	// daemon of the same data centre and of another one. A message to another
+	// data centre carries the loads of all targets and is sent less often.
+	heartbeatLocal  = time.Second
+	heartbeatRemote = 3 * time.Second
+	// missedHeartbeats is how many are missed before a stream counts as stalled.
+	missedHeartbeats = 3
+	fetchTimeout     = 2 * time.Second
+	watchPause       = 500 * time.Millisecond
 )
 
 type peerClient struct {
@@ -31,15 +37,6 @@
 	view peerv1connect.ViewServiceClient
 }
 
-// exchanger sends a heartbeat with load digests to all peers once a second.
-type exchanger struct {
-	log     *logrus.Entry
-	pool    *ants.Pool
-	fleet   *fleetState
-	clients []peerClient
-	state   func(now time.Time) *peerv1.PeerState
-}
-
 func newPeerClients(peers []Peer) []peerClient {
 	h := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: 30 * time.Second}}
 	out := make([]peerClient, 0, len(peers))
@@ -53,52 +50,108 @@
 	return out
 }
 
-func (e *exchanger) run(ctx context.Context) {
-	tick := time.NewTicker(exchangeEvery)
-	defer tick.Stop()
+// peerWatcher follows the state of all peers of this data centre and of one
+// peer of each other data centre. So the number of streams of a daemon grows
+// with the daemons of its data centre plus the number of data centres, not
+// with the number of all daemons.
+type peerWatcher struct {
+	vm      string
+	dc      types.DataCentreID
+	log     *logrus.Entry
+	fleet   *fleetState
+	config  func() *configuration.Config
+	clients []peerClient
+}
+
+func (w *peerWatcher) run(ctx context.Context) {
+	remote := map[string][]peerClient{}
+	for _, c := range w.clients {
+		if c.DataCentre == string(w.dc) {
+			go w.watchOne(ctx, c)
+			continue
+		}
+		remote[c.DataCentre] = append(remote[c.DataCentre], c)
+	}
+	for dc, clients := range remote {
+		go w.watchAny(ctx, dc, clients)
+	}
+}
+
+// watchOne watches one peer again and again until the context ends.
+func (w *peerWatcher) watchOne(ctx context.Context, c peerClient) {
 	for {
-		e.exchangeAll(ctx)
-		select {
-		case <-ctx.Done():
+		err := w.watch(ctx, c, heartbeatLocal)
+		w.log.WithError(err).WithField(daemon.FieldAddress, c.Address).Debug("peer stream ended")
+		if !pause(ctx, watchPause) {
 			return
-		case <-tick.C:
 		}
 	}
 }
 
-func (e *exchanger) exchangeAll(ctx context.Context) {
-	s := e.state(time.Now())
-	for _, c := range e.clients {
-		// A full pool drops this exchange; the next tick sends another.
-		_ = e.pool.Submit(func() { e.exchange(ctx, c, s) })
+// watchAny watches one peer of another data centre and moves on to the next
+// when its stream ends. Daemons begin with different peers, which spreads the
+// streams.
+func (w *peerWatcher) watchAny(ctx context.Context, dc string, clients []peerClient) {
+	names := make([]types.VMID, len(clients))
+	for i, c := range clients {
+		names[i] = vmID(c.VM)
+	}
+	first := slices.Index(names, membership.Best(names, w.vm+" "+dc))
+	for i := first; ; i++ {
+		c := clients[i%len(clients)]
+		err := w.watch(ctx, c, heartbeatRemote)
+		w.log.WithError(err).WithField(daemon.FieldAddress, c.Address).Debug("peer stream ended")
+		if !pause(ctx, watchPause) {
+			return
+		}
 	}
 }
 
-func (e *exchanger) exchange(ctx context.Context, c peerClient, s *peerv1.PeerState) {
-	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+// watch reads one stream until it ends or is stalled.
+func (w *peerWatcher) watch(ctx context.Context, c peerClient, heartbeat time.Duration) error {
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	resp, err := c.peer.Exchange(ctx, connect.NewRequest(&peerv1.ExchangeRequest{State: s}))
+	stalled := time.AfterFunc(missedHeartbeats*heartbeat, cancel)
+	defer stalled.Stop()
+	stream, err := c.peer.WatchPeer(ctx, connect.NewRequest(&peerv1.WatchPeerRequest{Vm: w.vm, DataCentre: string(w.dc)}))
 	if err != nil {
-		e.log.WithError(err).WithField(daemon.FieldAddress, c.Address).Debug("peer does not answer")
-		return
+		return err
 	}
-	observePeer(e.fleet, resp.Msg.GetState(), time.Now())
+	defer func() { _ = stream.Close() }()
+	for stream.Receive() {
+		stalled.Reset(missedHeartbeats * heartbeat)
+		w.observe(stream.Msg(), time.Now())
+	}
+	return stream.Err()
 }
 
-// observePeer folds the state that a peer sent.
-func observePeer(f *fleetState, s *peerv1.PeerState, now time.Time) {
-	if s.GetVm() == "" || len(s.GetLoads()) > wire.MaxLoads {
+// maxNames bounds the names in one message of a peer.
+const maxNames = 4096
+
+// observe folds the state that a peer sent.
+func (w *peerWatcher) observe(s *peerv1.PeerState, now time.Time) {
+	if s.GetVm() == "" || len(s.GetLeaving()) > maxNames || len(s.GetDaemons()) > maxNames {
+		w.log.Warn("message of a peer is not valid; it is dropped")
 		return
 	}
-	f.heard(membership.Peer{
-		VM: types.VMID(s.GetVm()), DataCentre: types.DataCentreID(s.GetDataCentre()), Incarnation: s.GetIncarnation(),
+	dc := types.DataCentreID(s.GetDataCentre())
+	w.fleet.heard(membership.Peer{
+		VM: vmID(s.GetVm()), DataCentre: dc, Incarnation: s.GetIncarnation(),
 		Revision: types.Revision(s.GetRevision()), LastSeen: now, Stopping: s.GetStopping(),
-	})
-	for _, l := range s.GetLoads() {
-		if id, r, ok := wire.FromLoad(l, now); ok {
-			f.put(id, r, false)
-		}
+	}, s.GetLeaving())
+	if d := s.GetLoads(); d != nil {
+		w.fleet.putDigest(w.config(), d, now)
 	}
+	w.fleet.setNamed(vmID(s.GetVm()), namedDaemons(s, dc))
+}
+
+func namedDaemons(s *peerv1.PeerState, dc types.DataCentreID) []DaemonStatus {
+	out := make([]DaemonStatus, 0, len(s.GetDaemons()))
+	for _, d := range s.GetDaemons() {
+		age := time.Duration(d.GetAgeMs()) * time.Millisecond
+		out = append(out, DaemonStatus{vmID(d.GetVm()), dc, types.Revision(d.GetRevision()), age, d.GetKind()})
+	}
+	return out
 }
 
 // startFromPeer takes the newest configuration that any peer has. It returns
@@ -120,7 +173,7 @@
 }
 
 func fetch(ctx context.Context, c peerClient, config *ConfigLog) error {
-	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	resp, err := c.peer.FetchSnapshot(ctx, connect.NewRequest(&peerv1.FetchSnapshotRequest{}))
 	if err != nil {
--- a/server/control/service.go
+++ b/server/control/service.go
@@ -60,6 +60,19 @@
 	}
 }
 
+// totals returns the work that entry daemons reported since this daemon's start.
+func (e *entries) totals() []*peerv1.ModelDemand {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	out := make([]*peerv1.ModelDemand, 0, len(e.demand))
+	for _, d := range e.demand {
+		out = append(out, &peerv1.ModelDemand{
+			Model: d.GetModel(), PrefillTokens: d.GetPrefillTokens(), DecodeTokens: d.GetDecodeTokens(), Requests: d.GetRequests(),
+		})
+	}
+	return out
+}
+
 func (e *entries) all() map[string]entryState {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -103,7 +116,7 @@
 func (d *Daemon) view(sent types.Revision, now time.Time) (*peerv1.View, error) {
 	snap := d.config.Snapshot()
 	v := &peerv1.View{
-		Revision: uint64(snap.Config.Revision), Loads: d.fleet.loads(now, false), Leaving: d.fleet.leaving(snap.Config),
+		Revision: uint64(snap.Config.Revision), Loads: d.fleet.digests(snap.Config, now), Leaving: d.fleet.leaving(snap.Config, now),
 	}
 	if snap.Config.Revision > sent {
 		b, err := encodeSnapshot(snap)
@@ -219,11 +232,28 @@
 // peerService implements the PeerService of the peer protocol.
 type peerService struct{ d *Daemon }
 
-// Exchange implements the service.
-func (s peerService) Exchange(_ context.Context, req *connect.Request[peerv1.ExchangeRequest]) (*connect.Response[peerv1.ExchangeResponse], error) {
-	now := time.Now()
-	observePeer(s.d.fleet, req.Msg.GetState(), now)
-	return connect.NewResponse(&peerv1.ExchangeResponse{State: s.d.peerState(now)}), nil
+// WatchPeer implements the service.
+func (s peerService) WatchPeer(ctx context.Context, req *connect.Request[peerv1.WatchPeerRequest], stream *connect.ServerStream[peerv1.PeerState]) error {
+	local := types.DataCentreID(req.Msg.GetDataCentre()) == s.d.dc
+	every := heartbeatRemote
+	if local {
+		every = heartbeatLocal
+	}
+	tick := time.NewTicker(every)
+	defer tick.Stop()
+	for {
+		if err := stream.Send(s.d.peerState(local, time.Now())); err != nil {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-s.d.stopping:
+			_ = stream.Send(s.d.peerState(local, time.Now()))
+			return connect.NewError(connect.CodeUnavailable, errors.New("control daemon is stopping"))
+		case <-tick.C:
+		}
+	}
 }
 
 // FetchSnapshot implements the service.
--- a/server/control/settings.go
+++ b/server/control/settings.go
@@ -36,6 +36,8 @@
 	// OrderInterval is the time between two comparisons of a target's state
 	// with its configuration.
 	OrderInterval time.Duration `toml:"order_interval"`
+	// VMListInterval is the time between two reads of the platform's list of VMs.
+	VMListInterval time.Duration `toml:"vm_list_interval"`
 	// KeyBatch is the time for which key records are collected.
 	KeyBatch time.Duration `toml:"key_batch"`
 	// KeyWindow is how long a key is remembered; at most half of LogRetention.
@@ -60,7 +62,7 @@
 	return &Settings{
 		LogLevel: "info", LeaseDuration: 6 * time.Second, LeaseRenewal: 2 * time.Second,
 		Quarantine: 2 * time.Minute, ReportInterval: 500 * time.Millisecond, OrderInterval: 500 * time.Millisecond,
-		KeyBatch: 100 * time.Millisecond, KeyWindow: time.Hour, KeyInProgress: time.Minute,
+		VMListInterval: 2 * time.Second, KeyBatch: 100 * time.Millisecond, KeyWindow: time.Hour, KeyInProgress: time.Minute,
 		LogRetention: 24 * time.Hour, StopTimeout: 10 * time.Second,
 	}
 }
@@ -87,6 +89,7 @@
 	c.Duration("quarantine", s.Quarantine, s.LeaseDuration, time.Hour)
 	c.Duration("report_interval", s.ReportInterval, 50*time.Millisecond, time.Minute)
 	c.Duration("order_interval", s.OrderInterval, 50*time.Millisecond, time.Minute)
+	c.Duration("vm_list_interval", s.VMListInterval, 100*time.Millisecond, time.Minute)
 	c.Duration("key_batch", s.KeyBatch, 10*time.Millisecond, time.Second)
 	c.Duration("log_retention", s.LogRetention, time.Second, 365*24*time.Hour)
 	c.Duration("key_window", s.KeyWindow, time.Second, s.LogRetention/2)
--- a/server/localview/view.go
+++ b/server/localview/view.go
@@ -11,6 +11,7 @@
 
 	"github.com/lentilpick/lentilpick/admission"
 	"github.com/lentilpick/lentilpick/configuration"
+	"github.com/lentilpick/lentilpick/membership"
 	"github.com/lentilpick/lentilpick/records"
 	"github.com/lentilpick/lentilpick/routing"
 	"github.com/lentilpick/lentilpick/server/wire"
@@ -37,6 +38,7 @@
 	local      types.DataCentreID
 	current    atomic.Pointer[View]
 	config     *configuration.Config
+	lists      map[types.DataCentreID]*membership.TargetList
 	counters   map[types.TargetID]*routing.Counters
 	reports    map[types.TargetID]types.LoadReport
 	leaving    map[types.TargetID]bool
@@ -69,9 +71,9 @@
 	if b := v.GetConfiguration(); len(b) > 0 {
 		err = s.updateConfig(b)
 	}
-	for _, l := range v.GetLoads()[:min(len(v.GetLoads()), wire.MaxLoads)] {
-		if id, r, ok := wire.FromLoad(l, now); ok {
-			s.reports[id] = r
+	for _, d := range v.GetLoads() {
+		if l := s.lists[types.DataCentreID(d.GetDataCentre())]; l != nil {
+			wire.FromDigest(d, l, s.config, now, func(id types.TargetID, r types.LoadReport) { s.reports[id] = r })
 		}
 	}
 	clear(s.leaving)
@@ -91,6 +93,7 @@
 		return nil // a control daemon that lags behind must not revert the configuration
 	}
 	s.config = r.Snapshot.Config
+	s.lists = wire.TargetLists(s.config)
 	return nil
 }
 
--- /dev/null
+++ b/server/wire/digest.go
@@ -0,0 +1,128 @@
+package wire
+
+import (
+	"slices"
+	"time"
+
+	peerv1 "github.com/lentilpick/lentilpick/api/peer/v1"
+
+	"github.com/lentilpick/lentilpick/configuration"
+	"github.com/lentilpick/lentilpick/membership"
+	"github.com/lentilpick/lentilpick/types"
+)
+
+// Units of a digest. They keep a target's load at about eight bytes.
+const (
+	ageUnit     = 10 * time.Millisecond
+	prefillUnit = 64
+	kvUnit      = types.BlockTokens
+)
+
+const (
+	flagRoleMask = 1<<2 - 1
+	flagLeaving  = 1 << 2
+	flagChanging = 1 << 3
+	flagCarried  = 1 << 4
+)
+
+// ToDigest encodes the reports of the targets of one list.
+func ToDigest(l *membership.TargetList, c *configuration.Config, reports map[types.TargetID]types.LoadReport, now time.Time) *peerv1.LoadDigest {
+	d := &peerv1.LoadDigest{DataCentre: string(l.DataCentre), List: l.Hash}
+	for id, r := range reports {
+		i, ok := l.Index(id)
+		if !ok {
+			continue
+		}
+		appendLoad(d, i, c.Targets[id].Value, &r, now)
+	}
+	return d
+}
+
+func appendLoad(d *peerv1.LoadDigest, i uint32, t configuration.Target, r *types.LoadReport, now time.Time) {
+	flags := uint32(r.Role) & flagRoleMask
+	if r.Leaving {
+		flags |= flagLeaving
+	}
+	if r.Changing {
+		flags |= flagChanging
+	}
+	if r.Model != t.Model || r.Version != t.Version || !slices.Equal(r.Adapters, t.Adapters) {
+		flags |= flagCarried
+		d.Carried = append(d.Carried, carried(i, r))
+	}
+	d.Index = append(d.Index, i)
+	d.Age = append(d.Age, uint32(max(now.Sub(r.At), 0)/ageUnit))
+	d.Prefill = append(d.Prefill, uint32((r.QueuedPrefillTokens+prefillUnit-1)/prefillUnit))
+	d.DecodeStreams = append(d.DecodeStreams, uint32(r.DecodeStreams))
+	d.Running = append(d.Running, uint32(r.Running))
+	d.KvFree = append(d.KvFree, uint32(r.KVFreeTokens/kvUnit))
+	d.Flags = append(d.Flags, flags)
+}
+
+func carried(i uint32, r *types.LoadReport) *peerv1.Carried {
+	c := &peerv1.Carried{Index: i, Model: string(r.Model), Version: r.Version}
+	for _, a := range r.Adapters {
+		c.Adapters = append(c.Adapters, string(a))
+	}
+	return c
+}
+
+// FromDigest calls each for every report of a digest. A digest of another list,
+// or one whose lists differ in length, is dropped; ok is then false.
+func FromDigest(d *peerv1.LoadDigest, l *membership.TargetList, c *configuration.Config, now time.Time, each func(types.TargetID, types.LoadReport)) (ok bool) {
+	n := len(d.GetIndex())
+	if d.GetList() != l.Hash || !sameLength(n, d.GetAge(), d.GetPrefill(), d.GetDecodeStreams(), d.GetRunning(), d.GetKvFree(), d.GetFlags()) {
+		return false
+	}
+	other := make(map[uint32]*peerv1.Carried, len(d.GetCarried()))
+	for _, v := range d.GetCarried() {
+		other[v.GetIndex()] = v
+	}
+	for k := range n {
+		id, known := l.At(d.Index[k])
+		if !known || d.Flags[k]&flagRoleMask >= uint32(types.RoleCount) {
+			continue
+		}
+		each(id, report(d, k, c.Targets[id].Value, other[d.Index[k]], now))
+	}
+	return true
+}
+
+func sameLength(n int, lists ...[]uint32) bool {
+	for _, l := range lists {
+		if len(l) != n {
+			return false
+		}
+	}
+	return true
+}
+
+func report(d *peerv1.LoadDigest, k int, t configuration.Target, other *peerv1.Carried, now time.Time) types.LoadReport {
+	r := types.LoadReport{
+		At: now.Add(-time.Duration(d.Age[k]) * ageUnit), Role: types.Role(d.Flags[k] & flagRoleMask),
+		Model: t.Model, Version: t.Version, Adapters: t.Adapters,
+		QueuedPrefillTokens: int(d.Prefill[k]) * prefillUnit, DecodeStreams: int(d.DecodeStreams[k]),
+		Running: int(d.Running[k]), KVFreeTokens: int(d.KvFree[k]) * kvUnit,
+		Leaving: d.Flags[k]&flagLeaving != 0, Changing: d.Flags[k]&flagChanging != 0,
+	}
+	if d.Flags[k]&flagCarried != 0 && other != nil {
+		r.Model, r.Version, r.Adapters = types.ModelID(other.GetModel()), other.GetVersion(), nil
+		for _, a := range other.GetAdapters() {
+			r.Adapters = append(r.Adapters, types.AdapterID(a))
+		}
+	}
+	return r
+}
+
+// TargetLists returns the list of targets of each data centre in a configuration.
+func TargetLists(c *configuration.Config) map[types.DataCentreID]*membership.TargetList {
+	ids := map[types.DataCentreID][]types.TargetID{}
+	for id, t := range c.Targets {
+		ids[t.Value.DataCentre] = append(ids[t.Value.DataCentre], id)
+	}
+	out := make(map[types.DataCentreID]*membership.TargetList, len(ids))
+	for dc, list := range ids {
+		out[dc] = membership.NewTargetList(dc, list)
+	}
+	return out
+}
--- /dev/null
+++ b/server/wire/digest_test.go
@@ -0,0 +1,94 @@
+package wire
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	peerv1 "github.com/lentilpick/lentilpick/api/peer/v1"
+
+	"github.com/lentilpick/lentilpick/configuration"
+	"github.com/lentilpick/lentilpick/membership"
+	"github.com/lentilpick/lentilpick/types"
+)
+
+func fleet(n int) (*configuration.Config, *membership.TargetList, map[types.TargetID]types.LoadReport, time.Time) {
+	now := time.Unix(1000, 0)
+	c := configuration.New()
+	reports := map[types.TargetID]types.LoadReport{}
+	for i := range n {
+		id := types.TargetID(fmt.Sprintf("assistant-%03d", i))
+		c.Targets[id] = configuration.Entry[configuration.Target]{Value: configuration.Target{
+			ID: id, DataCentre: "x", Model: "m", Version: "1", Adapters: []types.AdapterID{"a"},
+		}}
+		reports[id] = types.LoadReport{
+			At: now.Add(-time.Duration(i) * 10 * time.Millisecond), Role: types.RoleDecode, Model: "m", Version: "1",
+			Adapters: []types.AdapterID{"a"}, QueuedPrefillTokens: 64 * i, DecodeStreams: i, Running: i + 1,
+			KVFreeTokens: 100 * types.BlockTokens,
+		}
+	}
+	return c, TargetLists(c)["x"], reports, now
+}
+
+// Guards against a report that changes on its way through a digest.
+func TestDigestKeepsReports(t *testing.T) {
+	c, l, reports, now := fleet(40)
+	odd := reports["assistant-007"]
+	odd.Model, odd.Leaving = "other", true
+	reports["assistant-007"] = odd
+	got := map[types.TargetID]types.LoadReport{}
+	ok := FromDigest(ToDigest(l, c, reports, now), l, c, now, func(id types.TargetID, r types.LoadReport) { got[id] = r })
+	assert.Assert(t, ok)
+	assert.DeepEqual(t, got, reports)
+}
+
+// Guards against a malformed digest, or one of another list, being read.
+func TestMalformedDigestIsDropped(t *testing.T) {
+	c, l, reports, now := fleet(3)
+	each := func(types.TargetID, types.LoadReport) { t.Fatal("report of a dropped digest") }
+	d := ToDigest(l, c, reports, now)
+	d.Age = d.Age[:2]
+	assert.Assert(t, !FromDigest(d, l, c, now, each))
+	d = ToDigest(l, c, reports, now)
+	d.List++
+	assert.Assert(t, !FromDigest(d, l, c, now, each))
+	d = &peerv1.LoadDigest{List: l.Hash, Index: []uint32{99}, Age: []uint32{1}, Prefill: []uint32{1},
+		DecodeStreams: []uint32{1}, Running: []uint32{1}, KvFree: []uint32{1}, Flags: []uint32{3}}
+	assert.Assert(t, FromDigest(d, l, c, now, each))
+}
+
+// Guards against digests that exceed the control traffic of a daemon: 13,000
+// bytes a second at 370 targets and 12 daemons in a data centre, of which the
+// digests to 11 peers may take a half.
+func TestDigestFitsControlTraffic(t *testing.T) {
+	c, l, reports, now := fleet(370)
+	own := map[types.TargetID]types.LoadReport{}
+	for id, r := range reports {
+		if len(own) < 370/12+1 {
+			own[id] = r
+		}
+	}
+	size := proto.Size(ToDigest(l, c, own, now))
+	t.Logf("digest of %d targets: %d bytes", len(own), size)
+	assert.Assert(t, 11*size < 13_000/2, "11 digests of %d bytes", size)
+}
+
+func BenchmarkToDigest370(b *testing.B) {
+	c, l, reports, now := fleet(370)
+	b.ReportAllocs()
+	for b.Loop() {
+		ToDigest(l, c, reports, now)
+	}
+}
+
+func BenchmarkFromDigest370(b *testing.B) {
+	c, l, reports, now := fleet(370)
+	d := ToDigest(l, c, reports, now)
+	b.ReportAllocs()
+	for b.Loop() {
+		FromDigest(d, l, c, now, func(types.TargetID, types.LoadReport) {})
+	}
+}
--- a/server/wire/load.go
+++ b/server/wire/load.go
@@ -11,9 +11,6 @@
 	"github.com/lentilpick/lentilpick/types"
 )
 
-// MaxLoads bounds the load digests in one message.
-const MaxLoads = 4096
-
 // FromReport returns the report of a target that was read at now.
 func FromReport(r engine.Report, now time.Time) types.LoadReport {
 	return types.LoadReport{
@@ -25,40 +22,6 @@
 	}
 }
 
-// ToLoad returns the digest of a report at now.
-func ToLoad(id types.TargetID, r *types.LoadReport, now time.Time) *peerv1.TargetLoad {
-	l := &peerv1.TargetLoad{
-		Target: string(id), Sequence: r.Sequence, AgeMs: uint32(max(now.Sub(r.At).Milliseconds(), 0)),
-		Role: uint32(r.Role), QueuedPrefillTokens: uint32(r.QueuedPrefillTokens),
-		DecodeStreams: uint32(r.DecodeStreams), Running: uint32(r.Running),
-		KvFreeTokens: uint32(r.KVFreeTokens), Leaving: r.Leaving, Changing: r.Changing,
-		Model: string(r.Model), Version: r.Version,
-	}
-	for _, a := range r.Adapters {
-		l.Adapters = append(l.Adapters, string(a))
-	}
-	return l
-}
-
-// FromLoad returns the report that a digest describes. ok is false for a
-// digest with an unknown role or no target.
-func FromLoad(l *peerv1.TargetLoad, now time.Time) (id types.TargetID, r types.LoadReport, ok bool) {
-	if l.GetTarget() == "" || l.GetRole() >= uint32(types.RoleCount) {
-		return "", types.LoadReport{}, false
-	}
-	r = types.LoadReport{
-		At: now.Add(-time.Duration(l.GetAgeMs()) * time.Millisecond), Sequence: l.GetSequence(),
-		Role: types.Role(l.GetRole()), Model: types.ModelID(l.GetModel()), Version: l.GetVersion(),
-		QueuedPrefillTokens: int(l.GetQueuedPrefillTokens()), DecodeStreams: int(l.GetDecodeStreams()),
-		Running: int(l.GetRunning()), KVFreeTokens: int(l.GetKvFreeTokens()),
-		Leaving: l.GetLeaving(), Changing: l.GetChanging(),
-	}
-	for _, a := range l.GetAdapters() {
-		r.Adapters = append(r.Adapters, types.AdapterID(a))
-	}
-	return types.TargetID(l.GetTarget()), r, true
-}
-
 // ToKey converts a key.
 func ToKey(k idempotency.Key) *peerv1.KeyID {
 	return &peerv1.KeyID{Service: string(k.Service), Workspace: string(k.Workspace), Key: k.Key}
--- a/standin/vmlist/vmlist.go
+++ b/standin/vmlist/vmlist.go
@@ -70,6 +70,20 @@
 		}
 		l.Set(vms)
 	}
-	web.Reply(ctx, l.Visible())
+	web.Reply(ctx, inDataCentre(l.Visible(), string(ctx.QueryArgs().Peek("data_centre"))))
 	return true
 }
+
+// inDataCentre returns the VMs of a data centre, or all without one.
+func inDataCentre(vms []VM, dc string) []VM {
+	if dc == "" {
+		return vms
+	}
+	out := []VM{}
+	for _, v := range vms {
+		if v.DataCentre == dc {
+			out = append(out, v)
+		}
+	}
+	return out
+}
