Count control traffic and measure what control costs a VM

Cause: the bounds of 1.2% of a core, 64 MB and 13 KB/s for control had no measurement. Change: counters of control bytes by group of connections; the command 'lentilpick-load capacity' runs daemons and stand-ins of one data centre at several sizes and reads CPU, memory and traffic.

--- a/cmd/lentilpick-load/main.go
+++ b/cmd/lentilpick-load/main.go
@@ -4,11 +4,13 @@
 import (
 	"github.com/alecthomas/kong"
 
+	"github.com/lentilpick/lentilpick/cmd/internal/capacity"
 	"github.com/lentilpick/lentilpick/cmd/internal/load"
 )
 
 var cli struct {
-	Demo load.DemoCmd `cmd:"" help:"Run both example deployments on loopback, send a mixed load and print a report."`
+	Capacity capacity.Cmd `cmd:"" help:"Measure what control costs at several sizes."`
+	Demo     load.DemoCmd `cmd:"" help:"Run both example deployments on loopback, send a mixed load and print a report."`
 }
 
 func main() {
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -76,3 +76,31 @@
 	}
 	return nil
 }
+
+// Traffic registers counters of received and sent bytes for named groups of
+// connections.
+func (m *Metrics) Traffic(name, description string, groups map[string]*Traffic) error {
+	type series struct {
+		traffic        *Traffic
+		received, sent metric.ObserveOption
+	}
+	var all []series
+	for group, t := range groups {
+		set := func(direction string) metric.ObserveOption {
+			return metric.WithAttributes(attribute.String("group", group), attribute.String("direction", direction))
+		}
+		all = append(all, series{t, set("received"), set("sent")})
+	}
+	_, err := m.Meter.Int64ObservableCounter(name, metric.WithDescription(description), metric.WithUnit("By"),
+		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+			for _, s := range all {
+				o.Observe(s.traffic.Received(), s.received)
+				o.Observe(s.traffic.Sent(), s.sent)
+			}
+			return nil
+		}))
+	if err != nil {
+		return merry.Wrap(ErrMetrics, merry.WithCause(err))
+	}
+	return nil
+}
--- /dev/null
+++ b/daemon/traffic.go
@@ -0,0 +1,62 @@
+package daemon
+
+import (
+	"net"
+	"sync/atomic"
+)
+
+// Traffic counts the bytes of a group of connections, without TCP and IP
+// headers. It is safe for concurrent use.
+type Traffic struct{ received, sent atomic.Int64 }
+
+// Received returns the bytes read so far.
+func (t *Traffic) Received() int64 { return t.received.Load() }
+
+// Sent returns the bytes written so far.
+func (t *Traffic) Sent() int64 { return t.sent.Load() }
+
+// Conn returns a connection whose bytes are counted.
+func (t *Traffic) Conn(c net.Conn) net.Conn { return &countedConn{c, t} }
+
+type countedConn struct {
+	net.Conn
+	traffic *Traffic
+}
+
+func (c *countedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.traffic.received.Add(int64(n))
+	return n, err
+}
+
+func (c *countedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.traffic.sent.Add(int64(n))
+	return n, err
+}
+
+// Listener wraps a listener; of counts each accepted connection in the group
+// that it returns.
+func Listener(l net.Listener, of func(net.Conn) *Traffic) net.Listener {
+	return &countedListener{l, of}
+}
+
+type countedListener struct {
+	net.Listener
+	of func(net.Conn) *Traffic
+}
+
+func (l *countedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return l.of(c).Conn(c), nil
+}
+
+// SameHost reports whether both ends of a connection have the same IP address.
+func SameHost(c net.Conn) bool {
+	a, ok := c.RemoteAddr().(*net.TCPAddr)
+	b, ok2 := c.LocalAddr().(*net.TCPAddr)
+	return ok && ok2 && a.IP.Equal(b.IP)
+}
--- a/engine/client.go
+++ b/engine/client.go
@@ -58,6 +58,8 @@
 	MaxAge time.Duration
 	// MaxConns bounds the connections to one target.
 	MaxConns int
+	// Wrap, if not nil, is applied to each new connection.
+	Wrap func(net.Conn) net.Conn
 }
 
 // Client calls targets. It is safe for concurrent use: the table of hosts is
@@ -113,6 +115,9 @@
 	if err != nil {
 		return nil, &dialError{err}
 	}
+	if c.settings.Wrap != nil {
+		conn = c.settings.Wrap(conn)
+	}
 	return &progressConn{Conn: conn, progress: c.settings.Progress}, nil
 }
 
--- a/server/control/daemon.go
+++ b/server/control/daemon.go
@@ -56,6 +56,25 @@
 	pool        *ants.Pool
 	stopping    chan struct{}
 	admin       http.Handler
+	traffic     traffic
+}
+
+// traffic counts the bytes of the daemon's connections. Entry holds those of
+// the entry daemon on the same VM, which do not leave the VM.
+type traffic struct{ peers, platform, targets, entry, admin daemon.Traffic }
+
+func (t *traffic) groups() map[string]*daemon.Traffic {
+	return map[string]*daemon.Traffic{
+		"peers": &t.peers, "platform": &t.platform, "targets": &t.targets, "entry": &t.entry, "admin": &t.admin,
+	}
+}
+
+// accepted returns the group of a connection to the peer API.
+func (t *traffic) accepted(c net.Conn) *daemon.Traffic {
+	if daemon.SameHost(c) {
+		return &t.entry
+	}
+	return &t.peers
 }
 
 // New returns a daemon that is not yet serving. admin serves the
@@ -71,14 +90,16 @@
 	}
 	d := &Daemon{
 		settings: s, log: log, metrics: m, pool: pool, dc: types.DataCentreID(s.DataCentre),
-		incarnation: strconv.FormatUint(rand.Uint64(), 36), platform: platform.NewClient(s.Platform),
-		gate: &authority.Gate{}, fleet: newFleetState(vmID(s.VM)), entries: newEntries(), stopping: make(chan struct{}),
+		incarnation: strconv.FormatUint(rand.Uint64(), 36),
+		gate:        &authority.Gate{}, fleet: newFleetState(vmID(s.VM)), entries: newEntries(), stopping: make(chan struct{}),
 	}
+	d.platform = platform.NewClient(s.Platform, d.traffic.platform.Conn)
 	d.config = NewConfigLog(d.platform, log)
 	d.lease = newLeaseRunner(d.platform, log, d.dc, s.lease(d.incarnation), d.gate)
 	d.keys = newKeyLog(d.platform, log, d.dc, s.KeyBatch, idempotency.Settings{Window: s.KeyWindow, InProgressLimit: s.KeyInProgress})
 	targets := engine.NewClient(engine.Settings{
 		DialTimeout: targetTimeout, Progress: targetTimeout, MaxIdle: 5 * time.Second, MaxAge: time.Minute, MaxConns: 8,
+		Wrap: d.traffic.targets.Conn,
 	})
 	d.reports = &reportReader{
 		self: vmID(s.VM), dc: d.dc, log: log, config: d.config.Config, fleet: d.fleet, client: targets, pool: pool, every: s.ReportInterval,
@@ -88,12 +109,12 @@
 		every: s.OrderInterval, busy: map[types.TargetID]bool{}, state: map[types.TargetID]string{},
 	}
 	d.peers = &peerWatcher{
-		vm: s.VM, dc: d.dc, log: log, fleet: d.fleet, config: d.config.Config, clients: newPeerClients(s.Peers),
+		vm: s.VM, dc: d.dc, log: log, fleet: d.fleet, config: d.config.Config, clients: newPeerClients(s.Peers, &d.traffic.peers),
 	}
-	return d, d.registerGauges()
+	return d, d.registerMetrics()
 }
 
-func (d *Daemon) registerGauges() error {
+func (d *Daemon) registerMetrics() error {
 	gauges := []struct {
 		name, description string
 		read              func() int64
@@ -112,7 +133,7 @@
 			return err
 		}
 	}
-	return nil
+	return d.metrics.Traffic("lentilpick_control_bytes", "Bytes of control traffic, without TCP and IP headers.", d.traffic.groups())
 }
 
 // SetAdmin sets the handler of the administration API. It must be called
@@ -194,11 +215,11 @@
 	start, done := context.WithTimeout(ctx, startFromPeers)
 	startFromPeer(start, d.peers.clients, d.config, d.log)
 	done()
-	server, err := d.listen(d.settings.Listen, d.peerHandler())
+	server, err := d.listen(d.settings.Listen, d.peerHandler(), d.traffic.accepted)
 	if err != nil {
 		return err
 	}
-	admin, err := d.listen(d.settings.Admin, d.admin)
+	admin, err := d.listen(d.settings.Admin, d.admin, func(net.Conn) *daemon.Traffic { return &d.traffic.admin })
 	if err != nil {
 		return err
 	}
@@ -305,13 +326,13 @@
 	}
 }
 
-func (d *Daemon) listen(address string, h http.Handler) (*http.Server, error) {
+func (d *Daemon) listen(address string, h http.Handler, of func(net.Conn) *daemon.Traffic) (*http.Server, error) {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, merry.Wrap(ErrStart, merry.WithCause(err))
 	}
 	s := &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second, MaxHeaderBytes: 16 << 10}
-	go func() { _ = s.Serve(l) }()
+	go func() { _ = s.Serve(daemon.Listener(l, of)) }()
 	return s, nil
 }
 
--- a/server/control/peers.go
+++ b/server/control/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"slices"
 	"time"
@@ -37,8 +38,18 @@
 	view peerv1connect.ViewServiceClient
 }
 
-func newPeerClients(peers []Peer) []peerClient {
-	h := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: 30 * time.Second}}
+func newPeerClients(peers []Peer, traffic *daemon.Traffic) []peerClient {
+	dialer := &net.Dialer{Timeout: fetchTimeout}
+	h := &http.Client{Transport: &http.Transport{
+		MaxIdleConnsPerHost: 4, IdleConnTimeout: 30 * time.Second,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return traffic.Conn(conn), nil
+		},
+	}}
 	out := make([]peerClient, 0, len(peers))
 	for _, p := range peers {
 		out = append(out, peerClient{
