localview: rebuild workspaces only when the configuration changes

Cause: each of the four view messages a second rebuilt the maps of 3,700 workspaces; the entry daemon spent 1.68% of a core without load. Change: what depends on the configuration only is rebuilt with it; state of removed targets, workspaces and services is dropped. The control daemon has a soft memory limit in its settings.

--- a/server/control/daemon.go
+++ b/server/control/daemon.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"strconv"
 	"time"
 
@@ -214,6 +215,7 @@
 
 // Run serves until the context ends, then hands over the lease and stops.
 func (d *Daemon) Run(ctx context.Context) error {
+	debug.SetMemoryLimit(d.settings.MemoryLimitMB * 1_000_000)
 	work, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	start, done := context.WithTimeout(ctx, startFromPeers)
--- a/server/control/settings.go
+++ b/server/control/settings.go
@@ -48,6 +48,9 @@
 	// LogRetention is how long the platform's log keeps records.
 	LogRetention time.Duration `toml:"log_retention"`
 	StopTimeout  time.Duration `toml:"stop_timeout"`
+	// MemoryLimitMB is the soft limit of the Go runtime in 10^6 bytes; it makes
+	// the runtime return memory after a burst of changes.
+	MemoryLimitMB int64 `toml:"memory_limit_mb"`
 }
 
 // Peer is another control daemon.
@@ -64,6 +67,7 @@
 		Quarantine: 2 * time.Minute, ReportInterval: time.Second, OrderInterval: 500 * time.Millisecond,
 		VMListInterval: 2 * time.Second, KeyBatch: 100 * time.Millisecond, KeyWindow: time.Hour, KeyInProgress: time.Minute,
 		LogRetention: 24 * time.Hour, StopTimeout: 10 * time.Second,
+		MemoryLimitMB: 48,
 	}
 }
 
@@ -94,6 +98,7 @@
 	c.Duration("log_retention", s.LogRetention, time.Second, 365*24*time.Hour)
 	c.Duration("key_window", s.KeyWindow, time.Second, s.LogRetention/2)
 	c.Duration("key_in_progress", s.KeyInProgress, time.Second, s.KeyWindow)
+	c.Int("memory_limit_mb", s.MemoryLimitMB, 16, 65_536)
 	c.Duration("stop_timeout", s.StopTimeout, time.Second, 10*time.Minute)
 }
 
--- a/server/localview/view.go
+++ b/server/localview/view.go
@@ -44,6 +44,10 @@
 	leaving    map[types.TargetID]bool
 	workspaces map[types.WorkspaceID]*admission.Workspace
 	budgets    map[types.ServiceID]*admission.RetryBudget
+
+	// byWorkspace and byService are part of the published views.
+	byWorkspace map[types.WorkspaceID]*Workspace
+	byService   map[types.ServiceID]*admission.RetryBudget
 }
 
 // NewStore returns a store with the empty configuration.
@@ -56,6 +60,7 @@
 		workspaces: map[types.WorkspaceID]*admission.Workspace{},
 		budgets:    map[types.ServiceID]*admission.RetryBudget{},
 	}
+	s.configured()
 	s.publish()
 	return s
 }
@@ -93,23 +98,39 @@
 		return nil // a control daemon that lags behind must not revert the configuration
 	}
 	s.config = r.Snapshot.Config
-	s.lists = wire.TargetLists(s.config)
+	s.configured()
 	return nil
 }
 
 func (s *Store) publish() {
-	v := &View{
-		Config: s.config, Fleet: s.fleet(),
-		Workspaces: make(map[types.WorkspaceID]*Workspace, len(s.config.Workspaces)),
-		Budgets:    make(map[types.ServiceID]*admission.RetryBudget, len(s.config.Services)),
-	}
+	s.current.Store(&View{Config: s.config, Fleet: s.fleet(), Workspaces: s.byWorkspace, Budgets: s.byService})
+}
+
+// configured rebuilds what depends on the configuration only. Published maps
+// are never changed, so the maps are built anew.
+func (s *Store) configured() {
+	s.lists = wire.TargetLists(s.config)
+	s.byWorkspace = make(map[types.WorkspaceID]*Workspace, len(s.config.Workspaces))
 	for id, w := range s.config.Workspaces {
-		v.Workspaces[id] = &Workspace{Workspace: w.Value, Admission: getOrNew(s.workspaces, id)}
+		s.byWorkspace[id] = &Workspace{Workspace: w.Value, Admission: getOrNew(s.workspaces, id)}
 	}
+	s.byService = make(map[types.ServiceID]*admission.RetryBudget, len(s.config.Services))
 	for id := range s.config.Services {
-		v.Budgets[id] = getOrNew(s.budgets, id)
+		s.byService[id] = getOrNew(s.budgets, id)
+	}
+	dropOthers(s.counters, s.config.Targets)
+	dropOthers(s.reports, s.config.Targets)
+	dropOthers(s.workspaces, s.config.Workspaces)
+	dropOthers(s.budgets, s.config.Services)
+}
+
+// dropOthers deletes the entries of m whose key is not in keep.
+func dropOthers[K comparable, V, W any](m map[K]V, keep map[K]W) {
+	for k := range m {
+		if _, ok := keep[k]; !ok {
+			delete(m, k)
+		}
 	}
-	s.current.Store(v)
 }
 
 func getOrNew[K comparable, V any](m map[K]*V, k K) *V {
