authority: correct the lease and add the order state machine

Change: renewals and releases name the fencing number of their claim; earlier holders are kept until release, quarantine or loss of the VM; the decision on orders and the bookkeeping per target move from the control daemon into the pure type authority.Orders, owned by one goroutine; a limit on concurrent changes of model or version (max_load_orders, default 4); the wanted role comes from a function that a role planner can replace.

--- a/authority/gate.go
+++ b/authority/gate.go
@@ -17,16 +17,35 @@
 	ErrQuarantine = errors.New("an earlier holder may still order this target")
 )
 
+// EarlierHolder is a holder that lost the lease without a release. It may be
+// paused between its check of the lease and the write of an order.
+type EarlierHolder struct {
+	// Holder is the zero value if its records have expired from the log.
+	Holder Holder
+	// Until is the end of the quarantine.
+	Until time.Time
+}
+
 // Grant is the authority of a holder up to a point in time.
 type Grant struct {
 	Fence types.FencingNumber
 	// Until is the end of the lease by this process's monotonic clock.
 	Until time.Time
-	// Prior is the holder before this one.
-	Prior Holder
-	// UncheckedFrom is when targets that do not check fencing numbers may be
-	// ordered; the zero time means at once.
-	UncheckedFrom time.Time
+	// Earlier lists all holders before this one that can still write an order,
+	// not just the last: a holder that released may have followed one that did not.
+	Earlier []EarlierHolder
+}
+
+// Cleared reports whether targets that do not check fencing numbers may be
+// ordered: for each earlier holder the quarantine has elapsed, or the
+// platform's list shows that its VM is gone.
+func (g Grant) Cleared(now time.Time, gone func(types.VMID) bool) bool {
+	for _, e := range g.Earlier {
+		if now.Before(e.Until) && (e.Holder.VM == "" || !gone(e.Holder.VM)) {
+			return false
+		}
+	}
+	return true
 }
 
 // Gate is the last check before an order is written to a target. It is safe
@@ -37,14 +56,15 @@
 func (g *Gate) Publish(gr Grant) { g.grant.Store(&gr) }
 
 // Check returns the grant under which an order to a target may be written at
-// now. priorGone says that the platform's list no longer shows the earlier
-// holder's VM. The errors are ErrNoAuthority and ErrQuarantine.
-func (g *Gate) Check(now time.Time, checksFencing, priorGone bool) (Grant, error) {
+// now. cleared is the result of Grant.Cleared; it matters only for a target
+// that does not check fencing numbers. The errors are ErrNoAuthority and
+// ErrQuarantine.
+func (g *Gate) Check(now time.Time, checksFencing, cleared bool) (Grant, error) {
 	gr := g.grant.Load()
 	if gr == nil || gr.Fence == 0 || !now.Before(gr.Until) {
 		return Grant{}, ErrNoAuthority
 	}
-	if !checksFencing && !priorGone && now.Before(gr.UncheckedFrom) {
+	if !checksFencing && !cleared {
 		return Grant{}, ErrQuarantine
 	}
 	return *gr, nil
--- a/authority/lease.go
+++ b/authority/lease.go
@@ -34,10 +34,13 @@
 
 // Record is one decoded record of the lease stream.
 type Record struct {
-	Kind   Kind   `json:"kind"`
-	Holder Holder `json:"holder"`
-	// Term grows by one with each valid claim.
-	Term uint64 `json:"term"`
+	Kind       Kind               `json:"kind"`
+	DataCentre types.DataCentreID `json:"data_centre"`
+	Holder     Holder             `json:"holder"`
+	// Term is the fencing number of the claim: the offset of a valid claim plus
+	// one. Renewals and releases repeat it, so that a reader whose log no
+	// longer has the claim learns it from them.
+	Term types.FencingNumber `json:"term"`
 	// Previous is, for a claim, the offset of the last record that the claimant
 	// had read, -1 for an empty stream.
 	Previous types.Offset `json:"previous"`
@@ -47,7 +50,8 @@
 
 // Settings of the lease.
 type Settings struct {
-	Self Holder
+	DataCentre types.DataCentreID
+	Self       Holder
 	// Duration is the time for which a claim or renewal holds.
 	Duration time.Duration
 	// RenewEvery is the time between renewals.
@@ -55,9 +59,9 @@
 	// Margin is added to Duration by claimants. It covers the difference in
 	// clock rates over one Duration.
 	Margin time.Duration
-	// Quarantine is the time after which the earlier holder of a lease that was
-	// not released is taken to have no order under way, for targets that do not
-	// check fencing numbers.
+	// Quarantine is the time after which an earlier holder that did not release
+	// the lease is taken to have no order under way, for targets that do not
+	// check fencing numbers. It must exceed the longest pause of a process.
 	Quarantine time.Duration
 }
 
@@ -78,16 +82,18 @@
 	settings Settings
 	next     types.Offset
 	holder   Holder
-	term     uint64
 	fence    types.FencingNumber
 	// free says that the lease was released or was never claimed.
 	free bool
+	// claimSeen is false after expired records, until a valid claim is read. The
+	// holder is then known from renewals only, and a later claim of another
+	// holder may be among the expired records.
+	claimSeen bool
 	// readAt is when the last valid claim or renewal was read.
 	readAt time.Time
-	// prior and priorReleased describe the holder before the current one.
-	prior         Holder
-	priorReleased bool
-	claimedAt     time.Time
+	// earlier holds the holders that lost the lease without a release, and when
+	// this was read. The zero Holder stands for holders in expired records.
+	earlier map[Holder]time.Time
 	// sent holds the send time of own records that have not been read back.
 	sent        map[uint64]time.Time
 	nextAttempt uint64
@@ -95,11 +101,12 @@
 	lastSend    time.Time
 }
 
-// NewLease returns the state at the beginning of the stream. A daemon that
-// starts at now waits at least one lease duration before its first claim,
-// unless it reads that the lease is free.
+// NewLease returns the state at the beginning of the stream.
 func NewLease(s Settings, now time.Time) *Lease {
-	return &Lease{settings: s, free: true, readAt: now, sent: map[uint64]time.Time{}}
+	return &Lease{
+		settings: s, free: true, claimSeen: true, readAt: now,
+		earlier: map[Holder]time.Time{}, sent: map[uint64]time.Time{},
+	}
 }
 
 // NextOffset returns the offset of the next record to read.
@@ -121,14 +128,13 @@
 	if o > l.next {
 		return fmt.Errorf("next is %d, got %d: %w", l.next, o, ErrGap)
 	}
-	previous := l.next - 1
 	l.next = o + 1
-	if r == nil {
+	if r == nil || r.DataCentre != l.settings.DataCentre {
 		return nil
 	}
 	switch r.Kind {
 	case KindClaim:
-		l.observeClaim(o, previous, r, now)
+		l.observeClaim(o, r, now)
 	case KindRenew:
 		l.observeRenew(r, now)
 	case KindRelease:
@@ -141,43 +147,75 @@
 }
 
 // Restart drops what is known of the stream because records before oldest have
-// expired. The daemon then waits a full lease from now before it claims.
+// expired. The daemon then waits a full lease from now, or from the last
+// renewal that it reads, before it claims.
 func (l *Lease) Restart(oldest types.Offset, now time.Time) {
+	if oldest <= l.next {
+		return
+	}
+	if !l.free {
+		l.earlier[l.holder] = now
+	}
+	l.earlier[Holder{}] = now
 	l.next = oldest
-	l.free = false
-	l.holder = Holder{}
+	l.holder, l.fence = Holder{}, 0
+	l.free, l.claimSeen = false, false
 	l.readAt = now
 	l.until = time.Time{}
+	clear(l.sent)
 }
 
-func (l *Lease) observeClaim(o, previous types.Offset, r *Record, now time.Time) {
-	if r.Previous != previous {
+// observeClaim takes a claim that directly follows the record that it names.
+// All readers decide this from offsets alone.
+func (l *Lease) observeClaim(o types.Offset, r *Record, now time.Time) {
+	if r.Previous != o-1 || r.Term != types.FencingNumber(o)+1 {
 		return
 	}
-	l.prior, l.priorReleased = l.holder, l.free
-	l.holder, l.term = r.Holder, r.Term
-	l.fence = types.FencingNumber(o) + 1
-	l.free = false
-	l.readAt, l.claimedAt = now, now
+	if !l.free && l.holder != r.Holder {
+		l.earlier[l.holder] = now
+	}
+	l.dropEarlier(now)
+	l.holder, l.fence = r.Holder, r.Term
+	l.free, l.claimSeen = false, true
+	l.readAt = now
 	l.until = time.Time{}
 	l.extendOwn(r)
 }
 
 func (l *Lease) observeRenew(r *Record, now time.Time) {
-	if l.free || r.Holder != l.holder || r.Term != l.term {
+	if !l.claimSeen {
+		// The claim has expired from the log, but its holder may live on.
+		if r.Term >= l.fence {
+			l.holder, l.fence, l.readAt = r.Holder, r.Term, now
+		}
+		return
+	}
+	if l.free || r.Holder != l.holder || r.Term != l.fence {
 		return
 	}
 	l.readAt = now
 	l.extendOwn(r)
 }
 
+// observeRelease frees the lease. Without the claim, a release may be a late
+// one of an earlier holder, so it frees nothing.
 func (l *Lease) observeRelease(r *Record, now time.Time) {
-	if l.free || r.Holder != l.holder || r.Term != l.term {
+	if !l.claimSeen || l.free || r.Holder != l.holder || r.Term != l.fence {
 		return
 	}
 	l.free = true
 	l.readAt = now
 	l.until = time.Time{}
+	delete(l.earlier, r.Holder)
+}
+
+// dropEarlier forgets holders whose quarantine has elapsed.
+func (l *Lease) dropEarlier(now time.Time) {
+	for h, at := range l.earlier {
+		if now.Sub(at) >= l.settings.Quarantine {
+			delete(l.earlier, h)
+		}
+	}
 }
 
 // extendOwn counts the lease from before the record was sent. A record whose
@@ -204,7 +242,7 @@
 		if now.Before(due) {
 			return nil, due
 		}
-		return l.send(KindRenew, l.term, now), now.Add(l.settings.RenewEvery)
+		return l.send(KindRenew, l.fence, now), now.Add(l.settings.RenewEvery)
 	}
 	if !l.free {
 		claimable := l.readAt.Add(l.settings.Duration + l.settings.Margin)
@@ -215,26 +253,32 @@
 	if due := l.lastSend.Add(l.settings.RenewEvery); !l.lastSend.IsZero() && now.Before(due) {
 		return nil, due
 	}
-	return l.send(KindClaim, l.term+1, now), now.Add(l.settings.RenewEvery)
+	return l.send(KindClaim, types.FencingNumber(l.next)+1, now), now.Add(l.settings.RenewEvery)
 }
 
 // Release returns the record that gives up the lease, or nil if this daemon
-// does not hold it. The daemon stops being the holder at once.
+// does not hold it. The daemon stops being the holder at once; renewals that
+// are still on their way extend nothing. A caller that has an order under way
+// must let the lease expire instead, because the next holder trusts a release.
 func (l *Lease) Release(now time.Time) *Record {
 	if !l.Held(now) {
 		return nil
 	}
-	r := l.send(KindRelease, l.term, now)
+	r := l.send(KindRelease, l.fence, now)
 	l.until = time.Time{}
+	clear(l.sent)
 	return r
 }
 
-func (l *Lease) send(k Kind, term uint64, now time.Time) *Record {
+func (l *Lease) send(k Kind, term types.FencingNumber, now time.Time) *Record {
 	l.nextAttempt++
 	l.sent[l.nextAttempt] = now
 	l.lastSend = now
 	l.dropOldSends(now)
-	return &Record{Kind: k, Holder: l.settings.Self, Term: term, Previous: l.next - 1, Attempt: l.nextAttempt}
+	return &Record{
+		Kind: k, DataCentre: l.settings.DataCentre, Holder: l.settings.Self,
+		Term: term, Previous: l.next - 1, Attempt: l.nextAttempt,
+	}
 }
 
 // dropOldSends forgets records that could no longer extend the lease.
@@ -247,19 +291,24 @@
 }
 
 // Held reports whether this daemon holds the lease at now.
-func (l *Lease) Held(now time.Time) bool {
-	return !l.free && l.holder == l.settings.Self && now.Before(l.until)
+func (l *Lease) Held(now time.Time) bool { return l.own() && now.Before(l.until) }
+
+func (l *Lease) own() bool {
+	return l.claimSeen && !l.free && l.holder == l.settings.Self
 }
 
 // Grant returns the authority that this daemon has; its zero value grants
 // nothing.
 func (l *Lease) Grant() Grant {
-	if l.free || l.holder != l.settings.Self || l.until.IsZero() {
+	if !l.own() || l.until.IsZero() {
 		return Grant{}
 	}
-	g := Grant{Fence: l.fence, Until: l.until, Prior: l.prior}
-	if !l.priorReleased && l.prior != (Holder{}) && l.prior != l.settings.Self {
-		g.UncheckedFrom = l.claimedAt.Add(l.settings.Quarantine)
+	g := Grant{Fence: l.fence, Until: l.until}
+	for h, at := range l.earlier {
+		// This process knows of its own orders, so it needs no quarantine.
+		if h != l.settings.Self {
+			g.Earlier = append(g.Earlier, EarlierHolder{Holder: h, Until: at.Add(l.settings.Quarantine)})
+		}
 	}
 	return g
 }
--- a/authority/lease_test.go
+++ b/authority/lease_test.go
@@ -78,12 +78,80 @@
 	assert.NilError(t, b.Observe(1, rb, later))
 	var g Gate
 	g.Publish(b.Grant())
-	_, err := g.Check(later, false, false)
+	_, err := g.Check(later, false, b.Grant().Cleared(later, listed))
 	assert.Assert(t, errors.Is(err, ErrQuarantine))
 	_, err = g.Check(later, true, false)
 	assert.NilError(t, err)
-	_, err = g.Check(later, false, true)
+	_, err = g.Check(later, false, b.Grant().Cleared(later, unlisted))
 	assert.NilError(t, err)
 	_, err = g.Check(later.Add(7*time.Second), true, false)
 	assert.Assert(t, errors.Is(err, ErrNoAuthority))
 }
+
+func listed(types.VMID) bool   { return false }
+func unlisted(types.VMID) bool { return true }
+
+// feed folds records that all readers see at now; a nil record has no effect.
+func feed(t *testing.T, now time.Time, r *Record, ls ...*Lease) {
+	t.Helper()
+	for _, l := range ls {
+		assert.NilError(t, l.Observe(l.NextOffset(), r, now))
+	}
+}
+
+// Guards against a release that hides an earlier holder that did not release:
+// a is paused, b takes over and releases, c follows b.
+func TestReleaseDoesNotClearEarlierHolder(t *testing.T) {
+	now := time.Now()
+	a, b, c := NewLease(settings("a"), now), NewLease(settings("b"), now), NewLease(settings("c"), now)
+	r, _ := a.Step(now)
+	feed(t, now, r, b, c)
+	now = now.Add(10 * time.Second)
+	r, _ = b.Step(now)
+	feed(t, now, r, b, c)
+	feed(t, now, b.Release(now), b, c)
+	r, _ = c.Step(now)
+	feed(t, now, r, c)
+	assert.Assert(t, c.Held(now))
+	assert.Assert(t, !c.Grant().Cleared(now, listed))
+	assert.Assert(t, c.Grant().Cleared(now.Add(2*time.Minute), listed))
+}
+
+// Guards against a daemon that claims beside a live holder whose claim, but not
+// its renewals, has expired from the log.
+func TestRestartLearnsHolderFromRenewals(t *testing.T) {
+	now := time.Now()
+	a, b := NewLease(settings("a"), now), NewLease(settings("b"), now)
+	r, _ := a.Step(now)
+	feed(t, now, r, a)
+	b.Restart(1, now)
+	for range 5 {
+		now = now.Add(2 * time.Second)
+		r, _ = a.Step(now)
+		feed(t, now, r, a, b)
+	}
+	r, _ = b.Step(now)
+	assert.Assert(t, r == nil)
+	h, f, _ := b.Holder()
+	assert.Equal(t, h.VM, types.VMID("a"))
+	assert.Equal(t, f, types.FencingNumber(1))
+	feed(t, now, a.Release(now), b) // may be a late release of an earlier holder
+	r, wake := b.Step(now)
+	assert.Assert(t, r == nil)
+	r, _ = b.Step(wake)
+	feed(t, wake, r, b)
+	assert.Assert(t, !b.Grant().Cleared(wake, unlisted), "an unknown holder may be paused")
+}
+
+// Guards against a renewal that was sent before the release and read after it.
+func TestReleaseEndsAuthorityAtOnce(t *testing.T) {
+	now := time.Now()
+	a := NewLease(settings("a"), now)
+	r, _ := a.Step(now)
+	feed(t, now, r, a)
+	now = now.Add(2 * time.Second)
+	renew, _ := a.Step(now)
+	assert.Assert(t, a.Release(now) != nil)
+	feed(t, now, renew, a)
+	assert.Assert(t, !a.Held(now))
+}
--- a/server/control/daemon.go
+++ b/server/control/daemon.go
@@ -84,9 +84,10 @@
 		self: vmID(s.VM), dc: d.dc, log: log, config: d.config.Config, fleet: d.fleet, client: targets, pool: pool, every: s.ReportInterval,
 	}
 	d.orders = &orderer{
-		dc: d.dc, log: log, config: d.config.Config, gate: d.gate, gone: d.fleet.vmGone, client: targets, pool: pool,
-		every: s.OrderInterval, busy: map[types.TargetID]bool{}, state: map[types.TargetID]string{},
+		dc: d.dc, log: log, config: d.config.Config, roleOf: configuredRole, leaving: d.fleet.addressLeaving, gate: d.gate,
+		gone: d.fleet.vmGone, client: targets, pool: pool, every: s.OrderInterval,
 	}
+	d.orders.start(s.MaxLoadOrders)
 	d.peers = &exchanger{log: log, pool: pool, fleet: d.fleet, clients: newPeerClients(s.Peers), state: d.peerState}
 	return d, d.registerGauges()
 }
@@ -164,7 +165,7 @@
 	<-ctx.Done()
 	d.log.Info("stopping")
 	close(d.stopping)
-	d.releaseLease()
+	d.releaseLease(d.orders.Finish())
 	stop, stopped := context.WithTimeout(context.Background(), d.settings.StopTimeout)
 	defer stopped()
 	_ = admin.Shutdown(stop)
@@ -245,11 +246,12 @@
 	return true
 }
 
-func (d *Daemon) releaseLease() {
-	done := make(chan struct{})
+// releaseLease gives up the lease; without settled orders it lets it expire.
+func (d *Daemon) releaseLease(settled bool) {
+	r := leaseRelease{settled: settled, done: make(chan struct{})}
 	select {
-	case d.lease.release <- done:
-		<-done
+	case d.lease.release <- r:
+		<-r.done
 	case <-time.After(time.Second):
 	}
 }
--- a/server/control/fleet.go
+++ b/server/control/fleet.go
@@ -29,9 +29,10 @@
 	own map[types.TargetID]bool
 	// leavingVMs holds the IP addresses of VMs that the platform lists as leaving.
 	leavingVMs map[netip.Addr]bool
-	listedVMs  map[types.VMID]bool
-	listKnown  bool
-	peers      *membership.Table
+	// listedVMs says of each VM that the platform ever listed whether it is in
+	// the newest list.
+	listedVMs map[types.VMID]bool
+	peers     *membership.Table
 }
 
 func newFleetState(self types.VMID) *fleetState {
@@ -103,8 +104,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	clear(f.leavingVMs)
-	clear(f.listedVMs)
-	f.listKnown = true
+	for vm := range f.listedVMs {
+		f.listedVMs[vm] = false
+	}
 	for _, v := range vms {
 		f.listedVMs[v.Name] = true
 		a, err := netip.ParseAddr(v.Address)
@@ -114,11 +116,13 @@
 	}
 }
 
-// vmGone reports whether the platform's list was read and lacks the VM.
+// vmGone reports whether the platform has listed the VM and lists it no more.
+// The list lags, so a VM that was never listed may be a new one.
 func (f *fleetState) vmGone(vm types.VMID) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.listKnown && !f.listedVMs[vm]
+	listed, seen := f.listedVMs[vm]
+	return seen && !listed
 }
 
 // leaving returns the targets on VMs that the platform lists as leaving.
@@ -138,6 +142,15 @@
 	return out
 }
 
+// addressLeaving reports whether the platform lists the VM at the address of a
+// target as leaving.
+func (f *fleetState) addressLeaving(address string) bool {
+	a, err := netip.ParseAddrPort(address)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return err == nil && f.leavingVMs[a.Addr()]
+}
+
 // forget drops the reports of targets that are not configured any more.
 func (f *fleetState) forget(c *configuration.Config) {
 	f.mu.Lock()
--- a/server/control/lease.go
+++ b/server/control/lease.go
@@ -21,6 +21,14 @@
 	Known  bool
 }
 
+// leaseRelease asks to give up the lease.
+type leaseRelease struct {
+	// settled says that the result of each order is known. Without it the lease
+	// expires, because the next holder trusts a release.
+	settled bool
+	done    chan struct{}
+}
+
 // leaseRunner owns the lease state machine. The follower hands batches to its
 // goroutine, which also appends claims and renewals.
 type leaseRunner struct {
@@ -35,7 +43,7 @@
 	batches  chan platform.Batch
 	expired  chan types.Offset
 	appended chan error
-	release  chan chan struct{}
+	release  chan leaseRelease
 	ended    chan struct{} // closed when run returns
 	caughtUp bool
 	pending  bool
@@ -45,7 +53,7 @@
 	r := &leaseRunner{
 		log: log, stream: platform.LeaseStream(dc), gate: gate, lease: authority.NewLease(s, time.Now()),
 		batches: make(chan platform.Batch), expired: make(chan types.Offset),
-		appended: make(chan error, 1), release: make(chan chan struct{}),
+		appended: make(chan error, 1), release: make(chan leaseRelease),
 		ended: make(chan struct{}),
 	}
 	r.entry = entry.WithField(daemon.FieldStream, r.stream)
@@ -58,24 +66,23 @@
 
 // Records implements platform.Reader.
 func (r *leaseRunner) Records(b platform.Batch) error {
+	if n := len(b.Records); n > 0 {
+		r.next.Store(int64(b.Records[n-1].Offset) + 1)
+	}
 	select {
 	case r.batches <- b:
 	case <-r.ended:
-		return nil
-	}
-	if n := len(b.Records); n > 0 {
-		r.next.Store(int64(b.Records[n-1].Offset) + 1)
 	}
 	return nil
 }
 
 // Expired implements platform.Reader.
 func (r *leaseRunner) Expired(oldest types.Offset) {
+	r.next.Store(int64(oldest))
 	select {
 	case r.expired <- oldest:
 	case <-r.ended:
 	}
-	r.next.Store(int64(oldest))
 }
 
 // Failed implements platform.Reader.
@@ -94,13 +101,14 @@
 			r.observe(b)
 		case o := <-r.expired:
 			r.lease.Restart(o, time.Now())
+			r.caughtUp = false
 		case err := <-r.appended:
 			r.pending = false
 			if err != nil {
 				r.entry.WithError(err).Warn("lease record was not appended")
 			}
-		case done := <-r.release:
-			r.giveUp(done)
+		case req := <-r.release:
+			r.giveUp(req)
 			return
 		case <-timer.C:
 		}
@@ -118,7 +126,9 @@
 			r.entry.WithError(err).WithField(daemon.FieldOffset, rec.Offset).Error("record does not decode; it is passed over")
 		}
 		if err := r.lease.Observe(rec.Offset, lr, now); err != nil {
-			r.entry.WithError(err).Error("lease stream has a gap")
+			r.entry.WithError(err).Error("lease stream has a gap; reading again")
+			r.next.Store(int64(r.lease.NextOffset()))
+			r.caughtUp = false
 			return
 		}
 	}
@@ -154,11 +164,11 @@
 }
 
 // giveUp releases the lease during a graceful shutdown.
-func (r *leaseRunner) giveUp(done chan struct{}) {
-	defer close(done)
+func (r *leaseRunner) giveUp(req leaseRelease) {
+	defer close(req.done)
 	rec := r.lease.Release(time.Now())
 	r.gate.Publish(authority.Grant{})
-	if rec == nil {
+	if rec == nil || !req.settled {
 		return
 	}
 	data, err := records.EncodeLease(rec)
--- a/server/control/orders.go
+++ b/server/control/orders.go
@@ -2,9 +2,8 @@
 
 import (
 	"context"
-	"fmt"
-	"slices"
-	"sync"
+	"errors"
+	"sync/atomic"
 	"time"
 
 	"github.com/panjf2000/ants/v2"
@@ -18,130 +17,208 @@
 )
 
 // orderer brings the engines of the data centre to their configuration while
-// this daemon holds the lease. At most one order or read of state is under way
-// for a target.
+// this daemon holds the lease. Its goroutine owns the order state machine; the
+// pool reads states and writes orders.
 type orderer struct {
 	dc     types.DataCentreID
 	log    *logrus.Entry
 	config func() *configuration.Config
-	gate   *authority.Gate
-	gone   func(types.VMID) bool
-	client *engine.Client
-	pool   *ants.Pool
-	every  time.Duration
-
-	mu    sync.Mutex
-	busy  map[types.TargetID]bool
-	state map[types.TargetID]string
+	// roleOf returns the role that a target shall have.
+	roleOf func(configuration.Target) types.Role
+	// leaving reports whether the platform lists the VM at an address as leaving.
+	leaving func(address string) bool
+	gone    func(types.VMID) bool
+	gate    *authority.Gate
+	client  *engine.Client
+	pool    *ants.Pool
+	every   time.Duration
+
+	orders   *authority.Orders
+	statuses atomic.Pointer[map[types.TargetID]string]
+	events   chan orderEvent
+	finish   chan chan bool
+	ended    chan struct{} // closed when run returns
+}
+
+// orderEvent is the result of a read of state or of an order.
+type orderEvent struct {
+	target  types.TargetID
+	isRead  bool
+	state   *authority.State // nil after a failed read
+	outcome authority.Outcome
+}
+
+// configuredRole is the role function without a role plan.
+func configuredRole(t configuration.Target) types.Role { return t.Role }
+
+// start prepares the channels; it must be called before run and Finish.
+func (o *orderer) start(maxLoads int) {
+	o.orders = authority.NewOrders(maxLoads)
+	o.events = make(chan orderEvent)
+	o.finish = make(chan chan bool)
+	o.ended = make(chan struct{})
+	o.statuses.Store(&map[types.TargetID]string{})
 }
 
 func (o *orderer) run(ctx context.Context) {
+	defer close(o.ended)
 	tick := time.NewTicker(o.every)
 	defer tick.Stop()
+	var finished chan bool
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case finished = <-o.finish:
+		case e := <-o.events:
+			o.observe(e, finished != nil)
 		case <-tick.C:
+			if finished == nil {
+				o.readAll()
+			}
+		}
+		if finished != nil && !o.orders.Sending() {
+			finished <- o.orders.Settled()
+			return
 		}
-		o.stepAll(time.Now())
 	}
 }
 
-func (o *orderer) stepAll(now time.Time) {
-	g, err := o.gate.Check(now, true, false)
+// Finish sends no further order, waits for the results of those under way and
+// reports whether all of them are known. Orders end at the end of the lease, so
+// that the wait is bounded by it.
+func (o *orderer) Finish() bool {
+	settled := make(chan bool, 1)
+	select {
+	case o.finish <- settled:
+	case <-o.ended:
+		return false
+	}
+	select {
+	case v := <-settled:
+		return v
+	case <-o.ended:
+		return false
+	}
+}
+
+// readAll starts a read of the state of each target that has nothing under way.
+func (o *orderer) readAll() {
+	g, err := o.gate.Check(time.Now(), true, false)
 	if err != nil {
 		return
 	}
 	c := o.config()
-	gone := o.gone(g.Prior.VM)
+	o.orders.Forget(func(id types.TargetID) bool { return o.isOurs(c, id) })
 	for id, t := range c.Targets {
-		if t.Value.DataCentre != o.dc || c.Services[t.Value.Service].Value.Kind != types.KindEngine || !o.begin(id) {
+		if !o.isOurs(c, id) || !o.orders.BeginRead(id, g.Fence) {
 			continue
 		}
-		err := o.pool.Submit(func() {
-			defer o.end(id)
-			o.step(c.Revision, t.Value, gone)
-		})
-		if err != nil {
-			o.end(id)
+		if o.pool.Submit(func() { o.post(orderEvent{target: id, isRead: true, state: o.read(t.Value)}) }) != nil {
+			o.orders.Read(id, authority.Wanted{}, nil, g.Fence)
 		}
 	}
 }
 
-func (o *orderer) begin(id types.TargetID) bool {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	if o.busy[id] {
-		return false
-	}
-	o.busy[id] = true
-	return true
+// isOurs reports whether the target is an engine of this data centre.
+func (o *orderer) isOurs(c *configuration.Config, id types.TargetID) bool {
+	t, ok := c.Targets[id]
+	return ok && t.Value.DataCentre == o.dc && c.Services[t.Value.Service].Value.Kind == types.KindEngine
 }
 
-func (o *orderer) end(id types.TargetID) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	delete(o.busy, id)
+func (o *orderer) post(e orderEvent) {
+	select {
+	case o.events <- e:
+	case <-o.ended:
+	}
 }
 
-// status returns the state of the last order of a target.
-func (o *orderer) status(id types.TargetID) string {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return o.state[id]
+func (o *orderer) read(t configuration.Target) *authority.State {
+	st, err := o.client.State(t.Address)
+	if err != nil {
+		o.log.WithError(err).WithField(daemon.FieldTarget, t.ID).Debug("state was not read")
+		return nil
+	}
+	return &authority.State{
+		Load:         authority.Load{Role: st.Role, Model: st.Model, Version: st.Version, Adapters: st.Adapters},
+		HighestFence: st.HighestFence, OrderInProgress: st.OrderInProgress, Running: st.Running, Leaving: st.Leaving,
+	}
 }
 
-func (o *orderer) note(id types.TargetID, s string) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.state[id] = s
+func (o *orderer) observe(e orderEvent, finishing bool) {
+	if e.isRead {
+		o.decide(e, finishing)
+	} else {
+		o.orders.Result(e.target, e.outcome)
+	}
+	s := o.orders.Statuses()
+	o.statuses.Store(&s)
 }
 
-// step reads the state of a target and sends the next order, if one is needed.
-func (o *orderer) step(rev types.Revision, t configuration.Target, priorGone bool) {
-	st, err := o.client.State(t.Address)
-	if err != nil {
-		return
-	}
-	order := nextOrder(t, st)
+// decide sends the order that a read of state calls for. While finishing, or
+// if the target is not configured any more, the read only settles the order
+// before it.
+func (o *orderer) decide(e orderEvent, finishing bool) {
+	c := o.config()
+	t := c.Targets[e.target].Value
+	w := o.wanted(t)
+	w.Withdrawn = w.Withdrawn || finishing || !o.isOurs(c, e.target)
+	// Without authority the grant is the zero value and the read is not used.
+	g, _ := o.gate.Check(time.Now(), true, false)
+	order := o.orders.Read(e.target, w, e.state, g.Fence)
 	if order == nil {
 		return
 	}
-	g, err := o.gate.Check(time.Now(), t.ChecksFencing, priorGone)
-	if err != nil {
-		return
+	if o.pool.Submit(func() { o.post(orderEvent{target: e.target, outcome: o.send(t, order, c.Revision)}) }) != nil {
+		o.orders.Result(e.target, authority.OutcomeNotSent)
 	}
-	order.Fence, order.Revision = g.Fence, rev
-	order.ID = fmt.Sprintf("%d-%d-%s-%t", g.Fence, rev, t.ID, order.Drain)
-	l := o.log.WithFields(logrus.Fields{daemon.FieldTarget: t.ID, daemon.FieldFence: g.Fence, daemon.FieldOrder: order.ID})
-	o.note(t.ID, "in_flight")
-	if err := o.client.Order(t.Address, order, g.Until); err != nil {
-		o.note(t.ID, "failed")
-		l.WithError(err).Warn("order was not carried out")
-		return
+}
+
+// wanted returns what a target shall be. A target that the platform lists as
+// leaving stays drained, so that no order opens it again for new work.
+func (o *orderer) wanted(t configuration.Target) authority.Wanted {
+	return authority.Wanted{
+		Load:          authority.Load{Role: o.roleOf(t), Model: t.Model, Version: t.Version, Adapters: t.Adapters},
+		Drain:         t.State == configuration.TargetDraining || o.leaving(t.Address),
+		Withdrawn:     t.State == configuration.TargetWithdrawn,
+		ChecksFencing: t.ChecksFencing,
 	}
-	o.note(t.ID, "done")
-	l.WithField("role", order.Role.String()).WithField("drain", order.Drain).Info("order was accepted")
 }
 
-// nextOrder returns the order that brings a target closer to its
-// configuration, or nil. A target is emptied before its role, model or version
-// changes, so that no request is cut.
-func nextOrder(t configuration.Target, st engine.State) *engine.Order {
-	if st.OrderInProgress != "" || t.State == configuration.TargetWithdrawn {
-		return nil
+// send writes an order. The check of the lease is its last step before.
+func (o *orderer) send(t configuration.Target, order *authority.Order, rev types.Revision) authority.Outcome {
+	l := o.log.WithFields(logrus.Fields{daemon.FieldTarget: t.ID, daemon.FieldFence: order.Fence, daemon.FieldOrder: order.ID})
+	out := &engine.Order{
+		ID: order.ID, Fence: order.Fence, Revision: rev, Role: order.Role, Model: order.Model,
+		Version: order.Version, Adapters: order.Adapters, Drain: order.Drain,
 	}
-	same := st.Role == t.Role && st.Model == t.Model && st.Version == t.Version
-	drain := t.State == configuration.TargetDraining
-	if !same && st.Running > 0 {
-		if st.Leaving {
-			return nil // wait until the target is empty
-		}
-		return &engine.Order{Role: st.Role, Model: st.Model, Version: st.Version, Adapters: st.Adapters, Drain: true}
+	now := time.Now()
+	g, err := o.gate.Check(now, true, false)
+	if err == nil {
+		g, err = o.gate.Check(now, t.ChecksFencing, g.Cleared(now, o.gone))
 	}
-	if same && st.Leaving == drain && slices.Equal(st.Adapters, t.Adapters) {
-		return nil
+	if err != nil || g.Fence != order.Fence {
+		l.WithError(err).Debug("order was not sent")
+		return authority.OutcomeNotSent
+	}
+	err = o.client.Order(t.Address, out, g.Until)
+	if err != nil {
+		l.WithError(err).Warn("order was not carried out")
+		return orderOutcome(err)
 	}
-	return &engine.Order{Role: t.Role, Model: t.Model, Version: t.Version, Adapters: t.Adapters, Drain: drain}
+	l.WithField("role", order.Role.String()).WithField("drain", order.Drain).Info("order was accepted")
+	return authority.OutcomeAccepted
+}
+
+func orderOutcome(err error) authority.Outcome {
+	switch {
+	case errors.Is(err, engine.ErrNotSent):
+		return authority.OutcomeNotSent
+	case errors.Is(err, engine.ErrRefused):
+		return authority.OutcomeRefused
+	}
+	return authority.OutcomeUnknown
 }
+
+// status returns the state of the last order of a target.
+func (o *orderer) status(id types.TargetID) string { return (*o.statuses.Load())[id] }
--- a/server/control/settings.go
+++ b/server/control/settings.go
@@ -8,6 +8,7 @@
 
 	"github.com/lentilpick/lentilpick/authority"
 	"github.com/lentilpick/lentilpick/daemon"
+	"github.com/lentilpick/lentilpick/types"
 )
 
 // Settings of the control daemon.
@@ -36,6 +37,9 @@
 	// OrderInterval is the time between two comparisons of a target's state
 	// with its configuration.
 	OrderInterval time.Duration `toml:"order_interval"`
+	// MaxLoadOrders is how many targets of the data centre change their model
+	// or version at a time. The weight store limits its rate.
+	MaxLoadOrders int `toml:"max_load_orders"`
 	// KeyBatch is the time for which key records are collected.
 	KeyBatch time.Duration `toml:"key_batch"`
 	// KeyWindow is how long a key is remembered; at most half of LogRetention.
@@ -59,7 +63,7 @@
 func DefaultSettings() *Settings {
 	return &Settings{
 		LogLevel: "info", LeaseDuration: 6 * time.Second, LeaseRenewal: 2 * time.Second,
-		Quarantine: 2 * time.Minute, ReportInterval: 500 * time.Millisecond, OrderInterval: 500 * time.Millisecond,
+		Quarantine: 2 * time.Minute, ReportInterval: 500 * time.Millisecond, OrderInterval: 500 * time.Millisecond, MaxLoadOrders: 4,
 		KeyBatch: 100 * time.Millisecond, KeyWindow: time.Hour, KeyInProgress: time.Minute,
 		LogRetention: 24 * time.Hour, StopTimeout: 10 * time.Second,
 	}
@@ -87,6 +91,7 @@
 	c.Duration("quarantine", s.Quarantine, s.LeaseDuration, time.Hour)
 	c.Duration("report_interval", s.ReportInterval, 50*time.Millisecond, time.Minute)
 	c.Duration("order_interval", s.OrderInterval, 50*time.Millisecond, time.Minute)
+	c.Int("max_load_orders", int64(s.MaxLoadOrders), 1, 1024)
 	c.Duration("key_batch", s.KeyBatch, 10*time.Millisecond, time.Second)
 	c.Duration("log_retention", s.LogRetention, time.Second, 365*24*time.Hour)
 	c.Duration("key_window", s.KeyWindow, time.Second, s.LogRetention/2)
@@ -96,8 +101,9 @@
 
 func (s *Settings) lease(incarnation string) authority.Settings {
 	return authority.Settings{
-		Self:     authority.Holder{VM: vmID(s.VM), Incarnation: incarnation},
-		Duration: s.LeaseDuration, RenewEvery: s.LeaseRenewal,
+		DataCentre: types.DataCentreID(s.DataCentre),
+		Self:       authority.Holder{VM: vmID(s.VM), Incarnation: incarnation},
+		Duration:   s.LeaseDuration, RenewEvery: s.LeaseRenewal,
 		Margin: authority.MarginFor(s.LeaseDuration), Quarantine: s.Quarantine,
 	}
 }
