--- a/configuration/change.go
+++ b/configuration/change.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/lentilpick/lentilpick/types"
@@ -33,14 +34,16 @@
 // Workspace is set, unless Delete is set; then ID names the object.
 type Change struct {
 	// ID identifies the change, so that a lost answer can be resolved by
-	// reading the log back.
+	// reading the log back. It is remembered for the latest MaxRecent changes;
+	// a repeat after that is judged as a new change, by its base revision.
 	ID string `json:"change_id"`
 	// Operator names who made the change, for the history.
 	Operator string `json:"operator,omitempty"`
 	// Kind and ObjectID name the object.
 	Kind     ObjectKind `json:"kind"`
 	ObjectID string     `json:"object_id"`
-	// Base is the revision at which the object last changed, 0 for a new object.
+	// Base is the revision at which the object last changed: 0 for a new object,
+	// the revision of the deletion for an object that was deleted recently.
 	Base types.Revision `json:"base_revision"`
 	// Delete removes the object.
 	Delete    bool       `json:"delete,omitempty"`
@@ -77,9 +80,10 @@
 	return &FieldError{Field: field, Reason: fmt.Sprintf(format, args...)}
 }
 
-// Validate checks a change against the configuration that it would apply to.
-// It returns nil or a *FieldError.
-func Validate(c *Config, ch *Change) error {
+// ValidateContent checks what does not depend on the configuration, so that a
+// daemon may refuse the change without asking the log. It returns nil or a
+// *FieldError.
+func ValidateContent(ch *Change) error {
 	if err := checkName("change_id", ch.ID); err != nil {
 		return err
 	}
@@ -88,31 +92,65 @@
 	}
 	switch ch.Kind {
 	case ObjectService:
-		return validateService(c, ch)
+		return contentOfService(ch)
 	case ObjectTarget:
-		return validateTarget(c, ch)
+		return contentOfTarget(ch)
 	case ObjectWorkspace:
-		return validateWorkspace(c, ch)
+		return contentOfWorkspace(ch)
 	}
 	return invalid("kind", "%q is not one of service, target, workspace", ch.Kind)
 }
 
-func validateService(c *Config, ch *Change) error {
-	id := types.ServiceID(ch.ObjectID)
+// Validate checks a change against the configuration that it would apply to.
+// Only the fold may refuse a change for it: another reader's configuration may
+// be older. It returns nil or a *FieldError.
+func Validate(c *Config, ch *Change) error {
+	if err := ValidateContent(ch); err != nil {
+		return err
+	}
 	if ch.Delete {
-		for _, t := range c.Targets {
-			if t.Value.Service == id {
-				return invalid("object_id", "service %q still has target %q", id, t.Value.ID)
-			}
+		return validateDelete(c, ch)
+	}
+	switch ch.Kind {
+	case ObjectService:
+		return validateService(c, ch.Service)
+	case ObjectTarget:
+		return validateTarget(c, ch.Target)
+	}
+	return validateWorkspace(c, ch.Workspace)
+}
+
+func validateDelete(c *Config, ch *Change) error {
+	if c.objectRevision(ch.Kind, ch.ObjectID) == 0 {
+		return invalid("object_id", "%s %q does not exist", ch.Kind, ch.ObjectID)
+	}
+	if ch.Kind != ObjectService {
+		return nil
+	}
+	id := types.ServiceID(ch.ObjectID)
+	var users []string
+	for _, t := range c.Targets {
+		if t.Value.Service == id {
+			users = append(users, string(t.Value.ID))
 		}
+	}
+	if len(users) > 0 {
+		// The refusal is part of the fold, so it must not depend on map order.
+		return invalid("object_id", "service %q still has target %q", id, slices.Min(users))
+	}
+	return nil
+}
+
+func contentOfService(ch *Change) error {
+	if ch.Delete {
 		return nil
 	}
 	s := ch.Service
 	if s == nil {
 		return invalid("service", "is missing")
 	}
-	if s.ID != id {
-		return invalid("service.id", "%q differs from object_id %q", s.ID, id)
+	if string(s.ID) != ch.ObjectID {
+		return invalid("service.id", "%q differs from object_id %q", s.ID, ch.ObjectID)
 	}
 	if math.IsNaN(s.RoleChangeWeight) || s.RoleChangeWeight < 0 || s.RoleChangeWeight > MaxWeight {
 		return invalid("service.role_change_weight", "%v is outside 0 to %v", s.RoleChangeWeight, MaxWeight)
@@ -120,13 +158,17 @@
 	if s.MinPerRole < 0 || s.MinPerRole > maxEngineStreams {
 		return invalid("service.min_per_role", "%d is outside 0 to %d", s.MinPerRole, maxEngineStreams)
 	}
-	if old, ok := c.Services[id]; ok && old.Value.Kind != s.Kind {
+	return nil
+}
+
+func validateService(c *Config, s *Service) error {
+	if old, ok := c.Services[s.ID]; ok && old.Value.Kind != s.Kind {
 		return invalid("service.kind", "cannot change from %s to %s", old.Value.Kind, s.Kind)
 	}
 	return nil
 }
 
-func validateTarget(c *Config, ch *Change) error {
+func contentOfTarget(ch *Change) error {
 	if ch.Delete {
 		return nil
 	}
@@ -137,10 +179,6 @@
 	if string(t.ID) != ch.ObjectID {
 		return invalid("target.id", "%q differs from object_id %q", t.ID, ch.ObjectID)
 	}
-	s, ok := c.Services[t.Service]
-	if !ok {
-		return invalid("target.service", "service %q does not exist", t.Service)
-	}
 	if _, err := netip.ParseAddrPort(t.Address); err != nil {
 		return invalid("target.address", "%q is not an IP address with a port", t.Address)
 	}
@@ -150,6 +188,14 @@
 	if t.State >= targetStateCount {
 		return invalid("target.state", "%d is not a state", t.State)
 	}
+	return nil
+}
+
+func validateTarget(c *Config, t *Target) error {
+	s, ok := c.Services[t.Service]
+	if !ok {
+		return invalid("target.service", "service %q does not exist", t.Service)
+	}
 	if s.Value.Kind == types.KindPlain {
 		return nil
 	}
@@ -190,7 +236,7 @@
 
 func inRange(v, low, high float64) bool { return v >= low && v <= high }
 
-func validateWorkspace(c *Config, ch *Change) error {
+func contentOfWorkspace(ch *Change) error {
 	if ch.Delete {
 		return nil
 	}
@@ -207,6 +253,10 @@
 	if len(w.Services) > MaxServicesOfWS {
 		return invalid("workspace.services", "%d services, at most %d are allowed", len(w.Services), MaxServicesOfWS)
 	}
+	return nil
+}
+
+func validateWorkspace(c *Config, w *Workspace) error {
 	for _, s := range w.Services {
 		if _, ok := c.Services[s]; !ok {
 			return invalid("workspace.services", "service %q does not exist", s)
--- a/configuration/fold.go
+++ b/configuration/fold.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
+	"time"
 
 	"github.com/lentilpick/lentilpick/types"
 )
@@ -23,15 +25,25 @@
 	// Next is the offset of the first record that the snapshot does not include.
 	Next   types.Offset
 	Config *Config
-	// Recent holds the results of the latest changes, so that a repeated
-	// change identifier is recognised after a restart.
+	// Recent holds the results of the latest changes, oldest first, so that a
+	// repeated change identifier is recognised after a restart. It is shared
+	// with the fold and must not be changed.
 	Recent []Result
+	// LoggedAt is the log's time of the newest complete snapshot record that the
+	// sender knows, or of the first record that it read; the zero time means
+	// that it knows neither. A daemon that starts from a peer needs it to know
+	// when the next snapshot is due.
+	LoggedAt time.Time
 }
 
 // Result is the verdict on one change.
 type Result struct {
-	ChangeID string         `json:"change_id"`
-	Offset   types.Offset   `json:"offset"`
+	ChangeID string       `json:"change_id"`
+	Offset   types.Offset `json:"offset"`
+	Kind     ObjectKind   `json:"kind"`
+	ObjectID string       `json:"object_id"`
+	// Deleted says that the change removed the object.
+	Deleted  bool           `json:"deleted,omitempty"`
 	Revision types.Revision `json:"revision,omitempty"`
 	// Current is, for a conflict, the current revision of the object.
 	Current types.Revision `json:"current,omitempty"`
@@ -44,24 +56,34 @@
 // Accepted reports whether the change is in force.
 func (r Result) Accepted() bool { return r.Refusal == "" }
 
-// maxRecent bounds the results that the fold remembers. At 14,000 changes a
-// day, 1,024 results cover about 105 minutes.
-const maxRecent = 1024
+func (r Result) object() object { return object{r.Kind, r.ObjectID} }
+
+// MaxRecent bounds the results that the fold remembers, and with them the
+// revisions of deleted objects. At 14,000 changes a day, 1,024 results cover
+// about 105 minutes.
+const MaxRecent = 1024
+
+type object struct {
+	kind ObjectKind
+	id   string
+}
 
 // Fold is the state machine that turns the configuration stream into the
 // configuration in force. All readers of the stream reach the same state. A
 // Fold is not safe for concurrent use; Config returns immutable values.
 type Fold struct {
-	next    types.Offset
-	config  *Config
-	recent  []Result
-	byID    map[string]Result
+	next   types.Offset
+	config *Config
+	recent []Result
+	byID   map[string]Result
+	// deleted holds the revisions of the deletions among the recent results.
+	deleted map[object]types.Revision
 	skipped int
 }
 
 // NewFold returns a fold at the beginning of the stream.
 func NewFold() *Fold {
-	return &Fold{config: New(), byID: map[string]Result{}}
+	return &Fold{config: New(), byID: map[string]Result{}, deleted: map[object]types.Revision{}}
 }
 
 // Next returns the offset of the next record that the fold needs.
@@ -109,25 +131,27 @@
 	}
 	f.next = s.Next
 	f.config = s.Config
-	f.recent = append([]Result(nil), s.Recent...)
-	f.byID = make(map[string]Result, len(f.recent))
-	for _, r := range f.recent {
-		f.byID[r.ChangeID] = r
+	f.recent = nil
+	clear(f.byID)
+	clear(f.deleted)
+	for _, r := range s.Recent[max(0, len(s.Recent)-MaxRecent):] {
+		f.remember(r)
 	}
 	return true
 }
 
-// Snapshot returns the state of the fold.
+// Snapshot returns the state of the fold. It shares the recent results, which
+// the fold only appends to, so that its cost does not grow with them.
 func (f *Fold) Snapshot() *Snapshot {
-	return &Snapshot{Next: f.next, Config: f.config, Recent: append([]Result(nil), f.recent...)}
+	return &Snapshot{Next: f.next, Config: f.config, Recent: slices.Clip(f.recent)}
 }
 
 func (f *Fold) applyChange(o types.Offset, ch *Change) {
 	if _, seen := f.byID[ch.ID]; seen {
 		return // a duplicate append of one change counts once
 	}
-	res := Result{ChangeID: ch.ID, Offset: o}
-	current := f.config.objectRevision(ch.Kind, ch.ObjectID)
+	res := Result{ChangeID: ch.ID, Offset: o, Kind: ch.Kind, ObjectID: ch.ObjectID}
+	current := f.objectRevision(ch.Kind, ch.ObjectID)
 	if err := Validate(f.config, ch); err != nil {
 		res.Refusal = err.Error()
 	} else if current != ch.Base {
@@ -136,18 +160,40 @@
 		res.Refusal = fmt.Sprintf("base revision %d of %s %q is not current (%d)", ch.Base, ch.Kind, ch.ObjectID, current)
 	} else {
 		f.config = f.config.with(ch)
-		res.Revision = f.config.Revision
+		res.Revision, res.Deleted = f.config.Revision, ch.Delete
 	}
 	f.remember(res)
 }
 
 func (f *Fold) remember(r Result) {
-	if len(f.recent) == maxRecent {
-		delete(f.byID, f.recent[0].ChangeID)
-		f.recent = f.recent[1:]
+	if len(f.recent) == MaxRecent {
+		f.forgetOldest()
 	}
 	f.recent = append(f.recent, r)
 	f.byID[r.ChangeID] = r
+	if r.Deleted {
+		f.deleted[r.object()] = r.Revision
+	}
+}
+
+func (f *Fold) forgetOldest() {
+	r := f.recent[0]
+	f.recent = f.recent[1:]
+	delete(f.byID, r.ChangeID)
+	if r.Deleted && f.deleted[r.object()] == r.Revision {
+		delete(f.deleted, r.object())
+	}
+}
+
+// objectRevision returns the revision that a change of the object must name as
+// its base. For an absent object it is the revision of its deletion while that
+// is remembered: a late change with base 0, made before the deletion, must not
+// revert it.
+func (f *Fold) objectRevision(k ObjectKind, id string) types.Revision {
+	if r := f.config.objectRevision(k, id); r != 0 {
+		return r
+	}
+	return f.deleted[object{k, id}]
 }
 
 func (c *Config) objectRevision(k ObjectKind, id string) types.Revision {
--- a/configuration/fold_test.go
+++ b/configuration/fold_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -63,8 +64,62 @@
 
 // Guards against a change that names a service that does not exist.
 func TestTargetNeedsService(t *testing.T) {
-	err := Validate(New(), &Change{ID: "c", Kind: ObjectTarget, ObjectID: "t", Target: &Target{ID: "t", Service: "none"}})
+	err := Validate(New(), &Change{
+		ID: "c", Kind: ObjectTarget, ObjectID: "t",
+		Target: &Target{ID: "t", Service: "none", Address: "127.0.0.1:1", DataCentre: "d"},
+	})
 	var fe *FieldError
 	assert.Assert(t, errors.As(err, &fe))
 	assert.Equal(t, fe.Field, "target.service")
 }
+
+func deleteService(id, changeID string, base types.Revision) Record {
+	return Record{Change: &Change{ID: changeID, Kind: ObjectService, ObjectID: id, Base: base, Delete: true}}
+}
+
+// Guards against a late change with base 0 that reverts a deletion, also after
+// a start from a snapshot. Re-creation names the deletion's revision.
+func TestLateCreationDoesNotRevertDeletion(t *testing.T) {
+	f := NewFold()
+	assert.NilError(t, f.Apply(0, putService("a", "c1", 0)))
+	assert.NilError(t, f.Apply(1, deleteService("a", "c2", 1)))
+	g := NewFold()
+	assert.Assert(t, g.Load(f.Snapshot()))
+	for _, f := range []*Fold{f, g} {
+		assert.NilError(t, f.Apply(2, putService("a", "late", 0)))
+		r, _ := f.Result("late")
+		assert.Assert(t, r.Conflict)
+		assert.Equal(t, r.Current, types.Revision(2))
+		assert.NilError(t, f.Apply(3, putService("a", "again", r.Current)))
+		r, _ = f.Result("again")
+		assert.Assert(t, r.Accepted())
+	}
+}
+
+// Guards against a fold that remembers without bound, and against a snapshot
+// that changes after it was taken.
+func TestRememberedWindow(t *testing.T) {
+	f := NewFold()
+	assert.NilError(t, f.Apply(0, putService("a", "c0", 0)))
+	assert.NilError(t, f.Apply(1, deleteService("a", "c1", 1)))
+	snap := f.Snapshot()
+	for i := range MaxRecent {
+		assert.NilError(t, f.Apply(types.Offset(i+2), putService("b", fmt.Sprintf("r%d", i), 9)))
+	}
+	_, ok := f.Result("c1")
+	assert.Assert(t, !ok)
+	assert.Equal(t, len(f.Snapshot().Recent), MaxRecent)
+	assert.Equal(t, len(snap.Recent), 2)
+	assert.NilError(t, f.Apply(f.Next(), putService("a", "new", 0)))
+	r, _ := f.Result("new")
+	assert.Assert(t, r.Accepted(), "after the window the deletion is forgotten")
+}
+
+// Guards against a delete that counts as a change although nothing was there.
+func TestDeleteNeedsObject(t *testing.T) {
+	f := NewFold()
+	assert.NilError(t, f.Apply(0, deleteService("a", "c", 0)))
+	r, _ := f.Result("c")
+	assert.Assert(t, !r.Accepted())
+	assert.Equal(t, f.Config().Revision, types.Revision(0))
+}
--- a/records/records.go
+++ b/records/records.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"time"
 
 	"github.com/lentilpick/lentilpick/authority"
 	"github.com/lentilpick/lentilpick/configuration"
@@ -40,6 +41,7 @@
 	Targets    map[types.TargetID]configuration.Entry[configuration.Target]       `json:"targets"`
 	Workspaces map[types.WorkspaceID]configuration.Entry[configuration.Workspace] `json:"workspaces"`
 	Recent     []configuration.Result                                             `json:"recent"`
+	LoggedAt   time.Time                                                          `json:"logged_at,omitzero"`
 }
 
 // EncodeChange encodes a configuration change.
@@ -52,7 +54,7 @@
 	c := s.Config
 	return encode(configEnvelope{Snapshot: &snapshot{
 		Next: s.Next, Revision: c.Revision, Services: c.Services, Targets: c.Targets,
-		Workspaces: c.Workspaces, Recent: s.Recent,
+		Workspaces: c.Workspaces, Recent: s.Recent, LoggedAt: s.LoggedAt,
 	}})
 }
 
@@ -80,7 +82,7 @@
 	c := &configuration.Config{
 		Revision: s.Revision, Services: s.Services, Targets: s.Targets, Workspaces: s.Workspaces,
 	}
-	return &configuration.Snapshot{Next: s.Next, Config: c, Recent: s.Recent}, nil
+	return &configuration.Snapshot{Next: s.Next, Config: c, Recent: s.Recent, LoggedAt: s.LoggedAt}, nil
 }
 
 // EncodeLease encodes a lease record.
--- a/server/control/configlog.go
+++ b/server/control/configlog.go
@@ -20,7 +20,7 @@
 // Errors of the configuration log.
 var (
 	// ErrNotPublished reports that a change has not reached the log.
-	ErrNotPublished = merry.New("the change was not published; send it again")
+	ErrNotPublished = merry.New("this attempt did not reach the log; send the change again with the same change identifier")
 	// ErrResultUnknown reports that a change may be in force.
 	ErrResultUnknown = merry.New("the result of the change is not known; send it again with the same change identifier")
 )
@@ -38,10 +38,11 @@
 	changed  chan struct{}
 	scanning bool
 	scan     types.Offset
-	// snapshotAt is the log's time of the newest snapshot record.
-	snapshotAt time.Time
-	// firstAt is the log's time of the first record that was read.
-	firstAt time.Time
+	// loggedAt is the log's time of the newest complete snapshot record, or of
+	// the first record while no snapshot is known. It travels with snapshots to
+	// peers: VMs live shorter than a third of the retention, so a daemon that
+	// counted from its own start would never append one.
+	loggedAt time.Time
 }
 
 // NewConfigLog returns a log at the empty configuration.
@@ -82,13 +83,18 @@
 		return false
 	}
 	c.scanning = false
+	if s.LoggedAt.After(c.loggedAt) {
+		c.loggedAt = s.LoggedAt
+	}
 	c.publish()
 	return true
 }
 
 // publish makes the fold's state visible and resolves waiters. The lock is held.
 func (c *ConfigLog) publish() {
-	c.current.Store(c.fold.Snapshot())
+	snap := c.fold.Snapshot()
+	snap.LoggedAt = c.loggedAt
+	c.current.Store(snap)
 	close(c.changed)
 	c.changed = make(chan struct{})
 	for id, list := range c.waiters {
@@ -136,11 +142,12 @@
 	if err != nil {
 		c.entry.WithError(err).WithField(daemon.FieldOffset, r.Offset).Error("record does not decode; it is passed over")
 	}
-	if c.firstAt.IsZero() {
-		c.firstAt = r.At
+	if rec.Snapshot != nil && rec.Snapshot.Next > r.Offset {
+		c.entry.WithField(daemon.FieldOffset, r.Offset).Error("snapshot claims records that follow it; it is passed over")
+		rec = configuration.Record{}
 	}
-	if rec.Snapshot != nil {
-		c.snapshotAt = r.At
+	if c.loggedAt.IsZero() || c.complete(rec.Snapshot) {
+		c.loggedAt = r.At
 	}
 	if c.scanning {
 		c.scanned(r.Offset, rec)
@@ -149,6 +156,12 @@
 	return c.fold.Apply(r.Offset, rec)
 }
 
+// complete reports whether a snapshot has all changes before its record. One of
+// a daemon that lags behind must not put off the next snapshot.
+func (c *ConfigLog) complete(s *configuration.Snapshot) bool {
+	return s != nil && s.Config.Revision >= c.fold.Config().Revision
+}
+
 // scanned looks for a snapshot after records before the oldest one have
 // expired. The records after the snapshot's position are then read again.
 func (c *ConfigLog) scanned(o types.Offset, rec configuration.Record) {
@@ -170,9 +183,10 @@
 func (c *ConfigLog) Failed(err error) { c.entry.WithError(err).Debug("read failed") }
 
 // Apply publishes a change and waits for its verdict until the context ends.
-// Errors: *configuration.FieldError, ErrNotPublished, ErrResultUnknown.
+// Whether a change fits the configuration is decided by the fold only, because
+// this daemon may lag and an earlier attempt may have been accepted. Errors: *configuration.FieldError, ErrNotPublished, ErrResultUnknown.
 func (c *ConfigLog) Apply(ctx context.Context, ch *configuration.Change) (configuration.Result, error) {
-	if err := configuration.Validate(c.Config(), ch); err != nil {
+	if err := configuration.ValidateContent(ch); err != nil {
 		return configuration.Result{}, err
 	}
 	data, err := records.EncodeChange(ch)
@@ -189,6 +203,9 @@
 	}
 	select {
 	case r := <-verdict:
+		if r.Kind != ch.Kind || r.ObjectID != ch.ObjectID || (r.Accepted() && r.Deleted != ch.Delete) {
+			return configuration.Result{}, &configuration.FieldError{Field: "change_id", Reason: "was used for another change"}
+		}
 		return r, nil
 	case <-ctx.Done():
 		return configuration.Result{}, ErrResultUnknown
@@ -231,11 +248,15 @@
 func (c *ConfigLog) SnapshotDue(now time.Time, every time.Duration) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	last := c.snapshotAt
-	if last.IsZero() {
-		last = c.firstAt
-	}
-	return !last.IsZero() && !c.scanning && now.Sub(last) >= every
+	return !c.loggedAt.IsZero() && !c.scanning && now.Sub(c.loggedAt) >= every
+}
+
+// Scanning reports whether records have expired before they were read and no
+// snapshot was found yet.
+func (c *ConfigLog) Scanning() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.scanning
 }
 
 // AppendSnapshot appends the current snapshot.
--- a/server/control/daemon.go
+++ b/server/control/daemon.go
@@ -31,6 +31,7 @@
 const (
 	poolSize       = 256
 	vmListEvery    = time.Second
+	catchUpEvery   = time.Second
 	snapshotCheck  = 5 * time.Second
 	targetTimeout  = 2 * time.Second
 	startFromPeers = 3 * time.Second
@@ -56,6 +57,8 @@
 	pool        *ants.Pool
 	stopping    chan struct{}
 	admin       http.Handler
+	// lastRevision belongs to catchUp.
+	lastRevision types.Revision
 }
 
 // New returns a daemon that is not yet serving. admin serves the
@@ -190,6 +193,7 @@
 	go d.orders.run(ctx)
 	go d.peers.run(ctx)
 	go d.every(ctx, vmListEvery, d.readVMs)
+	go d.every(ctx, catchUpEvery, d.catchUp)
 	go d.every(ctx, snapshotCheck, d.appendSnapshot)
 	keysDone := make(chan struct{})
 	go func() {
--- a/server/control/peers.go
+++ b/server/control/peers.go
@@ -101,39 +101,57 @@
 	}
 }
 
-// startFromPeer takes the newest configuration that any peer has. It returns
-// when one was loaded, when all peers were asked, or when the context ends.
+// startFromPeer takes a newer configuration from a peer. It returns when one
+// was loaded, when all peers were asked, or when the context ends.
 func startFromPeer(ctx context.Context, clients []peerClient, config *ConfigLog, log *logrus.Entry) {
 	for _, c := range clients {
 		if ctx.Err() != nil {
 			return
 		}
-		if err := fetch(ctx, c, config); err != nil {
+		loaded, err := fetch(ctx, c, config)
+		if err != nil {
 			log.WithError(err).WithField(daemon.FieldAddress, c.Address).Debug("no snapshot from this peer")
 			continue
 		}
-		if config.Config().Revision > 0 {
-			log.WithField(daemon.FieldRevision, config.Config().Revision).Info("started from a peer's snapshot")
+		if loaded {
+			log.WithField(daemon.FieldRevision, config.Config().Revision).Info("took a peer's snapshot")
 			return
 		}
 	}
 }
 
-func fetch(ctx context.Context, c peerClient, config *ConfigLog) error {
+func fetch(ctx context.Context, c peerClient, config *ConfigLog) (loaded bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	resp, err := c.peer.FetchSnapshot(ctx, connect.NewRequest(&peerv1.FetchSnapshotRequest{}))
 	if err != nil {
-		return err
+		return false, err
 	}
 	rec, err := records.DecodeConfiguration(resp.Msg.GetConfiguration())
-	if err != nil {
-		return err
+	if err != nil || rec.Snapshot == nil {
+		return false, err
 	}
-	if rec.Snapshot != nil {
-		config.Load(rec.Snapshot)
+	return config.Load(rec.Snapshot), nil
+}
+
+// catchUp takes the configuration from a peer that is ahead while this daemon
+// makes no progress of its own: the log does not answer it, or records have
+// expired before it read them. It is called once per catchUpEvery.
+func (d *Daemon) catchUp(ctx context.Context) {
+	own := d.config.Config().Revision
+	stuck := own == d.lastRevision
+	d.lastRevision = own
+	ahead := map[string]bool{}
+	for _, p := range d.fleet.allPeers() {
+		ahead[string(p.VM)] = p.Revision > own
+	}
+	var ask []peerClient
+	for _, c := range d.peers.clients {
+		if (stuck && ahead[c.VM]) || d.config.Scanning() {
+			ask = append(ask, c)
+		}
 	}
-	return nil
+	startFromPeer(ctx, ask, d.config, d.log)
 }
 
 // encodeSnapshot encodes a snapshot for peers and entry daemons.
