--- a/server/control/daemon.go
+++ b/server/control/daemon.go
@@ -33,6 +33,7 @@
 const (
 	// poolSize bounds the streams of load reports and the orders under way.
 	poolSize      = 512
+	catchUpEvery  = time.Second
 	snapshotCheck = 5 * time.Second
 	targetTimeout = 2 * time.Second
 	// targetSilence ends a stream of load reports without a report.
@@ -61,6 +62,8 @@
 	stopping    chan struct{}
 	admin       http.Handler
 	traffic     traffic
+	// lastRevision belongs to catchUp.
+	lastRevision types.Revision
 }
 
 // traffic counts the bytes of the daemon's connections. Entry holds those of
@@ -110,9 +113,10 @@
 		watched: map[types.TargetID]string{},
 	}
 	d.orders = &orderer{
-		dc: d.dc, log: log, config: d.config.Config, gate: d.gate, gone: d.fleet.vmGone, client: targets, pool: pool,
-		every: s.OrderInterval, busy: map[types.TargetID]bool{}, state: map[types.TargetID]string{},
+		dc: d.dc, log: log, config: d.config.Config, roleOf: configuredRole, leaving: d.fleet.addressLeaving, gate: d.gate,
+		gone: d.fleet.vmGone, client: targets, pool: pool, every: s.OrderInterval,
 	}
+	d.orders.start(s.MaxLoadOrders)
 	d.peers = &peerWatcher{
 		vm: s.VM, dc: d.dc, log: log, fleet: d.fleet, config: d.config.Config, clients: newPeerClients(s.Peers, s.Listen, &d.traffic.peers),
 	}
@@ -234,7 +238,7 @@
 	<-ctx.Done()
 	d.log.Info("stopping")
 	close(d.stopping)
-	d.releaseLease()
+	d.releaseLease(d.orders.Finish())
 	stop, stopped := context.WithTimeout(context.Background(), d.settings.StopTimeout)
 	defer stopped()
 	_ = admin.Shutdown(stop)
@@ -259,6 +263,7 @@
 	go d.orders.run(ctx)
 	d.peers.run(ctx)
 	go d.every(ctx, d.settings.VMListInterval, d.readVMs)
+	go d.every(ctx, catchUpEvery, d.catchUp)
 	go d.every(ctx, snapshotCheck, d.appendSnapshot)
 	keysDone := make(chan struct{})
 	go func() {
@@ -323,11 +328,12 @@
 	return true
 }
 
-func (d *Daemon) releaseLease() {
-	done := make(chan struct{})
+// releaseLease gives up the lease; without settled orders it lets it expire.
+func (d *Daemon) releaseLease(settled bool) {
+	r := leaseRelease{settled: settled, done: make(chan struct{})}
 	select {
-	case d.lease.release <- done:
-		<-done
+	case d.lease.release <- r:
+		<-r.done
 	case <-time.After(time.Second):
 	}
 }
--- a/server/control/fleet.go
+++ b/server/control/fleet.go
@@ -40,9 +40,9 @@
 	listsAt types.Revision
 }
 
-// vmList is the platform's list of VMs as it was last read.
+// vmList is the platform's list of VMs as it was last read. names says of each
+// VM that was ever listed whether it is in the newest list.
 type vmList struct {
-	known   bool
 	names   map[types.VMID]bool
 	leaving map[netip.Addr]bool
 }
@@ -55,7 +55,7 @@
 	return &fleetState{
 		reports: map[types.TargetID]types.LoadReport{}, own: map[types.TargetID]bool{},
 		peers: membership.NewTable(self, suspectAfter), told: map[types.VMID][]types.TargetID{},
-		named: map[types.VMID][]DaemonStatus{},
+		named: map[types.VMID][]DaemonStatus{}, vms: vmList{names: map[types.VMID]bool{}},
 	}
 }
 
@@ -166,6 +166,19 @@
 	f.told[p.VM] = told
 }
 
+// ahead returns the VMs of peers whose revision is above own.
+func (f *fleetState) ahead(own types.Revision) map[types.VMID]bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := map[types.VMID]bool{}
+	for _, p := range f.peers.Peers() {
+		if p.Revision > own {
+			out[p.VM] = true
+		}
+	}
+	return out
+}
+
 // setNamed records the daemons that a peer named.
 func (f *fleetState) setNamed(by types.VMID, daemons []DaemonStatus) {
 	f.mu.Lock()
@@ -200,7 +213,12 @@
 }
 
 func (f *fleetState) setVMs(vms []platform.VM) {
-	l := vmList{known: true, names: map[types.VMID]bool{}, leaving: map[netip.Addr]bool{}}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	l := vmList{names: f.vms.names, leaving: map[netip.Addr]bool{}}
+	for vm := range l.names {
+		l.names[vm] = false
+	}
 	for _, v := range vms {
 		l.names[v.Name] = true
 		a, err := netip.ParseAddr(v.Address)
@@ -208,16 +226,16 @@
 			l.leaving[a] = true
 		}
 	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
 	f.vms = l
 }
 
-// vmGone reports whether the platform's list was read and lacks the VM.
+// vmGone reports whether the platform has listed the VM and lists it no more.
+// The list lags, so a VM that was never listed may be a new one.
 func (f *fleetState) vmGone(vm types.VMID) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.vms.known && !f.vms.names[vm]
+	listed, seen := f.vms.names[vm]
+	return seen && !listed
 }
 
 // ownLeaving returns the targets on VMs that the platform lists as leaving and
@@ -234,6 +252,14 @@
 	return out
 }
 
+// addressLeaving reports whether the platform lists the VM at the address of a
+// target as leaving.
+func (f *fleetState) addressLeaving(address string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.listedLeaving(address)
+}
+
 func (f *fleetState) listedLeaving(address string) bool {
 	if len(f.vms.leaving) == 0 {
 		return false
--- a/server/control/settings.go
+++ b/server/control/settings.go
@@ -8,6 +8,7 @@
 
 	"github.com/lentilpick/lentilpick/authority"
 	"github.com/lentilpick/lentilpick/daemon"
+	"github.com/lentilpick/lentilpick/types"
 )
 
 // Settings of the control daemon.
@@ -38,6 +39,9 @@
 	OrderInterval time.Duration `toml:"order_interval"`
 	// VMListInterval is the time between two reads of the platform's list of VMs.
 	VMListInterval time.Duration `toml:"vm_list_interval"`
+	// MaxLoadOrders is how many targets of the data centre change their model
+	// or version at a time. The weight store limits its rate.
+	MaxLoadOrders int `toml:"max_load_orders"`
 	// KeyBatch is the time for which key records are collected.
 	KeyBatch time.Duration `toml:"key_batch"`
 	// KeyWindow is how long a key is remembered; at most half of LogRetention.
@@ -64,7 +68,7 @@
 func DefaultSettings() *Settings {
 	return &Settings{
 		LogLevel: "info", LeaseDuration: 6 * time.Second, LeaseRenewal: 2 * time.Second,
-		Quarantine: 2 * time.Minute, ReportInterval: time.Second, OrderInterval: 500 * time.Millisecond,
+		Quarantine: 2 * time.Minute, ReportInterval: time.Second, OrderInterval: 500 * time.Millisecond, MaxLoadOrders: 4,
 		VMListInterval: 2 * time.Second, KeyBatch: 100 * time.Millisecond, KeyWindow: time.Hour, KeyInProgress: time.Minute,
 		LogRetention: 24 * time.Hour, StopTimeout: 10 * time.Second,
 		MemoryLimitMB: 48,
@@ -94,6 +98,7 @@
 	c.Duration("report_interval", s.ReportInterval, 50*time.Millisecond, 2*time.Second)
 	c.Duration("order_interval", s.OrderInterval, 50*time.Millisecond, time.Minute)
 	c.Duration("vm_list_interval", s.VMListInterval, 100*time.Millisecond, time.Minute)
+	c.Int("max_load_orders", int64(s.MaxLoadOrders), 1, 1024)
 	c.Duration("key_batch", s.KeyBatch, 10*time.Millisecond, time.Second)
 	c.Duration("log_retention", s.LogRetention, time.Second, 365*24*time.Hour)
 	c.Duration("key_window", s.KeyWindow, time.Second, s.LogRetention/2)
@@ -104,8 +109,9 @@
 
 func (s *Settings) lease(incarnation string) authority.Settings {
 	return authority.Settings{
-		Self:     authority.Holder{VM: vmID(s.VM), Incarnation: incarnation},
-		Duration: s.LeaseDuration, RenewEvery: s.LeaseRenewal,
+		DataCentre: types.DataCentreID(s.DataCentre),
+		Self:       authority.Holder{VM: vmID(s.VM), Incarnation: incarnation},
+		Duration:   s.LeaseDuration, RenewEvery: s.LeaseRenewal,
 		Margin: authority.MarginFor(s.LeaseDuration), Quarantine: s.Quarantine,
 	}
 }
