--- /dev/null
+++ b/idempotency/claims.go
@@ -0,0 +1,139 @@
+package idempotency
+
+import (
+	"time"
+
+	"github.com/lentilpick/lentilpick/types"
+)
+
+// Claim is one daemon's request to run a key. Its Verdict stays
+// VerdictPending until it is settled.
+type Claim struct {
+	Key     Key
+	Attempt string
+	Digest  uint64
+
+	Verdict Verdict
+	Answer  *Answer
+
+	// appended says that an intent was handed out, seen that it was read back.
+	appended bool
+	seen     bool
+}
+
+// Intent returns the record that claims the key.
+func (c *Claim) Intent() Record {
+	return Record{Kind: KindIntent, Key: c.Key, Attempt: c.Attempt, Digest: c.Digest}
+}
+
+// Claims is a table together with the claims that wait for a verdict. It is
+// not safe for concurrent use.
+//
+// A claim is judged only by a table that has read the stream to its end, with
+// one exception: an attempt whose own intent was read back may run, because the
+// table then holds every record before that intent.
+type Claims struct {
+	*Table
+	waiting map[string]*Claim // by attempt
+	atEnd   bool
+	// needHomes says that a claim waits for the first Homes record.
+	needHomes bool
+}
+
+// NewClaims returns an empty table without claims.
+func NewClaims(s Settings) *Claims {
+	return &Claims{Table: NewTable(s), waiting: map[string]*Claim{}}
+}
+
+// Waiting returns the number of claims without a verdict.
+func (c *Claims) Waiting() int { return len(c.waiting) }
+
+// AtEnd reports whether the stream was read to its end at the last read.
+func (c *Claims) AtEnd() bool { return c.atEnd }
+
+// NeedHomes reports whether claims wait for a record of KindHomes.
+func (c *Claims) NeedHomes() bool { return c.needHomes && c.homes == nil }
+
+// Open adds a claim. It returns true when the claim's intent has to be appended.
+func (c *Claims) Open(cl *Claim, now time.Time) bool {
+	appendIntent := c.judge(cl, now)
+	if cl.Verdict == VerdictPending {
+		c.waiting[cl.Attempt] = cl
+	}
+	return appendIntent
+}
+
+// Close removes a claim whose caller does not wait any longer. A claim that
+// has no verdict but whose key is held by another attempt gets
+// VerdictInProgress.
+func (c *Claims) Close(cl *Claim, now time.Time) {
+	if c.waiting[cl.Attempt] == cl {
+		delete(c.waiting, cl.Attempt)
+	}
+	if cl.Verdict != VerdictPending || !c.atEnd {
+		return
+	}
+	if v, _ := c.Judge(cl.Key, cl.Attempt, cl.Digest, now); v == VerdictInProgress {
+		cl.Verdict = v
+	}
+}
+
+// Apply folds the records at offset o, as Table.Apply does.
+func (c *Claims) Apply(o types.Offset, at time.Time, records []Record) error {
+	if err := c.Table.Apply(o, at, records); err != nil {
+		return err
+	}
+	for i := range records {
+		if cl := c.waiting[records[i].Attempt]; cl != nil && records[i].Kind == KindIntent {
+			cl.seen = true
+		}
+	}
+	return nil
+}
+
+// Restart continues at oldest, as Table.Restart does.
+func (c *Claims) Restart(oldest types.Offset) {
+	c.atEnd = false
+	c.Table.Restart(oldest)
+}
+
+// Settle judges the waiting claims after a read; end is the offset that the
+// next appended record will get. It returns the claims that now have a verdict
+// and those whose intent has to be appended.
+func (c *Claims) Settle(end types.Offset, now time.Time) (settled, intents []*Claim) {
+	c.atEnd = c.next >= end
+	for attempt, cl := range c.waiting {
+		if c.judge(cl, now) {
+			intents = append(intents, cl)
+		}
+		if cl.Verdict != VerdictPending {
+			delete(c.waiting, attempt)
+			settled = append(settled, cl)
+		}
+	}
+	return settled, intents
+}
+
+// judge sets the verdict of a claim if there is one, and returns true when the
+// claim's intent has to be appended.
+func (c *Claims) judge(cl *Claim, now time.Time) bool {
+	v, answer := c.Judge(cl.Key, cl.Attempt, cl.Digest, now)
+	switch {
+	case v == VerdictRun:
+		cl.Verdict = v
+	case !c.atEnd || v == VerdictInProgress:
+		// Waits for the end of the stream, or for the end of the other attempt.
+	case v != VerdictPending:
+		cl.Verdict, cl.Answer = v, answer
+	case c.homes == nil && c.settings.Home != nil:
+		c.needHomes = true
+	case c.Moved(cl.Key, now):
+		cl.Verdict = VerdictMoved
+	case !cl.appended || cl.seen:
+		// An intent that was read back while another attempt held the key has
+		// lost; the key is free again, so that it needs a new one.
+		cl.appended, cl.seen = true, false
+		return true
+	}
+	return false
+}
--- a/idempotency/table.go
+++ b/idempotency/table.go
@@ -15,6 +15,10 @@
 // ErrGap reports that key records before the given offset are missing.
 var ErrGap = errors.New("key records are missing before this offset")
 
+// MinWindow is the shortest key window: twice the longest deadline of a caller,
+// 10 minutes. With a shorter one a key could expire while its attempt runs.
+const MinWindow = 20 * time.Minute
+
 // Key identifies a request that may run at most once.
 type Key struct {
 	Service   types.ServiceID   `json:"service"`
@@ -35,6 +39,8 @@
 	KindCompleted Kind = "completed"
 	// KindUnknown says that the request was sent and its result is not known.
 	KindUnknown Kind = "unknown"
+	// KindHomes carries the data centres over which keys are spread.
+	KindHomes Kind = "homes"
 )
 
 // Answer is the recorded answer of a completed request.
@@ -57,6 +63,8 @@
 	// request is detected.
 	Digest uint64  `json:"digest"`
 	Answer *Answer `json:"answer,omitempty"`
+	// Homes is set on records of KindHomes only.
+	Homes *Homes `json:"homes,omitempty"`
 }
 
 // State is the state of a key.
@@ -87,6 +95,14 @@
 	VerdictUnknown
 	// VerdictConflict means that the key belongs to a different request.
 	VerdictConflict
+	// VerdictReleased means that this attempt was given up and cannot run.
+	VerdictReleased
+	// VerdictMoved means that the records of the key may be in the stream of
+	// another data centre.
+	VerdictMoved
+	// VerdictLogDown means that nothing is known of the key because the log is
+	// down, and that no intent of this attempt was appended.
+	VerdictLogDown
 )
 
 // Settings of the table.
@@ -96,6 +112,10 @@
 	// InProgressLimit is how long an attempt may be in progress before it
 	// counts as unknown.
 	InProgressLimit time.Duration
+	// Self is the data centre whose stream is folded, and Home returns the home
+	// of a key among data centres. Without Home no key has moved.
+	Self types.DataCentreID
+	Home func(k Key, dcs []types.DataCentreID) types.DataCentreID
 }
 
 type entry struct {
@@ -104,6 +124,16 @@
 	digest  uint64
 	answer  *Answer
 	at      time.Time
+	// released holds the attempts that were given up. An intent of one of them
+	// that reaches the log later, or a second time, has no effect.
+	released map[string]struct{}
+}
+
+func (e *entry) release(attempt string) {
+	if e.released == nil {
+		e.released = map[string]struct{}{}
+	}
+	e.released[attempt] = struct{}{}
 }
 
 type aged struct {
@@ -118,6 +148,7 @@
 	entries  map[Key]*entry
 	ages     []aged
 	now      time.Time
+	homes    *Homes
 }
 
 // NewTable returns the empty table at the beginning of the stream.
@@ -152,40 +183,79 @@
 	return nil
 }
 
-// Restart continues at oldest after records have expired from the log. The
-// expired records were older than the key window, which is shorter than the
-// log's retention.
+// Restart continues at oldest after records have expired from the log. All keys
+// that the table remembers were recorded before oldest, so they are older than
+// the key window, which is at most half of the log's retention.
 func (t *Table) Restart(oldest types.Offset) {
-	if oldest > t.next {
-		t.next = oldest
+	if oldest <= t.next {
+		return
 	}
+	t.next = oldest
+	clear(t.entries)
+	t.ages = nil
 }
 
 func (t *Table) apply(r *Record) {
-	e := t.entries[r.Key]
-	if r.Kind == KindIntent {
-		t.applyIntent(e, r)
-		return
-	}
-	if e == nil || e.attempt != r.Attempt || e.state != StateInProgress {
-		return
-	}
 	switch r.Kind {
+	case KindIntent:
+		t.applyIntent(r)
 	case KindReleased:
-		e.state = StateFree
+		t.applyReleased(r)
 	case KindCompleted:
-		e.state, e.answer = StateCompleted, r.Answer
+		if e := t.running(r); e != nil {
+			e.state, e.answer = StateCompleted, r.Answer
+		}
 	case KindUnknown:
-		e.state = StateUnknown
+		if e := t.running(r); e != nil {
+			e.state = StateUnknown
+		}
+	case KindHomes:
+		t.applyHomes(r.Homes)
 	}
 }
 
-func (t *Table) applyIntent(e *entry, r *Record) {
-	if e != nil && (e.state != StateFree || e.attempt == r.Attempt) {
-		return // the first record wins; a duplicate of a released intent stays released
+// running returns the entry of a key whose attempt in progress is the record's.
+func (t *Table) running(r *Record) *entry {
+	e := t.entries[r.Key]
+	if e == nil || e.attempt != r.Attempt || e.state != StateInProgress {
+		return nil
 	}
-	t.entries[r.Key] = &entry{state: StateInProgress, attempt: r.Attempt, digest: r.Digest, at: t.now}
-	t.ages = append(t.ages, aged{r.Key, t.now})
+	return e
+}
+
+// applyIntent lets the first record with the key win.
+func (t *Table) applyIntent(r *Record) {
+	n := &entry{state: StateInProgress, attempt: r.Attempt, digest: r.Digest}
+	if e := t.entries[r.Key]; e != nil {
+		if _, released := e.released[r.Attempt]; released || e.state != StateFree {
+			return
+		}
+		n.released = e.released
+	}
+	t.put(r.Key, n)
+}
+
+// applyReleased frees the key if the attempt holds it. A release may precede
+// the intent of its attempt when the two went to the log by different daemons.
+func (t *Table) applyReleased(r *Record) {
+	e := t.entries[r.Key]
+	if e == nil {
+		e = &entry{}
+		t.put(r.Key, e)
+	}
+	if e.attempt == r.Attempt && e.state != StateInProgress {
+		return // an attempt that has ended cannot be given up
+	}
+	if e.attempt == r.Attempt {
+		e.state = StateFree
+	}
+	e.release(r.Attempt)
+}
+
+func (t *Table) put(k Key, e *entry) {
+	e.at = t.now
+	t.entries[k] = e
+	t.ages = append(t.ages, aged{k, t.now})
 }
 
 func (t *Table) expire() {
@@ -204,7 +274,13 @@
 // estimate of the log's clock.
 func (t *Table) Judge(k Key, attempt string, digest uint64, now time.Time) (Verdict, *Answer) {
 	e := t.entries[k]
-	if e == nil || e.state == StateFree {
+	if e == nil {
+		return VerdictPending, nil
+	}
+	if _, released := e.released[attempt]; released {
+		return VerdictReleased, nil
+	}
+	if e.state == StateFree {
 		return VerdictPending, nil
 	}
 	if e.digest != digest {
--- a/idempotency/table_test.go
+++ b/idempotency/table_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/lentilpick/lentilpick/types"
 )
 
 var key = Key{Service: "hire-desk", Workspace: "club", Key: "deposit-1"}
@@ -39,10 +41,76 @@
 	released := Record{Kind: KindReleased, Key: key, Attempt: "a"}
 	assert.NilError(t, tb.Apply(0, now, []Record{intent("a"), released, intent("a")}))
 	v, _ := tb.Judge(key, "a", 7, now)
-	assert.Equal(t, v, VerdictPending)
+	assert.Equal(t, v, VerdictReleased)
 	assert.NilError(t, tb.Apply(1, now, []Record{intent("b")}))
 	v, _ = tb.Judge(key, "b", 7, now)
 	assert.Equal(t, v, VerdictRun)
+	// A copy of the first intent stays without effect after a second release.
+	releasedB := Record{Kind: KindReleased, Key: key, Attempt: "b"}
+	assert.NilError(t, tb.Apply(2, now, []Record{releasedB, intent("a")}))
+	v, _ = tb.Judge(key, "a", 7, now)
+	assert.Equal(t, v, VerdictReleased)
+}
+
+// Guards against a key that stays blocked because the release of a claim that
+// timed out reached the log before its intent.
+func TestReleaseBeforeIntent(t *testing.T) {
+	tb, now := newTable(), time.Unix(1000, 0)
+	released := Record{Kind: KindReleased, Key: key, Attempt: "a"}
+	assert.NilError(t, tb.Apply(0, now, []Record{released, intent("a"), intent("b")}))
+	v, _ := tb.Judge(key, "a", 7, now)
+	assert.Equal(t, v, VerdictReleased)
+	v, _ = tb.Judge(key, "b", 7, now)
+	assert.Equal(t, v, VerdictRun)
+}
+
+// Guards against a key that runs a second time in its new home data centre
+// while its records are in the old one.
+func TestMovedKeyWaitsOneWindow(t *testing.T) {
+	s := Settings{Window: time.Hour, InProgressLimit: time.Minute, Self: "b"}
+	s.Home = func(_ Key, dcs []types.DataCentreID) types.DataCentreID { return dcs[len(dcs)-1] }
+	tb, now := NewTable(s), time.Unix(1000, 0)
+	homes := func(rev types.Revision, dcs ...types.DataCentreID) Record {
+		return Record{Kind: KindHomes, Homes: &Homes{Revision: rev, DataCentres: dcs}}
+	}
+	assert.NilError(t, tb.Apply(0, now, []Record{homes(1, "a", "b", "c")}))
+	assert.Assert(t, tb.Moved(key, now), "the home is another data centre")
+	assert.NilError(t, tb.Apply(1, now, []Record{homes(2, "a", "b"), homes(1, "a", "b", "c")}))
+	assert.Assert(t, tb.Moved(key, now.Add(time.Hour)))
+	assert.Assert(t, !tb.Moved(key, now.Add(time.Hour+time.Second)))
+}
+
+// Guards against a verdict from a table that has not read the stream to its end.
+func TestClaimWaitsForEndOfStream(t *testing.T) {
+	c, now := NewClaims(Settings{Window: time.Hour, InProgressLimit: time.Minute}), time.Unix(1000, 0)
+	cl := &Claim{Key: key, Attempt: "b", Digest: 7}
+	assert.Assert(t, !c.Open(cl, now))
+	assert.NilError(t, c.Apply(0, now, []Record{intent("a")}))
+	settled, intents := c.Settle(2, now)
+	assert.Equal(t, len(settled)+len(intents), 0)
+	done := Record{Kind: KindCompleted, Key: key, Attempt: "a", Answer: &Answer{Status: 201}}
+	assert.NilError(t, c.Apply(1, now, []Record{done}))
+	settled, _ = c.Settle(2, now)
+	assert.Equal(t, len(settled), 1)
+	assert.Equal(t, cl.Verdict, VerdictCompleted)
+}
+
+// Guards against a repeat that never runs although the first attempt, whose
+// intent came first in the log, was released.
+func TestWaitingRepeatRunsAfterRelease(t *testing.T) {
+	c, now := NewClaims(Settings{Window: time.Hour, InProgressLimit: time.Minute}), time.Unix(1000, 0)
+	c.Settle(0, now)
+	cl := &Claim{Key: key, Attempt: "b", Digest: 7}
+	assert.Assert(t, c.Open(cl, now))
+	assert.NilError(t, c.Apply(0, now, []Record{intent("a"), intent("b")}))
+	settled, intents := c.Settle(1, now)
+	assert.Equal(t, len(settled)+len(intents), 0)
+	assert.NilError(t, c.Apply(1, now, []Record{{Kind: KindReleased, Key: key, Attempt: "a"}}))
+	_, intents = c.Settle(2, now)
+	assert.Equal(t, len(intents), 1)
+	assert.NilError(t, c.Apply(2, now, []Record{cl.Intent()}))
+	c.Settle(3, now)
+	assert.Equal(t, cl.Verdict, VerdictRun)
 }
 
 // Guards against a repeat that runs again instead of getting the recorded answer.
--- a/records/records.go
+++ b/records/records.go
@@ -112,6 +112,10 @@
 	for _, k := range r {
 		switch k.Kind {
 		case idempotency.KindIntent, idempotency.KindReleased, idempotency.KindCompleted, idempotency.KindUnknown:
+		case idempotency.KindHomes:
+			if k.Homes == nil {
+				return nil, fmt.Errorf("key record of kind %q without homes: %w", k.Kind, ErrMalformed)
+			}
 		default:
 			return nil, fmt.Errorf("key record of kind %q: %w", k.Kind, ErrMalformed)
 		}
--- a/server/control/daemon.go
+++ b/server/control/daemon.go
@@ -18,7 +18,6 @@
 	"github.com/lentilpick/lentilpick/authority"
 	"github.com/lentilpick/lentilpick/daemon"
 	"github.com/lentilpick/lentilpick/engine"
-	"github.com/lentilpick/lentilpick/idempotency"
 	"github.com/lentilpick/lentilpick/platform"
 	"github.com/lentilpick/lentilpick/types"
 )
@@ -76,7 +75,11 @@
 	}
 	d.config = NewConfigLog(d.platform, log)
 	d.lease = newLeaseRunner(d.platform, log, d.dc, s.lease(d.incarnation), d.gate)
-	d.keys = newKeyLog(d.platform, log, d.dc, s.KeyBatch, idempotency.Settings{Window: s.KeyWindow, InProgressLimit: s.KeyInProgress})
+	counters, err := newKeyCounters(m)
+	if err != nil {
+		return nil, err
+	}
+	d.keys = newKeyLog(d.platform, log, s, d.keyDeps(), counters)
 	targets := engine.NewClient(engine.Settings{
 		DialTimeout: targetTimeout, Progress: targetTimeout, MaxIdle: 5 * time.Second, MaxAge: time.Minute, MaxConns: 8,
 	})
--- /dev/null
+++ b/server/control/keyhomes.go
@@ -0,0 +1,123 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/lentilpick/lentilpick/idempotency"
+	"github.com/lentilpick/lentilpick/membership"
+	"github.com/lentilpick/lentilpick/platform"
+	"github.com/lentilpick/lentilpick/records"
+	"github.com/lentilpick/lentilpick/types"
+)
+
+const (
+	homesCheck     = time.Second
+	homesReadLimit = 1024
+	homesTimeout   = 10 * time.Second
+)
+
+// homeOf returns the data centre whose log stream holds the records of a key.
+func homeOf(k idempotency.Key, dcs []types.DataCentreID) types.DataCentreID {
+	return membership.Best(dcs, string(k.Service)+"\x00"+string(k.Workspace)+"\x00"+k.Key)
+}
+
+// watchHomes records the data centres over which keys are spread: at the first
+// claim, after a change of the configuration, and again before the record
+// expires from the log.
+func (k *keyLog) watchHomes(ctx context.Context) {
+	tick := time.NewTicker(homesCheck)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		case <-k.wantHomes:
+		}
+		h, err := k.homesDue(ctx)
+		if err != nil {
+			k.entry.WithError(err).Warn("the homes of the keys were not read")
+		}
+		if h != nil {
+			k.enqueue(idempotency.Record{Kind: idempotency.KindHomes, Homes: h})
+		}
+	}
+}
+
+// homesDue returns the record that has to be appended now, or nil.
+func (k *keyLog) homesDue(ctx context.Context) (*idempotency.Homes, error) {
+	revision, dcs := k.deps.homes()
+	k.mu.Lock()
+	current, first, at := k.claims.Homes(), k.claims.NeedHomes(), k.homesAt
+	k.mu.Unlock()
+	switch {
+	case len(dcs) == 0:
+		return nil, nil
+	case first:
+		return k.firstHomes(ctx, revision, dcs)
+	case current == nil:
+		return nil, nil
+	case revision > current.Revision && !slices.Equal(dcs, current.DataCentres):
+		return &idempotency.Homes{Revision: revision, DataCentres: dcs}, nil
+	case time.Since(at) > k.retention/3:
+		return current, nil
+	}
+	return nil, nil
+}
+
+// firstHomes returns the first record of a stream. A data centre that is new
+// takes the earlier sets from the streams of the others, because keys that
+// moved to it may have run there.
+func (k *keyLog) firstHomes(ctx context.Context, revision types.Revision, dcs []types.DataCentreID) (*idempotency.Homes, error) {
+	ctx, cancel := context.WithTimeout(ctx, homesTimeout)
+	defer cancel()
+	h := &idempotency.Homes{Revision: revision, DataCentres: dcs}
+	for _, dc := range dcs {
+		if dc == k.dc {
+			continue
+		}
+		other, err := lastHomes(ctx, k.log, platform.KeyStream(dc))
+		if err != nil {
+			return nil, err
+		}
+		if other == nil {
+			continue
+		}
+		h.Past = append(h.Past, other.Past...)
+		if !slices.Equal(other.DataCentres, dcs) {
+			h.Past = append(h.Past, idempotency.Epoch{DataCentres: other.DataCentres, Until: time.Now()})
+		}
+	}
+	return h, nil
+}
+
+// lastHomes returns the newest record of KindHomes in a stream, or nil.
+func lastHomes(ctx context.Context, log platform.Log, stream string) (*idempotency.Homes, error) {
+	var last *idempotency.Homes
+	for next := types.Offset(0); ; {
+		b, err := log.Read(ctx, stream, next, homesReadLimit, 0)
+		var expired *platform.ExpiredError
+		if errors.As(err, &expired) {
+			next = expired.Oldest
+			continue
+		}
+		if err != nil {
+			return nil, err
+		}
+		for _, r := range b.Records {
+			recs, _ := records.DecodeKeys(r.Data) // the stream's own readers report what does not decode
+			for i := range recs {
+				if recs[i].Kind == idempotency.KindHomes {
+					last = recs[i].Homes
+				}
+			}
+		}
+		next += types.Offset(len(b.Records))
+		if next >= b.Next {
+			return last, nil
+		}
+	}
+}
--- a/server/control/keys.go
+++ b/server/control/keys.go
@@ -2,13 +2,16 @@
 
 import (
 	"context"
-	"errors"
 	"sync"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/ansel1/merry/v2"
 	"github.com/sirupsen/logrus"
 
+	peerv1 "github.com/lentilpick/lentilpick/api/peer/v1"
+	"github.com/lentilpick/lentilpick/api/peer/v1/peerv1connect"
+
 	"github.com/lentilpick/lentilpick/daemon"
 	"github.com/lentilpick/lentilpick/idempotency"
 	"github.com/lentilpick/lentilpick/platform"
@@ -20,43 +23,77 @@
 var ErrKeyUnavailable = merry.New("the key log cannot be reached")
 
 const (
-	maxKeyQueue   = 4096
-	maxKeyBatch   = 512
-	appendTimeout = 3 * time.Second
+	maxKeyQueue = 4096
+	maxKeyBatch = 512
+	// maxForwards bounds the batches that are on their way to the writer.
+	maxForwards    = 4
+	forwardTimeout = time.Second
+	// repeatWait is how long a repeat waits for the end of the first attempt. An
+	// end takes up to two batch periods and one read to arrive.
+	repeatWait = 2 * time.Second
+	// logSilence is how long reads have to fail before the log counts as down.
+	// It is longer than the wait of one read, 2 s.
+	logSilence = 3 * time.Second
+	// logFailures is how many reads have to fail in a row before the log counts
+	// as down, so that a process that was paused does not take its own pause
+	// for an outage.
+	logFailures = 3
+	// maxUnrecorded bounds the keys that ran without a record.
+	maxUnrecorded = 100_000
 )
 
-type claim struct {
-	key     idempotency.Key
-	attempt string
-	digest  uint64
-	verdict chan verdict
-}
-
-type verdict struct {
-	verdict idempotency.Verdict
-	answer  *idempotency.Answer
+// keyDeps is what the key log needs from the rest of the daemon.
+type keyDeps struct {
+	// writer returns the control daemon that appends for the data centre, or
+	// nil when that is this daemon or is not known.
+	writer func() peerv1connect.PeerServiceClient
+	// homes returns the data centres over which keys are spread, sorted, and the
+	// configuration revision that they come from.
+	homes func() (types.Revision, []types.DataCentreID)
+	// runsWithoutLog reports whether keyed requests of a service may run without
+	// a record while the log is down.
+	runsWithoutLog func(types.ServiceID) bool
 }
 
 // keyLog folds the key stream of the data centre and appends records to it in
-// batches.
+// batches. The decisions are those of idempotency.Claims.
 type keyLog struct {
-	log    platform.Log
-	entry  *logrus.Entry
-	stream string
-	every  time.Duration
-	queue  chan idempotency.Record
+	log       platform.Log
+	entry     *logrus.Entry
+	dc        types.DataCentreID
+	stream    string
+	retention time.Duration
+	deps      keyDeps
+	queue     chan idempotency.Record
+	own       *keyWriter
+	forwards  chan struct{}
+	wantHomes chan struct{}
 
 	mu     sync.Mutex
-	table  *idempotency.Table
-	claims map[string]*claim // by attempt
+	claims *idempotency.Claims
+	done   map[*idempotency.Claim]chan struct{}
+	// unrecorded holds the claims that were granted while the log was down and
+	// whose intents were not read back yet.
+	unrecorded map[idempotency.Key]*idempotency.Claim
+	failures   int       // failed reads since the last good one
+	failedAt   time.Time // first of them
+	homesAt    time.Time // log's time of the newest record of KindHomes
 }
 
-func newKeyLog(log platform.Log, entry *logrus.Entry, dc types.DataCentreID, every time.Duration, s idempotency.Settings) *keyLog {
+func newKeyLog(log platform.Log, entry *logrus.Entry, s *Settings, deps keyDeps, c keyCounters) *keyLog {
+	dc := types.DataCentreID(s.DataCentre)
 	k := &keyLog{
-		log: log, stream: platform.KeyStream(dc), every: every, queue: make(chan idempotency.Record, maxKeyQueue),
-		table: idempotency.NewTable(s), claims: map[string]*claim{},
+		log: log, dc: dc, stream: platform.KeyStream(dc), retention: s.LogRetention, deps: deps,
+		queue: make(chan idempotency.Record, maxKeyQueue), forwards: make(chan struct{}, maxForwards),
+		wantHomes: make(chan struct{}, 1),
+		claims: idempotency.NewClaims(idempotency.Settings{
+			Window: s.KeyWindow, InProgressLimit: s.KeyInProgress, Self: dc, Home: homeOf,
+		}),
+		done:       map[*idempotency.Claim]chan struct{}{},
+		unrecorded: map[idempotency.Key]*idempotency.Claim{},
 	}
 	k.entry = entry.WithField(daemon.FieldStream, k.stream)
+	k.own = newKeyWriter(log, k.entry, k.stream, s.KeyBatch, c)
 	return k
 }
 
@@ -64,7 +101,7 @@
 func (k *keyLog) Next() types.Offset {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.table.Next()
+	return k.claims.Next()
 }
 
 // Records implements platform.Reader.
@@ -72,68 +109,182 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	for _, r := range b.Records {
-		recs, err := records.DecodeKeys(r.Data)
-		if err != nil {
-			k.entry.WithError(err).WithField(daemon.FieldOffset, r.Offset).Error("record does not decode; it is passed over")
-		}
-		if err := k.table.Apply(r.Offset, r.At, recs); err != nil {
+		if err := k.apply(r); err != nil {
 			return err
 		}
-		for i := range recs {
-			k.resolve(&recs[i], r.At)
-		}
+	}
+	if k.logDown(time.Now()) {
+		k.recordLate()
+	}
+	k.failures = 0
+	settled, intents := k.claims.Settle(b.Next, time.Now())
+	for _, c := range intents {
+		k.enqueue(c.Intent())
+	}
+	for _, c := range settled {
+		close(k.done[c])
+		delete(k.done, c)
+	}
+	if k.claims.NeedHomes() {
+		signal(k.wantHomes)
 	}
 	return nil
 }
 
-// resolve answers the claim whose intent was read.
-func (k *keyLog) resolve(r *idempotency.Record, at time.Time) {
-	c, ok := k.claims[r.Attempt]
-	if !ok || r.Kind != idempotency.KindIntent {
-		return
+func (k *keyLog) apply(r platform.Record) error {
+	recs, err := records.DecodeKeys(r.Data)
+	if err != nil {
+		k.entry.WithError(err).WithField(daemon.FieldOffset, r.Offset).Error("record does not decode; it is passed over")
+	}
+	if err := k.claims.Apply(r.Offset, r.At, recs); err != nil {
+		return err
+	}
+	for i := range recs {
+		k.noted(&recs[i], r.At)
+	}
+	return nil
+}
+
+// noted updates what the key log keeps besides the fold.
+func (k *keyLog) noted(r *idempotency.Record, at time.Time) {
+	switch r.Kind {
+	case idempotency.KindHomes:
+		k.homesAt = at
+	case idempotency.KindIntent:
+		if c := k.unrecorded[r.Key]; c != nil && c.Attempt == r.Attempt {
+			delete(k.unrecorded, r.Key)
+		}
+	}
+}
+
+// recordLate appends the intents of the claims that were granted during an
+// outage, so that other daemons do not run these keys again.
+func (k *keyLog) recordLate() {
+	for _, c := range k.unrecorded {
+		k.enqueue(c.Intent())
 	}
-	v, a := k.table.Judge(c.key, c.attempt, c.digest, at)
-	delete(k.claims, r.Attempt)
-	c.verdict <- verdict{v, a}
 }
 
 // Expired implements platform.Reader.
 func (k *keyLog) Expired(oldest types.Offset) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.table.Restart(oldest)
+	k.claims.Restart(oldest)
 }
 
 // Failed implements platform.Reader.
-func (k *keyLog) Failed(err error) { k.entry.WithError(err).Debug("read failed") }
+func (k *keyLog) Failed(err error) {
+	k.mu.Lock()
+	if k.failures == 0 {
+		k.failedAt = time.Now()
+	}
+	k.failures++
+	k.mu.Unlock()
+	k.entry.WithError(err).Debug("read failed")
+}
+
+// logDown reports whether the log counts as down. The lock is held.
+func (k *keyLog) logDown(now time.Time) bool {
+	return k.failures >= logFailures && now.Sub(k.failedAt) >= logSilence
+}
 
-// Claim appends an intent and waits until it is read back. The error wraps
-// ErrKeyUnavailable; the intent may then still reach the log.
+// Claim appends an intent and waits until it is read back. A repeat of a key
+// whose first attempt is in progress waits up to repeatWait for its end. The
+// error wraps ErrKeyUnavailable; the intent may then still reach the log.
 func (k *keyLog) Claim(ctx context.Context, key idempotency.Key, attempt string, digest uint64) (idempotency.Verdict, *idempotency.Answer, error) {
-	c := &claim{key: key, attempt: attempt, digest: digest, verdict: make(chan verdict, 1)}
+	c := &idempotency.Claim{Key: key, Attempt: attempt, Digest: digest}
+	k.await(ctx, c, k.open(c))
+	k.close(c)
+	switch c.Verdict {
+	case idempotency.VerdictPending, idempotency.VerdictReleased, idempotency.VerdictMoved:
+		return c.Verdict, nil, ErrKeyUnavailable
+	}
+	return c.Verdict, c.Answer, nil
+}
+
+// open starts a claim. The returned channel is closed when it has a verdict.
+func (k *keyLog) open(c *idempotency.Claim) <-chan struct{} {
 	k.mu.Lock()
-	if v, a := k.table.Judge(key, attempt, digest, time.Now()); v != idempotency.VerdictPending {
-		k.mu.Unlock()
-		return v, a, nil
+	defer k.mu.Unlock()
+	done := make(chan struct{})
+	now := time.Now()
+	if u := k.unrecorded[c.Key]; u != nil && u.Attempt != c.Attempt {
+		c.Verdict = idempotency.VerdictUnknown
+	} else if k.logDown(now) {
+		k.withoutLog(c, now)
+	} else if k.claims.Open(c, now) {
+		k.enqueue(c.Intent())
 	}
-	k.claims[attempt] = c
-	k.mu.Unlock()
-	defer k.drop(attempt)
-	if !k.enqueue(idempotency.Record{Kind: idempotency.KindIntent, Key: key, Attempt: attempt, Digest: digest}) {
-		return 0, nil, ErrKeyUnavailable
+	if c.Verdict != idempotency.VerdictPending {
+		close(done)
+		return done
 	}
-	select {
-	case v := <-c.verdict:
-		return v.verdict, v.answer, nil
-	case <-ctx.Done():
-		return 0, nil, merry.Wrap(ErrKeyUnavailable, merry.WithCause(ctx.Err()))
+	k.done[c] = done
+	if k.claims.NeedHomes() {
+		signal(k.wantHomes)
 	}
+	return done
 }
 
-func (k *keyLog) drop(attempt string) {
+// withoutLog judges a claim while the log is down, from what was read before.
+// The lock is held.
+func (k *keyLog) withoutLog(c *idempotency.Claim, now time.Time) {
+	if !k.claims.AtEnd() {
+		return // the table does not know what ran before the outage
+	}
+	c.Verdict, c.Answer = k.claims.Judge(c.Key, c.Attempt, c.Digest, now)
+	if c.Verdict != idempotency.VerdictPending || k.claims.Moved(c.Key, now) {
+		return
+	}
+	if k.deps.runsWithoutLog(c.Key.Service) && len(k.unrecorded) < maxUnrecorded {
+		c.Verdict = idempotency.VerdictLogDown
+		k.unrecorded[c.Key] = c
+	}
+}
+
+// await waits for the verdict of a claim. It returns early enough for the
+// answer to reach a caller whose deadline is that of the context.
+func (k *keyLog) await(ctx context.Context, c *idempotency.Claim, done <-chan struct{}) {
+	ctx, cancel := early(ctx)
+	defer cancel()
+	repeat := time.NewTimer(repeatWait)
+	defer repeat.Stop()
+	for {
+		select {
+		case <-done:
+			return
+		case <-ctx.Done():
+			return
+		case <-repeat.C:
+			if k.heldByOther(c) {
+				return
+			}
+		}
+	}
+}
+
+// early returns a context that ends when four fifths of the time to the
+// context's deadline have passed.
+func early(ctx context.Context) (context.Context, context.CancelFunc) {
+	d, ok := ctx.Deadline()
+	if !ok {
+		return context.WithTimeout(ctx, appendTimeout)
+	}
+	return context.WithDeadline(ctx, d.Add(-time.Until(d)/5))
+}
+
+func (k *keyLog) heldByOther(c *idempotency.Claim) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	v, _ := k.claims.Judge(c.Key, c.Attempt, c.Digest, time.Now())
+	return v == idempotency.VerdictInProgress
+}
+
+func (k *keyLog) close(c *idempotency.Claim) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	delete(k.claims, attempt)
+	delete(k.done, c)
+	k.claims.Close(c, time.Now())
 }
 
 // Finish queues the end of an attempt.
@@ -147,37 +298,43 @@
 func (k *keyLog) enqueue(r idempotency.Record) bool {
 	select {
 	case k.queue <- r:
+		k.own.counters.records.Add(context.Background(), 1)
 		return true
 	default:
 		return false
 	}
 }
 
-// run appends queued records in batches until the context ends, then appends
-// what is left.
+// run hands queued records to the writer of the data centre until the context
+// ends, then appends what is left.
 func (k *keyLog) run(ctx context.Context) {
-	for {
+	writing, stop := context.WithCancel(context.Background())
+	go k.own.run(writing)
+	go k.watchHomes(ctx)
+	for ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
-			k.flush(k.take(nil))
-			return
 		case r := <-k.queue:
-			k.collect(ctx, r)
+			k.forwards <- struct{}{}
+			batch := k.take(r)
+			go func() {
+				defer func() { <-k.forwards }()
+				k.write(batch)
+			}()
 		}
 	}
-}
-
-func (k *keyLog) collect(ctx context.Context, first idempotency.Record) {
-	timer := time.NewTimer(k.every)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
+	for range maxForwards {
+		k.forwards <- struct{}{}
+	}
+	for len(k.queue) > 0 {
+		k.write(k.take(<-k.queue))
 	}
-	k.flush(k.take([]idempotency.Record{first}))
+	stop()
+	<-k.own.ended
 }
 
-func (k *keyLog) take(batch []idempotency.Record) []idempotency.Record {
+func (k *keyLog) take(first idempotency.Record) []idempotency.Record {
+	batch := []idempotency.Record{first}
 	for len(batch) < maxKeyBatch {
 		select {
 		case r := <-k.queue:
@@ -189,37 +346,32 @@
 	return batch
 }
 
-// flush appends a batch. A batch whose append failed or whose answer was lost
-// is appended again: the fold counts duplicate records once.
-func (k *keyLog) flush(batch []idempotency.Record) {
-	if len(batch) == 0 {
-		return
-	}
+// write appends a batch through the writer of the data centre, or through this
+// daemon's own writer when that one does not answer. A batch that both append
+// counts once.
+func (k *keyLog) write(batch []idempotency.Record) {
 	data, err := records.EncodeKeys(batch)
 	if err != nil {
 		k.entry.WithError(err).Error("key records do not encode")
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), appendTimeout)
-	defer cancel()
-	for {
-		_, err = k.log.Append(ctx, k.stream, [][]byte{data})
-		if err == nil || errors.Is(err, platform.ErrMalformed) || !pause(ctx, k.every) {
-			break
+	batches := [][]byte{data}
+	if w := k.deps.writer(); w != nil {
+		ctx, cancel := context.WithTimeout(context.Background(), forwardTimeout)
+		defer cancel()
+		if _, err = w.AppendKeys(ctx, connect.NewRequest(&peerv1.AppendKeysRequest{Batches: batches})); err == nil {
+			return
 		}
+		k.entry.WithError(err).Debug("the writer of the data centre did not append; appending directly")
 	}
-	if err != nil {
-		k.entry.WithError(err).Warn("key records were not appended")
-	}
+	ctx, cancel := context.WithTimeout(context.Background(), 2*appendTimeout)
+	defer cancel()
+	_ = k.own.Append(ctx, batches) // the writer has logged the error
 }
 
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
+func signal(c chan struct{}) {
 	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
+	case c <- struct{}{}:
+	default:
 	}
 }
--- /dev/null
+++ b/server/control/keys_test.go
@@ -0,0 +1,204 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"io"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"connectrpc.com/connect"
+	"gotest.tools/v3/assert"
+
+	peerv1 "github.com/lentilpick/lentilpick/api/peer/v1"
+	"github.com/lentilpick/lentilpick/api/peer/v1/peerv1connect"
+
+	"github.com/lentilpick/lentilpick/daemon"
+	"github.com/lentilpick/lentilpick/idempotency"
+	"github.com/lentilpick/lentilpick/platform"
+	"github.com/lentilpick/lentilpick/types"
+)
+
+// memoryLog is a log with one stream and no retention limit.
+type memoryLog struct {
+	mu      sync.Mutex
+	records []platform.Record
+	appends int
+	down    bool
+	changed chan struct{}
+	running sync.WaitGroup // goroutines that use the log
+}
+
+func (l *memoryLog) Append(_ context.Context, _ string, data [][]byte) (types.Offset, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.down {
+		return 0, platform.ErrUnavailable
+	}
+	l.appends++
+	first := types.Offset(len(l.records))
+	for _, d := range data {
+		l.records = append(l.records, platform.Record{Offset: types.Offset(len(l.records)), At: time.Now(), Data: d})
+	}
+	close(l.changed)
+	l.changed = make(chan struct{})
+	return first, nil
+}
+
+func (l *memoryLog) Read(ctx context.Context, _ string, from types.Offset, _ int, wait time.Duration) (platform.Batch, error) {
+	b, changed, err := l.read(from)
+	if err != nil || len(b.Records) > 0 || wait == 0 {
+		return b, err
+	}
+	sleep, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	select {
+	case <-changed:
+	case <-sleep.Done():
+	}
+	b, _, err = l.read(from)
+	return b, err
+}
+
+func (l *memoryLog) read(from types.Offset) (platform.Batch, chan struct{}, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.down {
+		return platform.Batch{}, nil, platform.ErrUnavailable
+	}
+	return platform.Batch{Next: types.Offset(len(l.records)), Records: l.records[from:]}, l.changed, nil
+}
+
+func (l *memoryLog) setDown(v bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.down = v
+}
+
+type peerStub struct {
+	peerv1connect.PeerServiceClient
+	calls int
+	err   error
+}
+
+func (p *peerStub) AppendKeys(context.Context, *connect.Request[peerv1.AppendKeysRequest]) (*connect.Response[peerv1.AppendKeysResponse], error) {
+	p.calls++
+	return connect.NewResponse(&peerv1.AppendKeysResponse{}), p.err
+}
+
+// startKeys runs a key log over l until the test's context ends.
+func startKeys(ctx context.Context, t *testing.T, l *memoryLog, writer peerv1connect.PeerServiceClient) *keyLog {
+	t.Helper()
+	m, err := daemon.NewMetrics("test")
+	assert.NilError(t, err)
+	c, err := newKeyCounters(m)
+	assert.NilError(t, err)
+	s := DefaultSettings()
+	s.DataCentre = "a"
+	k := newKeyLog(l, daemon.NewLogger(io.Discard, "error", "test"), s, keyDeps{
+		writer: func() peerv1connect.PeerServiceClient { return writer },
+		homes:  func() (types.Revision, []types.DataCentreID) { return 1, []types.DataCentreID{"a"} },
+		runsWithoutLog: func(s types.ServiceID) bool {
+			return s == "allowed"
+		},
+	}, c)
+	l.running.Go(func() { platform.Follow(ctx, l, k.stream, k) })
+	l.running.Go(func() { k.run(ctx) })
+	return k
+}
+
+func claimFor(service types.ServiceID, key string) idempotency.Key {
+	return idempotency.Key{Service: service, Workspace: "club", Key: key}
+}
+
+func run(t *testing.T, f func(ctx context.Context, l *memoryLog)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		l := &memoryLog{changed: make(chan struct{})}
+		defer l.running.Wait()
+		defer cancel()
+		f(ctx, l)
+	})
+}
+
+// Guards against one append to the log for each daemon or request, which the
+// log's rate does not carry.
+func TestOneAppendPerPeriod(t *testing.T) {
+	run(t, func(ctx context.Context, l *memoryLog) {
+		k := startKeys(ctx, t, l, nil)
+		var wg sync.WaitGroup
+		for range 12 {
+			wg.Go(func() { assert.Check(t, k.own.Append(ctx, [][]byte{[]byte("[]")})) })
+		}
+		wg.Wait()
+		assert.Equal(t, l.appends, 1)
+		assert.Equal(t, len(l.records), 12)
+	})
+}
+
+// Guards against lost claims while the writer of the data centre is down, and
+// against a daemon that never uses it.
+func TestWriterUnreachable(t *testing.T) {
+	run(t, func(ctx context.Context, l *memoryLog) {
+		p := &peerStub{err: errors.New("unreachable")}
+		k := startKeys(ctx, t, l, p)
+		v, _, err := k.Claim(ctx, claimFor("s", "k"), "a", 1)
+		assert.NilError(t, err)
+		assert.Equal(t, v, idempotency.VerdictRun)
+		assert.Assert(t, p.calls > 0)
+	})
+}
+
+// Guards against a repeat that is refused while the first answer is on its way
+// to the log, and against one that waits without limit.
+func TestRepeatWaitsForAnswer(t *testing.T) {
+	run(t, func(ctx context.Context, l *memoryLog) {
+		k := startKeys(ctx, t, l, nil)
+		key := claimFor("s", "k")
+		v, _, err := k.Claim(ctx, key, "a", 1)
+		assert.NilError(t, err)
+		assert.Equal(t, v, idempotency.VerdictRun)
+		v, _, err = k.Claim(ctx, key, "b", 1)
+		assert.NilError(t, err)
+		assert.Equal(t, v, idempotency.VerdictInProgress)
+		time.AfterFunc(time.Second, func() {
+			_ = k.Finish(idempotency.Record{Kind: idempotency.KindCompleted, Key: key, Attempt: "a", Answer: &idempotency.Answer{Status: 201}})
+		})
+		v, answer, err := k.Claim(ctx, key, "c", 1)
+		assert.NilError(t, err)
+		assert.Equal(t, v, idempotency.VerdictCompleted)
+		assert.Equal(t, answer.Status, 201)
+	})
+}
+
+// Guards against a run without a record while the log is up or for a service
+// that does not allow it, against a second one on the same daemon, and against
+// a key that runs again after the outage.
+func TestRunWithoutLog(t *testing.T) {
+	run(t, func(ctx context.Context, l *memoryLog) {
+		k := startKeys(ctx, t, l, nil)
+		_, _, err := k.Claim(ctx, claimFor("s", "first"), "a", 1)
+		assert.NilError(t, err)
+		l.setDown(true)
+		_, _, err = k.Claim(ctx, claimFor("allowed", "k"), "early", 1)
+		assert.Assert(t, errors.Is(err, ErrKeyUnavailable), "one lost read is no outage")
+		time.Sleep(10 * time.Second)
+		v, _, err := k.Claim(ctx, claimFor("allowed", "k"), "b", 1)
+		assert.NilError(t, err)
+		assert.Equal(t, v, idempotency.VerdictLogDown)
+		_, _, err = k.Claim(ctx, claimFor("s", "k"), "c", 1)
+		assert.Assert(t, errors.Is(err, ErrKeyUnavailable))
+		v, _, err = k.Claim(ctx, claimFor("allowed", "k"), "d", 1)
+		assert.NilError(t, err)
+		assert.Equal(t, v, idempotency.VerdictUnknown)
+		l.setDown(false)
+		time.Sleep(2 * time.Minute)
+		v, _, err = k.Claim(ctx, claimFor("allowed", "k"), "e", 1)
+		assert.NilError(t, err)
+		assert.Equal(t, v, idempotency.VerdictUnknown)
+		assert.Equal(t, len(k.unrecorded), 0)
+	})
+}
--- a/server/control/service.go
+++ b/server/control/service.go
@@ -4,16 +4,17 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
 	"connectrpc.com/connect"
 
 	peerv1 "github.com/lentilpick/lentilpick/api/peer/v1"
+	"github.com/lentilpick/lentilpick/api/peer/v1/peerv1connect"
 
 	"github.com/lentilpick/lentilpick/idempotency"
-	"github.com/lentilpick/lentilpick/membership"
-	"github.com/lentilpick/lentilpick/platform"
 	"github.com/lentilpick/lentilpick/server/wire"
 	"github.com/lentilpick/lentilpick/types"
 )
@@ -151,17 +152,22 @@
 		return peerv1.KeyVerdict_KEY_VERDICT_CONFLICT
 	case idempotency.VerdictUnknown:
 		return peerv1.KeyVerdict_KEY_VERDICT_UNKNOWN
+	case idempotency.VerdictLogDown:
+		return peerv1.KeyVerdict_KEY_VERDICT_LOG_DOWN
 	}
 	return peerv1.KeyVerdict_KEY_VERDICT_UNAVAILABLE
 }
 
+// peerShare is the part of the remaining time that one of several peers gets,
+// so that a peer that does not answer leaves time to ask another.
+const peerShare = 2
+
 // forwardClaim asks the control daemons of the key's home data centre, one
 // after the other. Asking twice for one attempt is harmless.
 func (s viewService) forwardClaim(ctx context.Context, home types.DataCentreID, m *peerv1.ClaimKeyRequest) (*connect.Response[peerv1.ClaimKeyResponse], error) {
 	out := &peerv1.ClaimKeyRequest{Key: m.GetKey(), Attempt: m.GetAttempt(), Digest: m.GetDigest(), Forwarded: true}
 	for _, c := range s.d.clientsIn(home) {
-		resp, err := c.view.ClaimKey(ctx, connect.NewRequest(out))
-		if err == nil {
+		if resp, err := claimFrom(ctx, c, out); err == nil {
 			return resp, nil
 		}
 		if ctx.Err() != nil {
@@ -171,6 +177,15 @@
 	return connect.NewResponse(&peerv1.ClaimKeyResponse{Verdict: peerv1.KeyVerdict_KEY_VERDICT_UNAVAILABLE}), nil
 }
 
+func claimFrom(ctx context.Context, c peerClient, m *peerv1.ClaimKeyRequest) (*connect.Response[peerv1.ClaimKeyResponse], error) {
+	if d, ok := ctx.Deadline(); ok {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, time.Until(d)/peerShare)
+		defer cancel()
+	}
+	return c.view.ClaimKey(ctx, connect.NewRequest(m))
+}
+
 // FinishKey implements the service.
 func (s viewService) FinishKey(ctx context.Context, req *connect.Request[peerv1.FinishKeyRequest]) (*connect.Response[peerv1.FinishKeyResponse], error) {
 	m := req.Msg
@@ -209,11 +224,37 @@
 
 // home returns the data centre whose log stream holds the records of a key.
 func (d *Daemon) home(k idempotency.Key) types.DataCentreID {
-	var dcs []types.DataCentreID
-	for dc := range d.config.Config().DataCentres() {
-		dcs = append(dcs, dc)
+	_, dcs := d.keyHomes()
+	return homeOf(k, dcs)
+}
+
+// keyHomes returns the data centres over which keys are spread, sorted, and
+// the configuration revision that they come from.
+func (d *Daemon) keyHomes() (types.Revision, []types.DataCentreID) {
+	c := d.config.Config()
+	return c.Revision, slices.Sorted(maps.Keys(c.DataCentres()))
+}
+
+func (d *Daemon) keyDeps() keyDeps {
+	return keyDeps{
+		writer: d.keyWriter, homes: d.keyHomes,
+		runsWithoutLog: func(s types.ServiceID) bool { return d.config.Config().Services[s].Value.RunWithoutLog },
 	}
-	return membership.Best(dcs, string(k.Service)+"\x00"+string(k.Workspace)+"\x00"+k.Key)
+}
+
+// keyWriter returns the lease holder of the data centre, which appends the key
+// records of all its daemons, or nil when that is this daemon or is not known.
+func (d *Daemon) keyWriter() peerv1connect.PeerServiceClient {
+	l := d.lease.status.Load()
+	if !l.Known {
+		return nil
+	}
+	for _, c := range d.clientsIn(d.dc) {
+		if types.VMID(c.VM) == l.Holder.VM {
+			return c.peer
+		}
+	}
+	return nil
 }
 
 // peerService implements the PeerService of the peer protocol.
@@ -236,11 +277,15 @@
 	return connect.NewResponse(&peerv1.FetchSnapshotResponse{Revision: uint64(snap.Config.Revision), Configuration: b}), nil
 }
 
-// AppendKeys implements the service.
+// AppendKeys implements the service. The batches join those of other daemons
+// in one append per period.
 func (s peerService) AppendKeys(ctx context.Context, req *connect.Request[peerv1.AppendKeysRequest]) (*connect.Response[peerv1.AppendKeysResponse], error) {
-	o, err := s.d.platform.Append(ctx, platform.KeyStream(s.d.dc), req.Msg.GetBatches())
-	if err != nil {
+	batches := req.Msg.GetBatches()
+	if len(batches) == 0 || len(batches) > maxAppendBatches {
+		return nil, connect.NewError(connect.CodeInvalidArgument, fmt.Errorf("batches: %d given, 1 to %d are allowed", len(batches), maxAppendBatches))
+	}
+	if err := s.d.keys.own.Append(ctx, batches); err != nil {
 		return nil, connect.NewError(connect.CodeUnavailable, err)
 	}
-	return connect.NewResponse(&peerv1.AppendKeysResponse{Offset: int64(o)}), nil
+	return connect.NewResponse(&peerv1.AppendKeysResponse{}), nil
 }
--- a/server/control/settings.go
+++ b/server/control/settings.go
@@ -8,6 +8,7 @@
 
 	"github.com/lentilpick/lentilpick/authority"
 	"github.com/lentilpick/lentilpick/daemon"
+	"github.com/lentilpick/lentilpick/idempotency"
 )
 
 // Settings of the control daemon.
@@ -38,7 +39,8 @@
 	OrderInterval time.Duration `toml:"order_interval"`
 	// KeyBatch is the time for which key records are collected.
 	KeyBatch time.Duration `toml:"key_batch"`
-	// KeyWindow is how long a key is remembered; at most half of LogRetention.
+	// KeyWindow is how long a key is remembered; at least idempotency.MinWindow
+	// and at most half of LogRetention.
 	KeyWindow time.Duration `toml:"key_window"`
 	// KeyInProgress is how long an attempt may be in progress before it counts
 	// as unknown.
@@ -89,7 +91,7 @@
 	c.Duration("order_interval", s.OrderInterval, 50*time.Millisecond, time.Minute)
 	c.Duration("key_batch", s.KeyBatch, 10*time.Millisecond, time.Second)
 	c.Duration("log_retention", s.LogRetention, time.Second, 365*24*time.Hour)
-	c.Duration("key_window", s.KeyWindow, time.Second, s.LogRetention/2)
+	c.Duration("key_window", s.KeyWindow, idempotency.MinWindow, s.LogRetention/2)
 	c.Duration("key_in_progress", s.KeyInProgress, time.Second, s.KeyWindow)
 	c.Duration("stop_timeout", s.StopTimeout, time.Second, 10*time.Minute)
 }
--- a/server/entry/call.go
+++ b/server/entry/call.go
@@ -1,26 +1,17 @@
 package entry
 
 import (
-	"context"
-	"encoding/binary"
 	"errors"
-	"strconv"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/valyala/fasthttp"
 
-	"github.com/lentilpick/lentilpick/daemon"
 	"github.com/lentilpick/lentilpick/engine"
-	"github.com/lentilpick/lentilpick/idempotency"
 	"github.com/lentilpick/lentilpick/routing"
 	"github.com/lentilpick/lentilpick/server/localview"
 	"github.com/lentilpick/lentilpick/types"
 )
 
-// maxRecordedBody bounds the answer body that is kept with a key.
-const maxRecordedBody = 4 << 10
-
 func (d *Daemon) handleCall(ctx *fasthttp.RequestCtx, now time.Time) {
 	c, bad := parseCall(ctx, now)
 	if bad != nil {
@@ -100,90 +91,3 @@
 	}
 	return reply, err
 }
-
-// serveKeyed runs a call at most once for its key.
-func (d *Daemon) serveKeyed(c *call, v *localview.View, a *types.Attempt) (*engine.Reply, types.Outcome) {
-	k := idempotency.Key{Service: c.Service, Workspace: c.Workspace, Key: c.Key}
-	attempt := d.settings.VM + "/" + strconv.FormatUint(d.attempts.Add(1), 36) + "/" + d.incarnation
-	verdict, answer, err := d.claim(c, k, attempt)
-	if err != nil {
-		if v.Config.Services[c.Service].Value.RunWithoutLog {
-			return d.dispatchCall(c, v, a)
-		}
-		// The claim may still reach the log; the release lets the key run later.
-		d.finishKey(c, k, attempt, idempotency.KindReleased, nil)
-		return nil, a.Refuse(types.RefusedKeyUnavailable)
-	}
-	switch verdict {
-	case idempotency.VerdictRun:
-	case idempotency.VerdictCompleted:
-		return replay(answer), types.Answered{}
-	case idempotency.VerdictConflict:
-		return nil, a.Refuse(types.RefusedKeyConflict)
-	case idempotency.VerdictInProgress:
-		return nil, a.RefuseEarlier(types.RefusedKeyInProgress)
-	default:
-		return nil, a.RefuseEarlier(types.RefusedKeyUnknown)
-	}
-	reply, o := d.dispatchCall(c, v, a)
-	end, recorded := keyEnd(reply, o)
-	d.finishKey(c, k, attempt, end, recorded)
-	return reply, o
-}
-
-// claim asks for the key until the caller's deadline. Repeating the question
-// for one attempt is harmless.
-func (d *Daemon) claim(c *call, k idempotency.Key, attempt string) (idempotency.Verdict, *idempotency.Answer, error) {
-	ctx, cancel := context.WithDeadline(context.Background(), c.Deadline)
-	defer cancel()
-	return d.keys.Claim(ctx, k, attempt, digest(c))
-}
-
-// digest identifies the content of a call, so that a key that is used for
-// another request is detected.
-func digest(c *call) uint64 {
-	h := xxhash.New()
-	var size [8]byte
-	for _, s := range [][]byte{[]byte(c.Method), []byte(c.Path), c.Body} {
-		binary.LittleEndian.PutUint64(size[:], uint64(len(s)))
-		_, _ = h.Write(size[:])
-		_, _ = h.Write(s)
-	}
-	return h.Sum64()
-}
-
-func replay(a *idempotency.Answer) *engine.Reply {
-	if a == nil {
-		return &engine.Reply{Status: fasthttp.StatusOK}
-	}
-	return &engine.Reply{Status: a.Status, ContentType: a.ContentType, Body: a.Body}
-}
-
-// finishKey records the end of an attempt in the background, so that the caller
-// does not wait for the log. If that fails the key stays in progress and later
-// counts as unknown, which is safe.
-func (d *Daemon) finishKey(c *call, k idempotency.Key, attempt string, end idempotency.Kind, a *idempotency.Answer) {
-	d.finishing.Add(1)
-	go func() {
-		defer d.finishing.Done()
-		ctx, cancel := context.WithTimeout(context.Background(), d.settings.ProgressTimeout)
-		defer cancel()
-		if err := d.keys.Finish(ctx, k, attempt, end, a); err != nil {
-			d.log.WithError(err).WithField(daemon.FieldRequest, c.ID).Warn("the end of a keyed request was not recorded")
-		}
-	}()
-}
-
-func keyEnd(reply *engine.Reply, o types.Outcome) (idempotency.Kind, *idempotency.Answer) {
-	switch o.(type) {
-	case types.Answered:
-		a := &idempotency.Answer{Status: reply.Status, ContentType: reply.ContentType, Body: reply.Body}
-		if len(a.Body) > maxRecordedBody {
-			a.Body, a.BodyDropped = nil, true
-		}
-		return idempotency.KindCompleted, a
-	case types.NotRun:
-		return idempotency.KindReleased, nil
-	}
-	return idempotency.KindUnknown, nil
-}
--- a/server/localview/client.go
+++ b/server/localview/client.go
@@ -98,6 +98,37 @@
 
 func (c *Client) client() peerv1connect.ViewServiceClient { return c.clients[c.current.Load()] }
 
+// firstAnswer asks the control daemons, the current one first, until one
+// answers. Each but the last gets half of the time that is left, so that one
+// that does not answer leaves time to ask another.
+func firstAnswer[T any](ctx context.Context, c *Client, ask func(context.Context, peerv1connect.ViewServiceClient) (T, error)) (answer T, err error) {
+	n, start := len(c.clients), int(c.current.Load())
+	for i := range n {
+		answer, err = askFor(ctx, timeShare(ctx, i == n-1), c.clients[(start+i)%n], ask)
+		if err == nil || ctx.Err() != nil {
+			break
+		}
+	}
+	return answer, err
+}
+
+func timeShare(ctx context.Context, last bool) time.Duration {
+	d, ok := ctx.Deadline()
+	if !ok {
+		return callTimeout
+	}
+	if last {
+		return time.Until(d)
+	}
+	return time.Until(d) / 2
+}
+
+func askFor[T any](ctx context.Context, limit time.Duration, p peerv1connect.ViewServiceClient, ask func(context.Context, peerv1connect.ViewServiceClient) (T, error)) (T, error) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	return ask(ctx, p)
+}
+
 // ReportLoad sends what this daemon has in flight.
 func (c *Client) ReportLoad(ctx context.Context, r *peerv1.ReportLoadRequest) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -108,12 +139,14 @@
 
 // Claim asks whether a keyed request may run. The error wraps
 // ErrKeyUnavailable; then the key may be claimed by this attempt, but nothing
-// has run.
+// has run. Asking several control daemons for one attempt is harmless.
 func (c *Client) Claim(ctx context.Context, k idempotency.Key, attempt string, digest uint64) (idempotency.Verdict, *idempotency.Answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	req := &peerv1.ClaimKeyRequest{Key: wire.ToKey(k), Attempt: attempt, Digest: digest}
-	resp, err := c.client().ClaimKey(ctx, connect.NewRequest(req))
+	resp, err := firstAnswer(ctx, c, func(ctx context.Context, p peerv1connect.ViewServiceClient) (*connect.Response[peerv1.ClaimKeyResponse], error) {
+		return p.ClaimKey(ctx, connect.NewRequest(req))
+	})
 	if err != nil {
 		return 0, nil, merry.Wrap(ErrKeyUnavailable, merry.WithCause(err))
 	}
@@ -130,6 +163,7 @@
 	peerv1.KeyVerdict_KEY_VERDICT_COMPLETED:   idempotency.VerdictCompleted,
 	peerv1.KeyVerdict_KEY_VERDICT_UNKNOWN:     idempotency.VerdictUnknown,
 	peerv1.KeyVerdict_KEY_VERDICT_CONFLICT:    idempotency.VerdictConflict,
+	peerv1.KeyVerdict_KEY_VERDICT_LOG_DOWN:    idempotency.VerdictLogDown,
 }
 
 // Finish records the end of an attempt. The error wraps ErrKeyUnavailable.
@@ -137,7 +171,10 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	req := &peerv1.FinishKeyRequest{Key: wire.ToKey(k), Attempt: attempt, End: ends[end], Answer: wire.ToAnswer(a)}
-	if _, err := c.client().FinishKey(ctx, connect.NewRequest(req)); err != nil {
+	_, err := firstAnswer(ctx, c, func(ctx context.Context, p peerv1connect.ViewServiceClient) (*connect.Response[peerv1.FinishKeyResponse], error) {
+		return p.FinishKey(ctx, connect.NewRequest(req))
+	})
+	if err != nil {
 		return merry.Wrap(ErrKeyUnavailable, merry.WithCause(err))
 	}
 	return nil
