engine: own the connections and refuse answers that are not whole

Cause: the HTTP client library chose the connection, so that a request that must run once could go out on a connection that had died while it was idle, and a late answer could be read as the answer to the next request. A reply without a length passed as whole when its connection was cut. The first byte of an answer to a non-idempotent call was awaited for the progress deadline only, although giving up early can only lose its result.

Change: conn.go keeps the idle connections of each target. A connection is not used again when it is older than connection_age, idle for longer than connection_idle, closed, or has unread data. Before a request that must run once, a connection that was idle for over 100 ms is probed with GET /v1/state; if that fails a new one is opened, so that nothing of the request was sent on the dead one. ErrNotSent now follows from the bytes written. Events of another request on a stream are dropped, up to 64; the indexes and the checksum still decide whether the answer is whole. Tokens beyond max_tokens are refused. An end marker without a checksum is valid for a stream without tokens, which is the answer to prefill_only. A reply needs a length or chunks. Waiting for the end of the body after the end marker is bounded to 100 ms.

Conclusion: answers are whole, belong to their request, or are errors that say whether anything was sent.

--- a/engine/client.go
+++ b/engine/client.go
@@ -16,39 +16,9 @@
 	"github.com/valyala/fasthttp"
 )
 
-// Errors of this package. Every error wraps one of them.
-var (
-	// ErrNotSent reports a failure before the first byte of the request was written.
-	ErrNotSent = errors.New("request was not sent")
-	// ErrSilent reports that the target made no progress within the progress deadline.
-	ErrSilent = errors.New("target made no progress")
-	// ErrTruncated reports an answer without its end marker.
-	ErrTruncated = errors.New("answer ended without its end marker")
-	// ErrMismatch reports an answer that belongs to another request.
-	ErrMismatch = errors.New("answer belongs to another request")
-	// ErrRefused reports that the target refused the request.
-	ErrRefused = errors.New("target refused the request")
-	// ErrFailed reports any other failure after the request was sent.
-	ErrFailed = errors.New("exchange with the target failed")
-)
-
-// StatusError is a refusal by the target with its HTTP status. It wraps ErrRefused.
-type StatusError struct {
-	Status  int
-	Message string
-}
-
-// Error implements error.
-func (e *StatusError) Error() string {
-	return fmt.Sprintf("target answered %d: %s", e.Status, e.Message)
-}
-
-// Unwrap returns ErrRefused.
-func (e *StatusError) Unwrap() error { return ErrRefused }
-
 // Settings of a client.
 type Settings struct {
-	// DialTimeout bounds the time to open a connection.
+	// DialTimeout bounds the time to open a connection, and that of a probe.
 	DialTimeout time.Duration
 	// Progress bounds the time between two reads on a connection in use.
 	Progress time.Duration
@@ -64,18 +34,18 @@
 // read without locks and copied when a host is added.
 type Client struct {
 	settings Settings
-	hosts    atomic.Pointer[map[string]*fasthttp.HostClient]
+	hosts    atomic.Pointer[map[string]*host]
 	mu       sync.Mutex
 }
 
 // NewClient returns a client with the given settings.
 func NewClient(s Settings) *Client {
 	c := &Client{settings: s}
-	c.hosts.Store(&map[string]*fasthttp.HostClient{})
+	c.hosts.Store(&map[string]*host{})
 	return c
 }
 
-func (c *Client) host(address string) *fasthttp.HostClient {
+func (c *Client) host(address string) *host {
 	if h, ok := (*c.hosts.Load())[address]; ok {
 		return h
 	}
@@ -85,144 +55,182 @@
 	if h, ok := old[address]; ok {
 		return h
 	}
-	hosts := make(map[string]*fasthttp.HostClient, len(old)+1)
+	hosts := make(map[string]*host, len(old)+1)
 	for k, v := range old {
 		hosts[k] = v
 	}
-	h := c.newHost(address)
+	h := &host{address: address}
 	hosts[address] = h
 	c.hosts.Store(&hosts)
 	return h
 }
 
-func (c *Client) newHost(address string) *fasthttp.HostClient {
-	return &fasthttp.HostClient{
-		Addr:                      address,
-		Name:                      "lentilpick",
-		MaxConns:                  c.settings.MaxConns,
-		MaxIdleConnDuration:       c.settings.MaxIdle,
-		MaxConnDuration:           c.settings.MaxAge,
-		MaxIdemponentCallAttempts: 1, // retries are decided by the caller, never by the transport
-		StreamResponseBody:        true,
-		Dial:                      c.dial,
+// connect returns a connection that is fit for a request: one that is neither
+// old nor closed by the target nor idle for long, or a new one. For a request
+// that must run at most once an idle connection is probed first. The error
+// wraps ErrNotSent.
+func (c *Client) connect(h *host, once bool, bound time.Time) (*conn, error) {
+	for cn := h.take(); cn != nil; cn = h.take() {
+		if c.fit(cn, once, bound) {
+			return cn, nil
+		}
+		h.close(cn)
 	}
+	return c.dial(h, bound)
 }
 
-func (c *Client) dial(address string) (net.Conn, error) {
-	conn, err := net.DialTimeout("tcp", address, c.settings.DialTimeout)
-	if err != nil {
-		return nil, &dialError{err}
+func (c *Client) fit(cn *conn, once bool, bound time.Time) bool {
+	now := time.Now()
+	idle := now.Sub(cn.idle)
+	if now.Sub(cn.opened) > c.settings.MaxAge || idle > c.settings.MaxIdle || !cn.quiet() {
+		return false
 	}
-	return &progressConn{Conn: conn, progress: c.settings.Progress}, nil
+	return !once || idle <= probeAfter || c.probe(cn, bound)
 }
 
-// progressConn ends a read or write that makes no progress. A connection that
-// something between the two ends has dropped gives no error by itself. The
-// deadlines that the HTTP client sets remain as upper bounds.
-type progressConn struct {
-	net.Conn
-	progress   time.Duration
-	readBound  time.Time
-	writeBound time.Time
+// probe reports whether the target answers on the connection.
+func (c *Client) probe(cn *conn, bound time.Time) bool {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI("http://" + cn.RemoteAddr().String() + probePath)
+	end := time.Now().Add(c.settings.DialTimeout)
+	if bound.Before(end) {
+		end = bound
+	}
+	if cn.roundTrip(req, resp, c.settings.DialTimeout, end) != nil {
+		return false
+	}
+	_, err := readBody(resp, maxProbeAnswer)
+	return err == nil && !resp.ConnectionClose()
 }
 
-// SetReadDeadline sets the upper bound of later read deadlines.
-func (p *progressConn) SetReadDeadline(t time.Time) error {
-	p.readBound = t
-	return p.Conn.SetReadDeadline(t)
+func (c *Client) dial(h *host, bound time.Time) (*conn, error) {
+	if !h.reserve(c.settings.MaxConns) {
+		return nil, fmt.Errorf("%d connections to %s are open: %w", c.settings.MaxConns, h.address, ErrNotSent)
+	}
+	timeout := min(c.settings.DialTimeout, time.Until(bound))
+	if timeout <= 0 {
+		h.unreserve()
+		return nil, fmt.Errorf("the deadline has passed: %w", ErrNotSent)
+	}
+	raw, err := net.DialTimeout("tcp", h.address, timeout)
+	if err != nil {
+		h.unreserve()
+		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
+	}
+	return newConn(raw), nil
 }
 
-// SetWriteDeadline sets the upper bound of later write deadlines.
-func (p *progressConn) SetWriteDeadline(t time.Time) error {
-	p.writeBound = t
-	return p.Conn.SetWriteDeadline(t)
+// exchange is a request and its answer on one connection.
+type exchange struct {
+	host    *host
+	conn    *conn
+	req     *fasthttp.Request
+	resp    *fasthttp.Response
+	maxIdle time.Duration
 }
 
-// SetDeadline sets both upper bounds.
-func (p *progressConn) SetDeadline(t time.Time) error {
-	p.readBound, p.writeBound = t, t
-	return p.Conn.SetDeadline(t)
+// call describes how a request may be sent.
+type call struct {
+	once     bool // must run at most once
+	progress time.Duration
+	bound    time.Time
 }
 
-func (p *progressConn) Read(b []byte) (int, error) {
-	if err := p.Conn.SetReadDeadline(p.deadline(p.readBound)); err != nil {
-		return 0, err
+// newExchange returns an exchange that is not yet sent.
+func (c *Client) newExchange(address, method, path string) *exchange {
+	x := &exchange{
+		host: c.host(address), req: fasthttp.AcquireRequest(), resp: fasthttp.AcquireResponse(),
+		maxIdle: c.settings.MaxIdle,
 	}
-	return p.Conn.Read(b)
+	x.req.SetRequestURI("http://" + address + path)
+	x.req.Header.SetMethod(method)
+	return x
 }
 
-func (p *progressConn) Write(b []byte) (int, error) {
-	if err := p.Conn.SetWriteDeadline(p.deadline(p.writeBound)); err != nil {
-		return 0, err
+// send writes the request and reads the header of its answer. After an error
+// the exchange is closed.
+func (c *Client) send(x *exchange, how call) error {
+	cn, err := c.connect(x.host, how.once, how.bound)
+	if err != nil {
+		x.close()
+		return err
 	}
-	return p.Conn.Write(b)
+	x.conn = cn
+	if err := cn.roundTrip(x.req, x.resp, how.progress, how.bound); err != nil {
+		x.close()
+		return err
+	}
+	cn.progress = c.settings.Progress
+	return nil
 }
 
-func (p *progressConn) deadline(bound time.Time) time.Time {
-	d := time.Now().Add(p.progress)
-	if !bound.IsZero() && bound.Before(d) {
-		return bound
+// finish ends an exchange whose answer was read to its end, so that its
+// connection can be used again.
+func (x *exchange) finish() {
+	keep := x.conn
+	if x.resp.ConnectionClose() {
+		keep = nil
+	} else {
+		x.conn = nil
+	}
+	x.close()
+	if keep != nil {
+		x.host.put(keep, x.maxIdle)
 	}
-	return d
 }
 
-type dialError struct{ cause error }
-
-func (e *dialError) Error() string { return e.cause.Error() }
+// close ends an exchange. The connection is closed unless finish kept it; an
+// engine takes that as a cancellation.
+func (x *exchange) close() {
+	if x.conn != nil {
+		x.host.close(x.conn)
+		x.conn = nil
+	}
+	_ = x.resp.CloseBodyStream()
+	fasthttp.ReleaseRequest(x.req)
+	fasthttp.ReleaseResponse(x.resp)
+}
 
-// convert turns a transport error into an error of this package.
-func convert(err error) error {
-	var d *dialError
-	var n net.Error
-	switch {
-	case errors.As(err, &d), errors.Is(err, fasthttp.ErrNoFreeConns):
-		return fmt.Errorf("%w: %w", ErrNotSent, err)
-	case errors.As(err, &n) && n.Timeout(), errors.Is(err, fasthttp.ErrTimeout):
-		return fmt.Errorf("%w: %w", ErrSilent, err)
+// readAll reads the answer to its end and ends the exchange.
+func (x *exchange) readAll(limit int64) ([]byte, error) {
+	b, err := readBody(x.resp, limit)
+	if err != nil {
+		x.close()
+		return nil, err
 	}
-	return fmt.Errorf("%w: %w", ErrFailed, err)
+	return b, nil
 }
 
 const maxJSONAnswer = 1 << 20
 
 // callJSON exchanges one JSON message with a target.
 func (c *Client) callJSON(address, method, path string, in, out any, deadline time.Time) error {
-	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(req)
-	defer fasthttp.ReleaseResponse(resp)
-	req.SetRequestURI("http://" + address + path)
-	req.Header.SetMethod(method)
+	x := c.newExchange(address, method, path)
 	if in != nil {
 		b, err := json.Marshal(in)
 		if err != nil {
+			x.close()
 			return fmt.Errorf("%w: %w", ErrNotSent, err)
 		}
-		req.Header.SetContentType("application/json")
-		req.SetBodyRaw(b)
+		x.req.Header.SetContentType("application/json")
+		x.req.SetBodyRaw(b)
 	}
-	if err := c.host(address).DoDeadline(req, resp, deadline); err != nil {
-		return convert(err)
+	if err := c.send(x, call{progress: c.settings.Progress, bound: deadline}); err != nil {
+		return err
 	}
-	body, err := readBody(resp, maxJSONAnswer)
+	body, err := x.readAll(maxJSONAnswer)
 	if err != nil {
 		return err
 	}
-	if code := resp.StatusCode(); code != fasthttp.StatusOK {
+	code := x.resp.StatusCode()
+	x.finish()
+	if code != fasthttp.StatusOK {
 		return &StatusError{Status: code, Message: errorText(body)}
 	}
 	if err := json.Unmarshal(body, out); err != nil {
-		return fmt.Errorf("%w: %w", ErrFailed, err)
+		return errors.Join(ErrFailed, err)
 	}
 	return nil
 }
-
-func errorText(body []byte) string {
-	var e struct {
-		Error string `json:"error"`
-	}
-	if json.Unmarshal(body, &e) == nil && e.Error != "" {
-		return e.Error
-	}
-	const most = 200
-	return string(body[:min(len(body), most)])
-}
--- a/engine/plain.go
+++ b/engine/plain.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -20,6 +21,11 @@
 	Key string
 }
 
+// Idempotent reports whether the call may run again without harm.
+func (c *Call) Idempotent() bool {
+	return c.Method == fasthttp.MethodGet || c.Method == fasthttp.MethodHead
+}
+
 // Reply is the answer of a plain service.
 type Reply struct {
 	Status      int
@@ -31,33 +37,61 @@
 
 // Call calls a plain service. Errors: ErrNotSent, ErrSilent, ErrTruncated,
 // ErrMismatch, ErrFailed. A non-2xx status is a reply, not an error.
-func (c *Client) Call(address string, call *Call, deadline time.Time) (*Reply, error) {
-	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(req)
-	defer fasthttp.ReleaseResponse(resp)
-	req.SetRequestURI("http://" + address + call.Path)
-	req.Header.SetMethod(call.Method)
-	req.Header.Set("X-Request-Id", string(call.RequestID))
-	if call.Key != "" {
-		req.Header.Set("Idempotency-Key", call.Key)
-	}
-	if len(call.Body) > 0 {
-		req.Header.SetContentType(call.ContentType)
-		req.SetBodyRaw(call.Body)
-	}
-	if err := c.host(address).DoDeadline(req, resp, deadline); err != nil {
-		return nil, convert(err)
+//
+// The start of an answer is awaited until the deadline when the call must not
+// run twice, because giving up early would only lose its result. An idempotent
+// call is given up after the progress deadline, so that it can go elsewhere.
+func (c *Client) Call(address string, in *Call, deadline time.Time) (*Reply, error) {
+	x := c.newExchange(address, in.Method, in.Path)
+	x.req.Header.Set("X-Request-Id", string(in.RequestID))
+	if in.Key != "" {
+		x.req.Header.Set("Idempotency-Key", in.Key)
 	}
-	body, err := readBody(resp, maxReplyBytes)
-	if err != nil {
+	if len(in.Body) > 0 {
+		x.req.Header.SetContentType(in.ContentType)
+		x.req.SetBodyRaw(in.Body)
+	}
+	how := call{progress: c.settings.Progress, bound: deadline}
+	if !in.Idempotent() {
+		how.once, how.progress = true, time.Until(deadline)
+	}
+	if err := c.send(x, how); err != nil {
 		return nil, err
 	}
-	if got := string(resp.Header.Peek("X-Request-Id")); got != string(call.RequestID) {
-		return nil, fmt.Errorf("answer to %q for %q: %w", got, call.RequestID, ErrMismatch)
+	if got := string(x.resp.Header.Peek("X-Request-Id")); got != string(in.RequestID) {
+		x.close()
+		return nil, fmt.Errorf("answer to %q for %q: %w", got, in.RequestID, ErrMismatch)
+	}
+	body, err := x.readAll(maxReplyBytes)
+	if err != nil {
+		return nil, err
 	}
-	return &Reply{
-		Status:      resp.StatusCode(),
-		ContentType: string(resp.Header.ContentType()),
+	r := &Reply{
+		Status:      x.resp.StatusCode(),
+		ContentType: string(x.resp.Header.ContentType()),
 		Body:        body,
-	}, nil
+	}
+	x.finish()
+	return r, nil
+}
+
+// readBody reads at most limit bytes of an answer. An answer that has neither
+// a length nor chunks ends with its connection, so that a cut could not be
+// told from its end; it counts as truncated.
+func readBody(resp *fasthttp.Response, limit int64) ([]byte, error) {
+	stream := resp.BodyStream()
+	if stream == nil {
+		return nil, nil
+	}
+	if resp.Header.ContentLength() < -1 {
+		return nil, fmt.Errorf("answer without a length: %w", ErrTruncated)
+	}
+	b, err := io.ReadAll(io.LimitReader(stream, limit+1))
+	if err != nil {
+		return nil, convert(err)
+	}
+	if int64(len(b)) > limit {
+		return nil, fmt.Errorf("answer over %d bytes: %w", limit, ErrFailed)
+	}
+	return b, nil
 }
--- a/engine/stream.go
+++ b/engine/stream.go
@@ -51,92 +51,143 @@
 }
 
 const (
-	maxEventBytes   = 64 << 10
-	streamBufBytes  = 8 << 10
-	eventPrefixText = "data: "
+	// maxEventBytes bounds one server-sent event.
+	maxEventBytes = 8 << 10
+	// maxForeign bounds the events of other requests that a stream drops before
+	// it is given up.
+	maxForeign = 64
+	// maxRefusal bounds the text of a refusal.
+	maxRefusal = 64 << 10
+	// finishTimeout is how long the end of the body may take after the last
+	// event. The answer is whole by then; only the connection is at stake.
+	finishTimeout = 100 * time.Millisecond
+	maxRest       = 4 << 10
 )
 
-var eventPrefix = []byte(eventPrefixText)
+var eventPrefix = []byte("data: ")
 
 // Stream is an answer in progress. It is not safe for concurrent use.
 type Stream struct {
+	x       *exchange
 	request types.RequestID
-	req     *fasthttp.Request
-	resp    *fasthttp.Response
 	body    *bufio.Reader
-	next    int
+	first   int // index of the first token of this stream
+	next    int // index of the next token
+	limit   int // tokens of the whole answer at most
+	foreign int // events of other requests
 	sum     *xxhash.Digest
 }
 
 // Generate sends a completion request and returns the stream of its answer.
 // The stream ends at deadline at the latest. Errors: ErrNotSent,
-// ErrSilent, ErrRefused, ErrFailed.
+// ErrSilent, ErrTruncated, ErrMismatch, ErrRefused, ErrFailed.
 func (c *Client) Generate(address string, g *Generate, deadline time.Time) (*Stream, error) {
 	body, err := json.Marshal(g)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
-	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	req.SetRequestURI("http://" + address + "/v1/completions")
-	req.Header.SetMethod(fasthttp.MethodPost)
-	req.Header.SetContentType("application/json")
-	req.Header.Set("X-Request-Id", string(g.RequestID))
-	req.SetBodyRaw(body)
-	s := &Stream{request: g.RequestID, req: req, resp: resp, next: g.ResumeFrom, sum: xxhash.New()}
-	if err := c.host(address).DoDeadline(req, resp, deadline); err != nil {
-		s.release()
-		return nil, convert(err)
+	x := c.newExchange(address, fasthttp.MethodPost, "/v1/completions")
+	x.req.Header.SetContentType("application/json")
+	x.req.Header.Set("X-Request-Id", string(g.RequestID))
+	x.req.SetBodyRaw(body)
+	if err := c.send(x, call{progress: c.settings.Progress, bound: deadline}); err != nil {
+		return nil, err
 	}
-	if code := resp.StatusCode(); code != fasthttp.StatusOK {
-		b, _ := readBody(resp, maxEventBytes)
-		s.release()
-		return nil, &StatusError{Status: code, Message: errorText(b)}
+	if x.resp.StatusCode() != fasthttp.StatusOK {
+		return nil, x.refusal()
 	}
-	s.body = bufio.NewReaderSize(resp.BodyStream(), streamBufBytes)
-	return s, nil
+	if got := string(x.resp.Header.Peek("X-Request-Id")); got != "" && got != string(g.RequestID) {
+		x.close()
+		return nil, fmt.Errorf("answer to %q for %q: %w", got, g.RequestID, ErrMismatch)
+	}
+	return newStream(x, g), nil
 }
 
-// Next returns the next event of the answer, and io.EOF after the last.
-// Errors: ErrSilent, ErrTruncated, ErrMismatch, ErrFailed.
-func (s *Stream) Next() (Event, error) {
-	line, err := s.line()
+func newStream(x *exchange, g *Generate) *Stream {
+	return &Stream{
+		x: x, request: g.RequestID, body: bufio.NewReaderSize(x.resp.BodyStream(), maxEventBytes),
+		first: g.ResumeFrom, next: g.ResumeFrom, limit: g.MaxTokens, sum: xxhash.New(),
+	}
+}
+
+// refusal reads the answer of a target that refused and ends the exchange.
+func (x *exchange) refusal() error {
+	status := x.resp.StatusCode()
+	body, err := x.readAll(maxRefusal)
 	if err != nil {
-		return Event{}, err
+		return &StatusError{Status: status, Message: err.Error()}
 	}
+	x.finish()
+	return &StatusError{Status: status, Message: errorText(body)}
+}
+
+// Next returns the next event of the answer. Events of other requests are
+// dropped: the indexes and the checksum show whether the answer is whole all
+// the same. Errors: ErrSilent, ErrTruncated, ErrMismatch, ErrFailed.
+func (s *Stream) Next() (Event, error) {
+	for {
+		line, err := s.line()
+		if err != nil {
+			return Event{}, err
+		}
+		e, err := decodeEvent(line)
+		if err != nil {
+			return Event{}, err
+		}
+		if e.RequestID == s.request {
+			return e, s.check(&e)
+		}
+		s.foreign++
+		if s.foreign > maxForeign {
+			return Event{}, fmt.Errorf("event for %q on the stream of %q: %w", e.RequestID, s.request, ErrMismatch)
+		}
+	}
+}
+
+// decodeEvent decodes the data of an event. The error wraps ErrFailed.
+func decodeEvent(data []byte) (Event, error) {
 	var e Event
-	if err := json.Unmarshal(line, &e); err != nil {
+	if err := json.Unmarshal(data, &e); err != nil {
 		return Event{}, fmt.Errorf("%w: %w", ErrFailed, err)
 	}
-	return e, s.check(&e)
+	if e.Index < 0 || e.Count < 0 || e.Tokens < 0 {
+		return Event{}, fmt.Errorf("event with a negative number: %w", ErrFailed)
+	}
+	return e, nil
 }
 
 func (s *Stream) check(e *Event) error {
-	if e.RequestID != s.request {
-		return fmt.Errorf("event for %q on the stream of %q: %w", e.RequestID, s.request, ErrMismatch)
-	}
 	if e.Done {
-		if e.Tokens != s.next || e.Checksum != fmt.Sprintf("%016x", s.sum.Sum64()) {
-			return fmt.Errorf("end marker for %d tokens after %d: %w", e.Tokens, s.next, ErrTruncated)
-		}
-		return nil
+		return s.checkEnd(e)
 	}
-	if e.Index != s.next || e.Count < 1 {
-		return fmt.Errorf("event with index %d and count %d, expected index %d: %w", e.Index, e.Count, s.next, ErrFailed)
+	if e.Index != s.next || e.Count < 1 || e.Count > s.limit-s.next {
+		return fmt.Errorf("event with index %d and count %d, expected index %d of %d: %w", e.Index, e.Count, s.next, s.limit, ErrFailed)
 	}
 	s.next += e.Count
 	_, _ = s.sum.WriteString(e.Text)
 	return nil
 }
 
-// line returns the data of the next server-sent event.
+// checkEnd compares the end marker with what arrived. A stream without tokens
+// needs no checksum.
+func (s *Stream) checkEnd(e *Event) error {
+	if e.Checksum == "" && s.next == s.first && e.Tokens == s.next {
+		return nil
+	}
+	if e.Tokens != s.next || e.Checksum != fmt.Sprintf("%016x", s.sum.Sum64()) {
+		return fmt.Errorf("end marker for %d tokens after %d: %w", e.Tokens, s.next, ErrTruncated)
+	}
+	return nil
+}
+
+// line returns the data of the next server-sent event. Comment lines and other
+// fields are passed over; they count as progress.
 func (s *Stream) line() ([]byte, error) {
 	for {
 		b, err := s.body.ReadSlice('\n')
 		switch {
-		case errors.Is(err, io.EOF):
-			return nil, ErrTruncated
 		case errors.Is(err, bufio.ErrBufferFull):
-			return nil, fmt.Errorf("event over %d bytes: %w", streamBufBytes, ErrFailed)
+			return nil, fmt.Errorf("event over %d bytes: %w", maxEventBytes, ErrFailed)
 		case err != nil:
 			return nil, convert(err)
 		}
@@ -146,41 +197,17 @@
 	}
 }
 
-// Finish reads the end of the body after the last event and returns the
-// connection to the pool.
+// Finish ends a stream after its last event and keeps the connection if the
+// end of the body follows at once.
 func (s *Stream) Finish() {
-	_, _ = io.CopyN(io.Discard, s.body, maxEventBytes)
-	s.Close()
-}
-
-// Close ends the stream. A stream that is closed before its last event closes
-// its connection, which the engine takes as a cancellation.
-func (s *Stream) Close() {
-	_ = s.resp.CloseBodyStream()
-	s.release()
-}
-
-func (s *Stream) release() {
-	fasthttp.ReleaseRequest(s.req)
-	fasthttp.ReleaseResponse(s.resp)
-}
-
-// readBody reads at most limit bytes of an answer.
-func readBody(resp *fasthttp.Response, limit int64) ([]byte, error) {
-	stream := resp.BodyStream()
-	if stream == nil {
-		return append([]byte(nil), resp.Body()...), nil
+	s.x.conn.bound = time.Now().Add(finishTimeout)
+	if _, err := io.CopyN(io.Discard, s.body, maxRest); errors.Is(err, io.EOF) {
+		s.x.finish()
+		return
 	}
-	defer func() { _ = resp.CloseBodyStream() }()
-	b, err := io.ReadAll(io.LimitReader(stream, limit+1))
-	if err != nil {
-		if errors.Is(err, io.ErrUnexpectedEOF) {
-			return nil, fmt.Errorf("%w: %w", ErrTruncated, err)
-		}
-		return nil, convert(err)
-	}
-	if int64(len(b)) > limit {
-		return nil, fmt.Errorf("answer over %d bytes: %w", limit, ErrFailed)
-	}
-	return b, nil
+	s.x.close()
 }
+
+// Close ends a stream before its last event. The connection is closed, which
+// the engine takes as a cancellation.
+func (s *Stream) Close() { s.x.close() }
