entry: name the field of bad input, stop without cutting, split dispatch

Cause: errors named the body instead of the field. A JSON body with data after the object, with the name of an internal field, or with an oversized model or adapter name was accepted. The path of a plain service was passed on decoded, so that a caller could reach the control paths of a target, among them POST /v1/orders, or another service's path with "..". A stop closed the listener and idle connections at once instead of refusing requests on them. An answer without an outcome, after a panic of a worker, would have been sent as complete. A caller that does not read held a worker without limit.

Change: the parser names the field, rejects what follows the JSON object, keeps the caller's encoding of the path and rejects paths that leave the service or belong to the target protocol. Bad input counts as not_run in lentilpick_requests. A stop first refuses new requests as not_run with reason stopping for 1 s, closing their connections after the refusal, then closes the listener and waits for the streams. collect needs the outcome of the exchange. Writes to a caller are bounded by max_answer_time; a panic of a worker is logged and its request ends without an end marker. dispatchSplit serves a request whose prefill is on another engine: set exchange.prefill in choose to use it.

Conclusion: bad input gets a clear answer and does not reach a target; a stop cuts nothing.

--- a/server/entry/answer.go
+++ b/server/entry/answer.go
@@ -47,7 +47,7 @@
 }
 
 func detailFor(id types.RequestID, outcome string, r types.RefusalReason) errorDetail {
-	d := errorDetail{RequestID: id, Outcome: outcome, Reason: r.String(), Message: messages[r]}
+	d := errorDetail{RequestID: id, Outcome: outcome, Reason: r.String(), Field: fields[r], Message: messages[r]}
 	if r == types.RefusedKeyInProgress || (outcome == outcomeNotRun && isLoad(r)) {
 		d.RetryAfterMs = retryAfterMs
 	}
@@ -86,6 +86,14 @@
 	return fasthttp.StatusGatewayTimeout
 }
 
+// fields names the field of the request that a reason is about.
+var fields = map[types.RefusalReason]string{
+	types.RefusedUnknownModel:     "model",
+	types.RefusedUnknownService:   "path",
+	types.RefusedUnknownWorkspace: "X-Workspace",
+	types.RefusedKeyConflict:      "Idempotency-Key",
+}
+
 var messages = [types.RefusalReasonCount]string{
 	types.RefusedBadInput:          "the request is not valid; correct the field",
 	types.RefusedUnknownModel:      "no engine carries this model or adapter",
@@ -110,12 +118,16 @@
 }
 
 func (r refusal) write(ctx *fasthttp.RequestCtx) {
-	b, err := json.Marshal(errorBody{r.detail})
+	writeJSON(ctx, errorBody{r.detail})
+	ctx.SetStatusCode(r.status)
+}
+
+func writeJSON(ctx *fasthttp.RequestCtx, v any) {
+	b, err := json.Marshal(v)
 	if err != nil {
 		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
 		return
 	}
-	ctx.SetStatusCode(r.status)
 	ctx.SetContentType("application/json")
 	ctx.SetBody(b)
 }
--- a/server/entry/completion.go
+++ b/server/entry/completion.go
@@ -51,15 +51,19 @@
 		refuse(c.ID, o).write(ctx)
 		return
 	}
+	x.answer(ctx)
+}
+
+// answer writes the answer as the caller asked for it. A request that fails
+// before its first token gets an error status.
+func (x *exchange) answer(ctx *fasthttp.RequestCtx) {
 	first := <-x.parts
-	if first.outcome != nil && first.text == "" {
-		if _, ok := first.outcome.(types.Answered); !ok {
-			refuse(c.ID, first.outcome).write(ctx)
-			return
-		}
+	if _, ok := first.outcome.(types.Answered); first.outcome != nil && !ok {
+		refuse(x.request.ID, first.outcome).write(ctx)
+		return
 	}
-	ctx.Response.Header.Set("X-Request-Id", string(c.ID))
-	if c.Stream {
+	ctx.Response.Header.Set("X-Request-Id", string(x.request.ID))
+	if x.request.Stream {
 		ctx.SetContentType("text/event-stream")
 		ctx.SetBodyStreamWriter(func(w *bufio.Writer) { x.stream(w, first) })
 		return
@@ -138,22 +142,17 @@
 func (x *exchange) collect(ctx *fasthttp.RequestCtx, p part) {
 	var text strings.Builder
 	tokens := 0
+	end := x.attempt.Refuse(types.RefusedTargetFailed) // in case no outcome follows
 	for ok := true; ok; p, ok = <-x.parts {
-		switch p.outcome.(type) {
-		case nil:
-			text.WriteString(p.text)
-			tokens += p.count
-		case types.Answered:
-		default:
-			refuse(x.request.ID, p.outcome).write(ctx)
-			return
+		text.WriteString(p.text)
+		tokens += p.count
+		if p.outcome != nil {
+			end = p.outcome
 		}
 	}
-	b, err := json.Marshal(plainAnswer{RequestID: x.request.ID, Text: text.String(), Tokens: tokens, Complete: true})
-	if err != nil {
-		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
+	if _, whole := end.(types.Answered); !whole {
+		refuse(x.request.ID, end).write(ctx)
 		return
 	}
-	ctx.SetContentType("application/json")
-	ctx.SetBody(b)
+	writeJSON(ctx, plainAnswer{RequestID: x.request.ID, Text: text.String(), Tokens: tokens, Complete: true})
 }
--- a/server/entry/daemon.go
+++ b/server/entry/daemon.go
@@ -70,7 +70,9 @@
 	if err != nil {
 		return nil, merry.Wrap(ErrStart, merry.WithCause(err))
 	}
-	pool, err := ants.NewPool(s.MaxInFlight, ants.WithNonblocking(true))
+	pool, err := ants.NewPool(s.MaxInFlight, ants.WithNonblocking(true), ants.WithPanicHandler(func(v any) {
+		log.WithField("panic", v).Error("a request failed")
+	}))
 	if err != nil {
 		return nil, merry.Wrap(ErrStart, merry.WithCause(err))
 	}
@@ -138,6 +140,7 @@
 		Name:                         "lentilpick",
 		MaxRequestBodySize:           d.settings.MaxBodyBytes,
 		ReadTimeout:                  30 * time.Second,
+		WriteTimeout:                 d.settings.MaxAnswerTime, // bounds a caller that does not read
 		IdleTimeout:                  time.Minute,
 		CloseOnShutdown:              true,
 		ErrorHandler:                 d.protocolError,
@@ -146,13 +149,21 @@
 	}
 }
 
-// stop lets the requests in progress finish. New requests on open connections
-// are refused as not run.
+// stopGrace is how long connections stay open after the stop began, so that
+// callers that keep a connection get a refusal instead of a closed connection,
+// and the load balancer sees that the daemon is not ready.
+const stopGrace = time.Second
+
+// stop lets the requests in progress finish. New requests are refused as not
+// run, and their connections are closed after the refusal.
 func (d *Daemon) stop(server *fasthttp.Server) error {
 	d.log.Info("stopping")
 	d.stopping.Store(true)
 	ctx, cancel := context.WithTimeout(context.Background(), d.settings.StopTimeout)
 	defer cancel()
+	grace, done := context.WithTimeout(ctx, stopGrace)
+	defer done()
+	<-grace.Done()
 	if err := server.ShutdownWithContext(ctx); err != nil {
 		d.log.WithError(err).Error("requests were in progress at the end of the stop timeout")
 		return merry.Wrap(err)
@@ -162,19 +173,27 @@
 	return nil
 }
 
+// protocolError answers what is not a valid HTTP request.
 func (d *Daemon) protocolError(ctx *fasthttp.RequestCtx, err error) {
-	status := fasthttp.StatusBadRequest
-	if errors.Is(err, fasthttp.ErrBodyTooLarge) {
-		status = fasthttp.StatusRequestEntityTooLarge
+	var header *fasthttp.ErrSmallBuffer
+	var network net.Error
+	switch {
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		d.refuseInput(ctx, badInput("body", "is over %d bytes", d.settings.MaxBodyBytes), fasthttp.StatusRequestEntityTooLarge)
+	case errors.As(err, &header):
+		d.refuseInput(ctx, badInput("header", "is too large"), fasthttp.StatusRequestHeaderFieldsTooLarge)
+	case errors.As(err, &network) && network.Timeout():
+		d.refuseInput(ctx, badInput("http", "the request did not arrive in time"), fasthttp.StatusRequestTimeout)
+	default:
+		d.refuseInput(ctx, badInput("http", "is not a valid HTTP/1.1 request"), fasthttp.StatusBadRequest)
 	}
-	d.counters.refused(types.RefusedBadInput)
-	detail := detailFor("", outcomeNotRun, types.RefusedBadInput)
-	detail.Field, detail.Message = "http", err.Error()
-	refusal{status, detail}.write(ctx)
 }
 
 func (d *Daemon) handle(ctx *fasthttp.RequestCtx) {
 	now := time.Now()
+	if d.stopping.Load() {
+		ctx.SetConnectionClose()
+	}
 	path := string(ctx.Path())
 	switch {
 	case path == "/v1/completions":
@@ -194,10 +213,15 @@
 	}
 }
 
+// refuseInput answers a request that is not valid. Nothing of it ran.
 func (d *Daemon) refuseInput(ctx *fasthttp.RequestCtx, e *inputError, status int) {
-	d.counters.refused(types.RefusedBadInput)
+	var a types.Attempt
+	d.counters.finished(a.Refuse(types.RefusedBadInput))
 	detail := detailFor("", outcomeNotRun, types.RefusedBadInput)
 	detail.Field, detail.Message = e.Field, e.Message
+	if id, err := name(ctx, "X-Request-Id", maxIDBytes); err == nil {
+		detail.RequestID = types.RequestID(id)
+	}
 	refusal{status, detail}.write(ctx)
 }
 
--- /dev/null
+++ b/server/entry/daemon_test.go
@@ -0,0 +1,439 @@
+package entry
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/valyala/fasthttp"
+	"gotest.tools/v3/assert"
+
+	peerv1 "github.com/lentilpick/lentilpick/api/peer/v1"
+
+	"github.com/lentilpick/lentilpick/configuration"
+	"github.com/lentilpick/lentilpick/daemon"
+	"github.com/lentilpick/lentilpick/engine"
+	"github.com/lentilpick/lentilpick/idempotency"
+	"github.com/lentilpick/lentilpick/records"
+	"github.com/lentilpick/lentilpick/types"
+)
+
+// harness is an entry daemon on loopback with one engine and one instance of a
+// plain service, both written by the test.
+type harness struct {
+	*Daemon
+	address string
+	server  *fasthttp.Server
+	stopped chan struct{} // closed when Serve returned
+}
+
+func serve(t *testing.T, s *fasthttp.Server) (string, chan struct{}) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	done := make(chan struct{})
+	go func() { _ = s.Serve(l); close(done) }()
+	t.Cleanup(func() { _ = l.Close() })
+	return l.Addr().String(), done
+}
+
+func newHarness(t *testing.T, eng, plain fasthttp.RequestHandler) *harness {
+	t.Helper()
+	s := DefaultSettings()
+	s.VM, s.DataCentre, s.Control, s.MaxBodyBytes = "vm", "a", []string{"127.0.0.1:1"}, 4<<10
+	s.ProgressTimeout, s.StopTimeout = 500*time.Millisecond, 20*time.Second
+	d, err := New(s, daemon.NewLogger(io.Discard, "error", "test"))
+	assert.NilError(t, err)
+	h := &harness{Daemon: d}
+	engineAddress, _ := serve(t, &fasthttp.Server{Handler: eng})
+	plainAddress, _ := serve(t, &fasthttp.Server{Handler: plain})
+	c := configuration.New()
+	c.Revision = 1
+	c.Services["llm"] = configuration.Entry[configuration.Service]{Value: configuration.Service{ID: "llm", Kind: types.KindEngine}}
+	c.Services["book"] = configuration.Entry[configuration.Service]{Value: configuration.Service{ID: "book", Kind: types.KindPlain}}
+	c.Targets["e"] = configuration.Entry[configuration.Target]{Value: configuration.Target{
+		ID: "e", Service: "llm", Address: engineAddress, DataCentre: "a", Model: "m",
+		Rates: configuration.Rates{PrefillTokensPerSecond: 1e6, IterationBase: time.Millisecond, MaxStreams: 64},
+	}}
+	c.Targets["p"] = configuration.Entry[configuration.Target]{Value: configuration.Target{
+		ID: "p", Service: "book", Address: plainAddress, DataCentre: "a",
+	}}
+	c.Workspaces["club"] = configuration.Entry[configuration.Workspace]{Value: configuration.Workspace{ID: "club", Share: 1}}
+	b, err := records.EncodeSnapshot(&configuration.Snapshot{Config: c})
+	assert.NilError(t, err)
+	assert.NilError(t, d.views.Update(&peerv1.View{Revision: 1, Configuration: b}, time.Now()))
+	h.server = d.server()
+	h.address, h.stopped = serve(t, h.server)
+	return h
+}
+
+type send struct {
+	method, path, body string
+	header             map[string]string
+}
+
+// do sends a request with valid headers, changed by those of s; an empty value
+// leaves a header out.
+func (h *harness) do(t *testing.T, c *http.Client, s send) (int, errorDetail, string) {
+	t.Helper()
+	req, err := http.NewRequest(s.method, "http://"+h.address+s.path, strings.NewReader(s.body))
+	assert.NilError(t, err)
+	header := map[string]string{"X-Request-Id": "r", "X-Workspace": "club", "X-Deadline-Ms": "5000"}
+	for k, v := range s.header {
+		header[k] = v
+	}
+	for k, v := range header {
+		if v != "" {
+			req.Header.Set(k, v)
+		}
+	}
+	resp, err := c.Do(req)
+	assert.NilError(t, err)
+	defer func() { _ = resp.Body.Close() }()
+	b, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	var e errorBody
+	_ = json.Unmarshal(b, &e)
+	return resp.StatusCode, e.Error, string(b)
+}
+
+func generated(ctx *fasthttp.RequestCtx, texts ...string) {
+	var g engine.Generate
+	_ = json.Unmarshal(ctx.PostBody(), &g)
+	ctx.SetContentType("text/event-stream")
+	ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
+		for i, text := range texts {
+			_, _ = fmt.Fprintf(w, "data: {\"request_id\":%q,\"index\":%d,\"count\":1,\"text\":%q}\n\n", g.RequestID, g.ResumeFrom+i, text)
+		}
+		_, _ = fmt.Fprintf(w, "data: {\"request_id\":%q,\"done\":true,\"tokens\":%d,\"checksum\":\"%016x\"}\n\n",
+			g.RequestID, g.ResumeFrom+len(texts), xxhash.Sum64String(strings.Join(texts, "")))
+	})
+}
+
+func booked(ctx *fasthttp.RequestCtx) {
+	ctx.Response.Header.SetBytesV("X-Request-Id", ctx.Request.Header.Peek("X-Request-Id"))
+	ctx.SetStatusCode(fasthttp.StatusCreated)
+	ctx.SetBodyString("booked")
+}
+
+const good = `{"model":"m","prompt":"p","max_tokens":2}`
+
+// Guards against bad input that stops the daemon, reaches a target, or is
+// refused without naming its field.
+func TestBadInput(t *testing.T) {
+	h := newHarness(t, func(ctx *fasthttp.RequestCtx) { generated(ctx, "a") }, booked)
+	const complete = "/v1/completions"
+	long := strings.Repeat("x", 300)
+	for name, c := range map[string]struct {
+		send   send
+		status int
+		field  string
+	}{
+		"no request id":       {send{"POST", complete, good, map[string]string{"X-Request-Id": ""}}, 400, "X-Request-Id"},
+		"long request id":     {send{"POST", complete, good, map[string]string{"X-Request-Id": long}}, 400, "X-Request-Id"},
+		"odd request id":      {send{"POST", complete, good, map[string]string{"X-Request-Id": "a b"}}, 400, "X-Request-Id"},
+		"no workspace":        {send{"POST", complete, good, map[string]string{"X-Workspace": ""}}, 400, "X-Workspace"},
+		"unknown workspace":   {send{"POST", complete, good, map[string]string{"X-Workspace": "other"}}, 403, "X-Workspace"},
+		"no deadline":         {send{"POST", complete, good, map[string]string{"X-Deadline-Ms": ""}}, 400, "X-Deadline-Ms"},
+		"negative deadline":   {send{"POST", complete, good, map[string]string{"X-Deadline-Ms": "-5"}}, 400, "X-Deadline-Ms"},
+		"late deadline":       {send{"POST", complete, good, map[string]string{"X-Deadline-Ms": "600001"}}, 400, "X-Deadline-Ms"},
+		"negative interval":   {send{"POST", complete, good, map[string]string{"X-Token-Interval-Ms": "-1"}}, 400, "X-Token-Interval-Ms"},
+		"method":              {send{"GET", complete, "", nil}, 405, "method"},
+		"no body":             {send{"POST", complete, "", nil}, 400, "body"},
+		"malformed JSON":      {send{"POST", complete, `{"model":`, nil}, 400, "body"},
+		"JSON array":          {send{"POST", complete, `[]`, nil}, 400, "body"},
+		"two objects":         {send{"POST", complete, good + good, nil}, 400, "body"},
+		"unknown field":       {send{"POST", complete, `{"model":"m","prompt":"p","max_tokens":2,"temprature":1}`, nil}, 400, "temprature"},
+		"internal field":      {send{"POST", complete, `{"model":"m","prompt":"p","max_tokens":2,"Workspace":"x"}`, nil}, 400, "Workspace"},
+		"wrong type":          {send{"POST", complete, `{"model":"m","prompt":"p","max_tokens":"2"}`, nil}, 400, "max_tokens"},
+		"fraction":            {send{"POST", complete, `{"model":"m","prompt":"p","max_tokens":1.5}`, nil}, 400, "max_tokens"},
+		"negative max_tokens": {send{"POST", complete, `{"model":"m","prompt":"p","max_tokens":-1}`, nil}, 400, "max_tokens"},
+		"negative priority":   {send{"POST", complete, `{"model":"m","prompt":"p","max_tokens":1,"priority":-1}`, nil}, 400, "priority"},
+		"no model":            {send{"POST", complete, `{"prompt":"p","max_tokens":1}`, nil}, 400, "model"},
+		"long model":          {send{"POST", complete, `{"model":"` + long + `","prompt":"p","max_tokens":1}`, nil}, 400, "model"},
+		"long adapter":        {send{"POST", complete, `{"model":"m","adapter":"` + long + `","prompt":"p","max_tokens":1}`, nil}, 400, "adapter"},
+		"no prompt":           {send{"POST", complete, `{"model":"m","max_tokens":1}`, nil}, 400, "prompt"},
+		"unknown model":       {send{"POST", complete, `{"model":"n","prompt":"p","max_tokens":1}`, nil}, 404, "model"},
+		"oversized body":      {send{"POST", complete, strings.Repeat("x", 5<<10), nil}, 413, "body"},
+		"unknown path":        {send{"GET", "/v2", "", nil}, 404, "path"},
+		"no service":          {send{"GET", "/v1/services/", "", nil}, 400, "path"},
+		"unknown service":     {send{"GET", "/v1/services/none/x", "", nil}, 404, "path"},
+		"engine as service":   {send{"GET", "/v1/services/llm/x", "", nil}, 404, "path"},
+		"order through call":  {send{"POST", "/v1/services/book/v1/orders", "", nil}, 400, "path"},
+		"path to an order":    {send{"POST", "/v1/services/book/x/..%2f../v1/orders", "", nil}, 400, "path"},
+		"path out of service": {send{"POST", "/v1/services/book/%2e%2e/llm/x", "", nil}, 400, "path"},
+		"long key":            {send{"POST", "/v1/services/book/x", "", map[string]string{"Idempotency-Key": long}}, 400, "Idempotency-Key"},
+		"long affinity key":   {send{"GET", "/v1/services/book/x", "", map[string]string{"X-Affinity-Key": long}}, 400, "X-Affinity-Key"},
+		"large header":        {send{"GET", "/v1/services/book/x", "", map[string]string{"X-Large": strings.Repeat("x", 8<<10)}}, 431, "header"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+			status, e, _ := h.do(t, client, c.send)
+			assert.Equal(t, status, c.status)
+			assert.Equal(t, e.Outcome, outcomeNotRun)
+			assert.Equal(t, e.Field, c.field)
+			assert.Assert(t, e.Message != "")
+		})
+	}
+	status, _, body := h.do(t, http.DefaultClient, send{"POST", complete, good, nil})
+	assert.Equal(t, status, 200)
+	assert.Equal(t, body, `{"request_id":"r","text":"a","tokens":1,"complete":true}`)
+}
+
+// Guards against input that is not HTTP and stops the daemon or gets no answer.
+func TestNotHTTP(t *testing.T) {
+	h := newHarness(t, func(ctx *fasthttp.RequestCtx) { generated(ctx, "a") }, booked)
+	for _, text := range []string{"hello\r\n\r\n", "GET / HTTP/9\r\nContent-Length: -1\r\n\r\n", "\x16\x03\x01\x00\x00\r\n\r\n"} {
+		c, err := net.Dial("tcp", h.address)
+		assert.NilError(t, err)
+		_, err = io.WriteString(c, text)
+		assert.NilError(t, err)
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		assert.NilError(t, err)
+		b, err := io.ReadAll(resp.Body)
+		assert.NilError(t, err)
+		var e errorBody
+		assert.NilError(t, json.Unmarshal(b, &e), "%q", b)
+		assert.Equal(t, e.Error.Field, "http")
+		_ = c.Close()
+	}
+	status, _, _ := h.do(t, http.DefaultClient, send{"GET", "/healthz", "", nil})
+	assert.Equal(t, status, 200)
+}
+
+// Guards against a stop that cuts a stream, and against a request on a kept
+// connection that is dropped instead of refused.
+func TestGracefulStop(t *testing.T) {
+	started, more := make(chan struct{}), make(chan struct{})
+	h := newHarness(t, func(ctx *fasthttp.RequestCtx) {
+		ctx.SetContentType("text/event-stream")
+		ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
+			_, _ = io.WriteString(w, "data: {\"request_id\":\"r\",\"index\":0,\"count\":1,\"text\":\"a\"}\n\n")
+			_ = w.Flush()
+			close(started)
+			<-more
+			_, _ = fmt.Fprintf(w, "data: {\"request_id\":\"r\",\"done\":true,\"tokens\":1,\"checksum\":\"%016x\"}\n\n", xxhash.Sum64String("a"))
+		})
+	}, booked)
+	h.settings.ProgressTimeout = time.Minute
+	kept := &http.Client{Transport: &http.Transport{}}
+	status, _, _ := h.do(t, kept, send{"GET", "/healthz", "", nil})
+	assert.Equal(t, status, 200)
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		status, _, body := h.do(t, http.DefaultClient, send{"POST", "/v1/completions", good, nil})
+		assert.Check(t, status == 200 && strings.Contains(body, `"complete":true`), body)
+	})
+	<-started
+	wg.Go(func() { assert.Check(t, h.stop(h.server)) })
+	for !h.stopping.Load() {
+		time.Sleep(time.Millisecond)
+	}
+	status, e, _ := h.do(t, kept, send{"POST", "/v1/services/book/x", "", nil})
+	assert.Equal(t, status, 503)
+	assert.Equal(t, e.Reason, "stopping")
+	assert.Equal(t, e.Outcome, outcomeNotRun)
+	close(more)
+	wg.Wait()
+	<-h.stopped
+}
+
+// Guards against work that goes on at the engine after the caller is gone.
+func TestCallerGoneCancels(t *testing.T) {
+	cancelled := make(chan struct{})
+	h := newHarness(t, func(ctx *fasthttp.RequestCtx) {
+		ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
+			defer close(cancelled)
+			for i := range 60_000 {
+				_, _ = fmt.Fprintf(w, "data: {\"request_id\":\"r\",\"index\":%d,\"count\":1,\"text\":\"a\"}\n\n", i)
+				if w.Flush() != nil {
+					return
+				}
+				time.Sleep(time.Millisecond)
+			}
+		})
+	}, booked)
+	ctx, cancel := context.WithCancel(t.Context())
+	req, err := http.NewRequestWithContext(ctx, "POST", "http://"+h.address+"/v1/completions",
+		strings.NewReader(`{"model":"m","prompt":"p","max_tokens":60000,"stream":true}`))
+	assert.NilError(t, err)
+	for k, v := range map[string]string{"X-Request-Id": "r", "X-Workspace": "club", "X-Deadline-Ms": "5000"} {
+		req.Header.Set(k, v)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	assert.NilError(t, err)
+	_, err = bufio.NewReader(resp.Body).ReadString('\n')
+	assert.NilError(t, err)
+	cancel()
+	_ = resp.Body.Close()
+	<-cancelled
+}
+
+// Guards against a split request that sends its KV cache through the daemon,
+// names the wrong source, or fails when the KV cache or the prefill is lost.
+func TestSplitDispatch(t *testing.T) {
+	for name, c := range map[string]struct {
+		kvMissing, prefillFails bool
+		want                    []string
+	}{
+		"split":         {false, false, []string{"prefill", "with kv"}},
+		"kv missing":    {true, false, []string{"prefill", "with kv", "whole"}},
+		"prefill fails": {false, true, []string{"prefill", "whole"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var steps []string
+			var source string
+			h := newHarness(t, func(ctx *fasthttp.RequestCtx) {
+				var g engine.Generate
+				_ = json.Unmarshal(ctx.PostBody(), &g)
+				switch {
+				case g.PrefillOnly:
+					steps = append(steps, "prefill")
+					if c.prefillFails {
+						ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+						return
+					}
+					generated(ctx)
+				case g.KVSource != "":
+					steps, source = append(steps, "with kv"), g.KVSource
+					if c.kvMissing {
+						ctx.SetStatusCode(fasthttp.StatusFailedDependency)
+						return
+					}
+					generated(ctx, "a", "b")
+				default:
+					steps = append(steps, "whole")
+					generated(ctx, "a", "b")
+				}
+			}, booked)
+			v := h.views.Load()
+			r := &completion{header: header{ID: "r"}, completionBody: completionBody{Model: "m", Prompt: "p", MaxTokens: 2}}
+			x := newExchange(h.Daemon, r, v, budgetOf(v, "llm"))
+			x.prefill = v.Fleet.Target("e")
+			assert.NilError(t, x.dispatch(v.Fleet.Target("e")))
+			assert.Equal(t, (<-x.parts).text+(<-x.parts).text, "ab")
+			assert.DeepEqual(t, steps, c.want)
+			assert.Assert(t, source == "" || source == v.Fleet.Target("e").Address)
+			assert.Equal(t, v.Fleet.Target("e").Counters.InFlight.Load(), int64(0))
+		})
+	}
+}
+
+// keyStub answers claims as a test says and records the ends of attempts.
+type keyStub struct {
+	verdict idempotency.Verdict
+	answer  *idempotency.Answer
+	err     error
+	ends    chan idempotency.Kind
+}
+
+func (k *keyStub) Claim(context.Context, idempotency.Key, string, uint64) (idempotency.Verdict, *idempotency.Answer, error) {
+	return k.verdict, k.answer, k.err
+}
+
+func (k *keyStub) Finish(_ context.Context, _ idempotency.Key, _ string, end idempotency.Kind, _ *idempotency.Answer) error {
+	k.ends <- end
+	return nil
+}
+
+// Guards against a keyed request that runs without the right to, is sent
+// again after its first byte, or gets an outcome that is not accurate.
+func TestKeyedCall(t *testing.T) {
+	for name, c := range map[string]struct {
+		keys    keyStub
+		plain   fasthttp.RequestHandler
+		status  int
+		outcome string
+		runs    int64
+		end     idempotency.Kind
+	}{
+		"runs":             {keyStub{verdict: idempotency.VerdictRun}, booked, 201, "", 1, idempotency.KindCompleted},
+		"no answer":        {keyStub{verdict: idempotency.VerdictRun}, func(ctx *fasthttp.RequestCtx) { _ = ctx.Conn().Close() }, 504, outcomeUnknown, 1, idempotency.KindUnknown},
+		"other answer":     {keyStub{verdict: idempotency.VerdictRun}, func(ctx *fasthttp.RequestCtx) { ctx.Response.Header.Set("X-Request-Id", "q") }, 504, outcomeUnknown, 1, idempotency.KindUnknown},
+		"replayed":         {keyStub{verdict: idempotency.VerdictCompleted, answer: &idempotency.Answer{Status: 201, Body: []byte("booked")}}, booked, 201, "", 0, ""},
+		"body not kept":    {keyStub{verdict: idempotency.VerdictCompleted, answer: &idempotency.Answer{Status: 201, BodyDropped: true}}, booked, 409, outcomeUnknown, 0, ""},
+		"in progress":      {keyStub{verdict: idempotency.VerdictInProgress}, booked, 409, outcomeUnknown, 0, ""},
+		"conflict":         {keyStub{verdict: idempotency.VerdictConflict}, booked, 409, outcomeNotRun, 0, ""},
+		"earlier unknown":  {keyStub{verdict: idempotency.VerdictUnknown}, booked, 409, outcomeUnknown, 0, ""},
+		"claim fails":      {keyStub{err: errors.New("unreachable")}, booked, 503, outcomeNotRun, 0, idempotency.KindReleased},
+		"log down, refuse": {keyStub{verdict: idempotency.VerdictLogDown}, booked, 503, outcomeNotRun, 0, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var runs atomic.Int64
+			h := newHarness(t, nil, func(ctx *fasthttp.RequestCtx) {
+				if ctx.IsPost() {
+					runs.Add(1)
+				}
+				c.plain(ctx)
+			})
+			c.keys.ends = make(chan idempotency.Kind, 1)
+			h.keys = &c.keys
+			status, e, body := h.do(t, http.DefaultClient, send{"POST", "/v1/services/book/x", "", map[string]string{"Idempotency-Key": "k"}})
+			assert.Equal(t, status, c.status)
+			assert.Equal(t, e.Outcome, c.outcome)
+			assert.Assert(t, status != 201 || body == "booked")
+			assert.Equal(t, runs.Load(), c.runs)
+			h.finishing.Wait()
+			if c.end != "" {
+				assert.Equal(t, <-c.keys.ends, c.end)
+			}
+			assert.Equal(t, len(c.keys.ends), 0)
+		})
+	}
+}
+
+// Guards against a parser that panics or accepts what is out of range.
+func FuzzParseCompletion(f *testing.F) {
+	for _, s := range []string{good, `{"model":"m","prompt":"p","max_tokens":-1}`, `{"priority":1e99}`, `{"x":1}`, `[]`, `{`, ``, "\xff", `{"prompt":"\ud800"}`} {
+		f.Add([]byte(s), "5000")
+	}
+	f.Add([]byte(good), "-1")
+	f.Fuzz(func(t *testing.T, body []byte, deadline string) {
+		var ctx fasthttp.RequestCtx
+		ctx.Request.Header.Set("X-Request-Id", "r")
+		ctx.Request.Header.Set("X-Workspace", "club")
+		ctx.Request.Header.Set("X-Deadline-Ms", deadline)
+		ctx.Request.SetBody(body)
+		c, bad := parseCompletion(&ctx, time.Unix(0, 0))
+		if bad != nil {
+			assert.Assert(t, bad.Field != "" && bad.Message != "")
+			return
+		}
+		assert.Assert(t, c.MaxTokens >= 1 && c.MaxTokens <= maxOutputTokens && c.Priority >= 0 && c.Model != "")
+		assert.Assert(t, c.Deadline.After(time.Unix(0, 0)) && !c.Deadline.After(time.Unix(600, 0)))
+	})
+}
+
+// Guards against a path that reaches the control paths of a target.
+func FuzzParseCall(f *testing.F) {
+	for _, s := range []string{"/v1/services/book/x", "/v1/services/book/../v1/orders", "/v1/services/book/%2e%2e/x", "/v1/services//x", "/v1/services/book/v1%2forders", "/v1/services/book/a%0d%0ab?q=1"} {
+		f.Add(s, "k")
+	}
+	f.Fuzz(func(t *testing.T, path, key string) {
+		var ctx fasthttp.RequestCtx
+		ctx.Request.SetRequestURI(path)
+		for k, v := range map[string]string{"X-Request-Id": "r", "X-Workspace": "club", "X-Deadline-Ms": "5", "Idempotency-Key": key} {
+			ctx.Request.Header.Set(k, v)
+		}
+		c, bad := parseCall(&ctx, time.Unix(0, 0))
+		if bad != nil {
+			assert.Assert(t, bad.Field != "" && bad.Message != "")
+			return
+		}
+		var sent fasthttp.URI
+		assert.NilError(t, sent.Parse(nil, []byte("http://127.0.0.1:1"+c.Path)))
+		assert.Assert(t, !reserved(string(sent.Path())), "%q becomes %q", path, sent.Path())
+		assert.Equal(t, string(sent.Host()), "127.0.0.1:1")
+	})
+}
--- a/server/entry/exchange.go
+++ b/server/entry/exchange.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/lentilpick/lentilpick/admission"
-	"github.com/lentilpick/lentilpick/daemon"
 	"github.com/lentilpick/lentilpick/engine"
 	"github.com/lentilpick/lentilpick/routing"
 	"github.com/lentilpick/lentilpick/server/localview"
@@ -40,6 +39,9 @@
 	parts   chan part
 	gone    chan struct{} // closed when the caller is gone
 	tokens  int           // tokens passed to the caller
+	// prefill is the engine that prefills the prompt for the target that choose
+	// returned; nil when the request is served whole.
+	prefill *routing.Target
 }
 
 func newExchange(d *Daemon, c *completion, v *localview.View, budget *admission.RetryBudget) *exchange {
@@ -55,11 +57,15 @@
 
 // run serves the request to its end. It always passes exactly one outcome.
 func (x *exchange) run() {
-	o := x.serve()
+	defer close(x.parts)
+	o := x.serveAdmitted()
 	x.daemon.counters.finished(o)
-	x.release()
 	x.pass(part{outcome: o})
-	close(x.parts)
+}
+
+func (x *exchange) serveAdmitted() types.Outcome {
+	defer x.release()
+	return x.serve()
 }
 
 // pass hands a part to the caller's side and reports whether the caller is there.
@@ -114,22 +120,26 @@
 // errCallerGone ends a dispatch whose caller closed the connection.
 var errCallerGone = errors.New("caller is gone")
 
+// dispatch serves the request on a target, after a prefill on another one if
+// the decision was to split it.
 func (x *exchange) dispatch(t *routing.Target) error {
-	load := startLoad(t, x.route.PromptTokens)
+	if x.prefill != nil {
+		return x.dispatchSplit(x.prefill, t)
+	}
+	return x.generate(t, "", x.route.PromptTokens)
+}
+
+// generate passes a target's answer to the caller. kvSource names the engine
+// that holds the KV cache of the prompt, if any; prefill is the number of
+// tokens that the target has to prefill.
+func (x *exchange) generate(t *routing.Target, kvSource string, prefill int) error {
+	load := startLoad(t, prefill)
 	defer load.end()
-	d := x.attempt.Begin()
-	s, err := x.daemon.targets.Generate(t.Address, &engine.Generate{
-		RequestID: x.request.ID, Model: x.request.Model, Adapter: x.request.Adapter, Prompt: x.request.Prompt,
-		MaxTokens: x.request.MaxTokens, Priority: x.request.Priority, ResumeFrom: x.tokens,
-	}, time.Now().Add(x.daemon.settings.MaxAnswerTime))
+	s, err := x.open(t, x.body(kvSource))
 	if err != nil {
-		if errors.Is(err, engine.ErrNotSent) {
-			d.NotStarted()
-		}
 		return err
 	}
-	err = x.copy(s, load)
-	if err != nil {
+	if err := x.copy(s, load); err != nil {
 		s.Close()
 		return err
 	}
@@ -138,6 +148,23 @@
 	return nil
 }
 
+func (x *exchange) body(kvSource string) *engine.Generate {
+	return &engine.Generate{
+		RequestID: x.request.ID, Model: x.request.Model, Adapter: x.request.Adapter, Prompt: x.request.Prompt,
+		MaxTokens: x.request.MaxTokens, Priority: x.request.Priority, ResumeFrom: x.tokens, KVSource: kvSource,
+	}
+}
+
+// open sends a request to a target.
+func (x *exchange) open(t *routing.Target, g *engine.Generate) (*engine.Stream, error) {
+	d := x.attempt.Begin()
+	s, err := x.daemon.targets.Generate(t.Address, g, time.Now().Add(x.daemon.settings.MaxAnswerTime))
+	if errors.Is(err, engine.ErrNotSent) {
+		d.NotStarted()
+	}
+	return s, err
+}
+
 // copy passes the events of a stream to the caller until its end marker.
 func (x *exchange) copy(s *engine.Stream, load *targetLoad) error {
 	for {
@@ -187,31 +214,3 @@
 	}
 	l.c.QueuedPrefill.Add(-l.prefill)
 }
-
-// failure says how a failed dispatch is counted.
-type failure struct {
-	retry   types.RetryReason
-	refusal types.RefusalReason
-}
-
-func classify(err error) failure {
-	switch {
-	case errors.Is(err, engine.ErrNotSent):
-		return failure{types.RetryUnreachable, types.RefusedTargetUnreachable}
-	case errors.Is(err, engine.ErrSilent):
-		return failure{types.RetryTargetSilent, types.RefusedTargetSilent}
-	case errors.Is(err, engine.ErrTruncated):
-		return failure{types.RetryTruncated, types.RefusedAnswerTruncated}
-	case errors.Is(err, engine.ErrRefused):
-		return failure{types.RetryTargetRefused, types.RefusedTargetFailed}
-	}
-	return failure{types.RetryTargetFailed, types.RefusedTargetFailed}
-}
-
-// failed takes a target out of use for the failure back-off.
-func (d *Daemon) failed(t *routing.Target, id types.RequestID, err error) {
-	d.markFailed(t, time.Now())
-	d.log.WithError(err).WithFields(map[string]any{
-		daemon.FieldTarget: t.ID, daemon.FieldRequest: id,
-	}).Warn("dispatch failed")
-}
--- a/server/entry/request.go
+++ b/server/entry/request.go
@@ -3,7 +3,9 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"io"
 	"strconv"
 	"strings"
 	"time"
@@ -31,6 +33,7 @@
 // Error implements error.
 func (e *inputError) Error() string { return e.Field + ": " + e.Message }
 
+// badInput returns an error that names the field of a request.
 func badInput(field, format string, args ...any) *inputError {
 	return &inputError{Field: field, Message: fmt.Sprintf(format, args...)}
 }
@@ -46,9 +49,8 @@
 	TokenInterval time.Duration
 }
 
-// completion is a parsed completion request.
-type completion struct {
-	header
+// completionBody is the JSON body of a completion request.
+type completionBody struct {
 	Model     types.ModelID   `json:"model"`
 	Adapter   types.AdapterID `json:"adapter"`
 	Prompt    string          `json:"prompt"`
@@ -57,6 +59,12 @@
 	Priority  int             `json:"priority"`
 }
 
+// completion is a parsed completion request.
+type completion struct {
+	header
+	completionBody
+}
+
 // call is a parsed call of a plain service.
 type call struct {
 	header
@@ -128,50 +136,84 @@
 }
 
 func parseCompletion(ctx *fasthttp.RequestCtx, now time.Time) (*completion, *inputError) {
-	h, herr := parseHeader(ctx, now)
-	if herr != nil {
-		return nil, herr
+	h, err := parseHeader(ctx, now)
+	if err != nil {
+		return nil, err
 	}
-	c := &completion{}
-	d := json.NewDecoder(bytes.NewReader(ctx.PostBody()))
-	d.DisallowUnknownFields()
-	if err := d.Decode(c); err != nil {
-		return nil, badInput("body", "%s", err)
+	c := &completion{header: h}
+	if err := decodeBody(ctx.PostBody(), &c.completionBody); err != nil {
+		return nil, err
 	}
-	c.header = h
-	switch {
-	case c.Model == "":
-		return nil, badInput("model", "is missing")
-	case c.Prompt == "":
-		return nil, badInput("prompt", "is missing")
-	case c.MaxTokens < 1 || c.MaxTokens > maxOutputTokens:
-		return nil, badInput("max_tokens", "%d is outside 1 to %d", c.MaxTokens, maxOutputTokens)
-	case c.Priority < 0 || c.Priority > maxPriority:
-		return nil, badInput("priority", "%d is outside 0 to %d", c.Priority, maxPriority)
+	if err := c.check(); err != nil {
+		return nil, err
 	}
 	return c, nil
 }
 
+func (b *completionBody) check() *inputError {
+	switch {
+	case b.Model == "":
+		return badInput("model", "is missing")
+	case b.Prompt == "":
+		return badInput("prompt", "is missing")
+	case b.MaxTokens < 1 || b.MaxTokens > maxOutputTokens:
+		return badInput("max_tokens", "%d is outside 1 to %d", b.MaxTokens, maxOutputTokens)
+	case b.Priority < 0 || b.Priority > maxPriority:
+		return badInput("priority", "%d is outside 0 to %d", b.Priority, maxPriority)
+	}
+	if err := checkText("model", string(b.Model), maxIDBytes); err != nil {
+		return err
+	}
+	return checkText("adapter", string(b.Adapter), maxIDBytes)
+}
+
+// decodeBody decodes one JSON value strictly.
+func decodeBody(data []byte, v any) *inputError {
+	d := json.NewDecoder(bytes.NewReader(data))
+	d.DisallowUnknownFields()
+	if err := d.Decode(v); err != nil {
+		return jsonError(err)
+	}
+	if _, err := d.Token(); !errors.Is(err, io.EOF) {
+		return badInput("body", "has data after the JSON object")
+	}
+	return nil
+}
+
+// unknownField is how encoding/json starts the message for an unknown field;
+// it has no error type for it.
+const unknownField = "json: unknown field "
+
+// jsonError names the field that did not decode, or the body.
+func jsonError(err error) *inputError {
+	var t *json.UnmarshalTypeError
+	if errors.As(err, &t) && t.Field != "" {
+		return badInput(t.Field, "a JSON %s is not a %s", t.Value, t.Type)
+	}
+	if name, ok := strings.CutPrefix(err.Error(), unknownField); ok {
+		return badInput(strings.Trim(name, `"`), "is not a known field")
+	}
+	return badInput("body", "is not a valid JSON object: %s", err)
+}
+
 const servicePrefix = "/v1/services/"
 
+// reservedPaths belong to the protocol between control daemons and targets.
+var reservedPaths = []string{"/v1/orders", "/v1/state", "/v1/report", "/v1/events", "/v1/cancel", "/v1/kv"}
+
 func parseCall(ctx *fasthttp.RequestCtx, now time.Time) (*call, *inputError) {
 	h, err := parseHeader(ctx, now)
 	if err != nil {
 		return nil, err
 	}
-	rest := strings.TrimPrefix(string(ctx.Path()), servicePrefix)
-	service, path, ok := strings.Cut(rest, "/")
-	if !ok || service == "" {
-		return nil, badInput("path", "expected %s{service}/{path}", servicePrefix)
-	}
 	c := &call{
-		header: h, Service: types.ServiceID(service), Method: string(ctx.Method()), Path: "/" + path,
+		header: h, Method: string(ctx.Method()),
 		ContentType: string(ctx.Request.Header.ContentType()), Body: bytes.Clone(ctx.PostBody()),
 		Key:      string(ctx.Request.Header.Peek("Idempotency-Key")),
 		Affinity: string(ctx.Request.Header.Peek("X-Affinity-Key")),
 	}
-	if q := ctx.QueryArgs().QueryString(); len(q) > 0 {
-		c.Path += "?" + string(q)
+	if err := c.parsePath(ctx); err != nil {
+		return nil, err
 	}
 	if err := checkText("Idempotency-Key", c.Key, maxKeyBytes); err != nil {
 		return nil, err
@@ -183,6 +225,44 @@
 	return c, nil
 }
 
+// parsePath splits the path into the service and the path at the target, which
+// is passed on as the caller encoded it.
+func (c *call) parsePath(ctx *fasthttp.RequestCtx) *inputError {
+	rest, ok := strings.CutPrefix(string(ctx.URI().PathOriginal()), servicePrefix)
+	service, path, found := strings.Cut(rest, "/")
+	if !ok || !found || service == "" {
+		return badInput("path", "expected %s{service}/{path}", servicePrefix)
+	}
+	if err := checkText("path", service, maxIDBytes); err != nil {
+		return err
+	}
+	c.Service, c.Path = types.ServiceID(service), "/"+path
+	normal := c.normalPath()
+	if string(ctx.Path()) != servicePrefix+service+normal || reserved(normal) {
+		return badInput("path", "%.80q is not a path of the service", c.Path)
+	}
+	if q := ctx.QueryArgs().QueryString(); len(q) > 0 {
+		c.Path += "?" + string(q)
+	}
+	return nil
+}
+
+// normalPath returns the path as the target will read it.
+func (c *call) normalPath() string {
+	var u fasthttp.URI
+	u.SetPath(c.Path)
+	return string(u.Path())
+}
+
+func reserved(path string) bool {
+	for _, r := range reservedPaths {
+		if path == r || strings.HasPrefix(path, r+"/") {
+			return true
+		}
+	}
+	return false
+}
+
 func classOf(c *call) types.RequestClass {
 	switch {
 	case c.Key != "":
--- /dev/null
+++ b/server/entry/split.go
@@ -0,0 +1,53 @@
+package entry
+
+import (
+	"github.com/lentilpick/lentilpick/routing"
+)
+
+// dispatchSplit prefills the prompt on one engine and generates on another,
+// which imports the KV cache from the first. The KV cache never passes through
+// this daemon. When the prefill fails or its KV cache cannot be imported, the
+// second engine serves the request whole. A resumed request is served whole,
+// because the KV cache of the tokens that the caller has is not on the first
+// engine.
+func (x *exchange) dispatchSplit(prefill, t *routing.Target) error {
+	if x.tokens > 0 {
+		return x.generate(t, "", x.route.PromptTokens)
+	}
+	if err := x.prefillOn(prefill); err != nil {
+		x.daemon.failed(prefill, x.request.ID, err)
+		x.daemon.counters.retried(classify(err).retry)
+		return x.generate(t, "", x.route.PromptTokens)
+	}
+	err := x.generate(t, prefill.Address, 0)
+	if !isKVMissing(err) {
+		return err
+	}
+	x.daemon.counters.retried(classify(err).retry)
+	return x.generate(t, "", x.route.PromptTokens)
+}
+
+// prefillOn computes the KV cache of the prompt on an engine, which keeps it
+// for export. The answer is an end marker without tokens.
+func (x *exchange) prefillOn(t *routing.Target) error {
+	load := startLoad(t, x.route.PromptTokens)
+	defer load.end()
+	g := x.body("")
+	g.PrefillOnly = true
+	s, err := x.open(t, g)
+	if err != nil {
+		return err
+	}
+	for {
+		e, err := s.Next()
+		if err != nil {
+			s.Close()
+			return err
+		}
+		if e.Done {
+			s.Finish()
+			t.Counters.Failures.Store(0)
+			return nil
+		}
+	}
+}
