--- a/cmd/internal/ctl/ctl.go
+++ b/cmd/internal/ctl/ctl.go
@@ -17,6 +17,8 @@
 
 	adminv1 "github.com/lentilpick/lentilpick/api/admin/v1"
 	"github.com/lentilpick/lentilpick/api/admin/v1/adminv1connect"
+
+	"github.com/lentilpick/lentilpick/daemon"
 )
 
 // Errors of the command.
@@ -189,21 +191,10 @@
 		}
 		code := connect.CodeOf(err)
 		again := code == connect.CodeUnknown || code == connect.CodeUnavailable
-		if !again || errors.Is(ctx.Err(), context.DeadlineExceeded) || !pause(ctx, retryPause) {
+		if !again || errors.Is(ctx.Err(), context.DeadlineExceeded) || !daemon.Sleep(ctx, retryPause) {
 			return err
 		}
 	}
 }
 
 const retryPause = 300 * time.Millisecond
-
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/daemon/run.go
+++ b/daemon/run.go
@@ -4,9 +4,22 @@
 	"context"
 	"os/signal"
 	"syscall"
+	"time"
 )
 
 // SignalContext returns a context that ends at SIGTERM or SIGINT.
 func SignalContext() (context.Context, context.CancelFunc) {
 	return signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 }
+
+// Sleep waits for d and reports whether the context is still live.
+func Sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- a/daemon/traffic.go
+++ b/daemon/traffic.go
@@ -1,9 +1,11 @@
 package daemon
 
 import (
+	"errors"
 	"net"
 	"net/netip"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -37,6 +39,15 @@
 	return n, err
 }
 
+// SyscallConn returns the raw connection below, so that its state can be read.
+func (c *countedConn) SyscallConn() (syscall.RawConn, error) {
+	s, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil, errors.ErrUnsupported
+	}
+	return s.SyscallConn()
+}
+
 // Listener wraps a listener; of counts each accepted connection in the group
 // that it returns.
 func Listener(l net.Listener, of func(net.Conn) *Traffic) net.Listener {
--- a/engine/control.go
+++ b/engine/control.go
@@ -70,18 +70,16 @@
 // them to each until that returns false, the stream ends or maxAge has passed.
 // A target without report streams answers with a *StatusError of status 404.
 func (c *Client) WatchReports(address string, interval, maxAge time.Duration, each func(Report) bool) error {
-	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(req)
-	defer fasthttp.ReleaseResponse(resp)
-	req.SetRequestURI(fmt.Sprintf("http://%s/v1/report/stream?interval_ms=%d", address, interval.Milliseconds()))
-	if err := c.host(address).DoDeadline(req, resp, time.Now().Add(maxAge)); err != nil {
-		return convert(err)
+	path := fmt.Sprintf("/v1/report/stream?interval_ms=%d", interval.Milliseconds())
+	x := c.newExchange(address, fasthttp.MethodGet, path)
+	if err := c.send(x, call{progress: c.settings.Progress, bound: time.Now().Add(maxAge)}); err != nil {
+		return err
 	}
-	defer func() { _ = resp.CloseBodyStream() }()
-	if code := resp.StatusCode(); code != fasthttp.StatusOK {
-		return &StatusError{Status: code}
+	if x.resp.StatusCode() != fasthttp.StatusOK {
+		return x.refusal()
 	}
-	return readReports(resp.BodyStream(), each)
+	defer x.close()
+	return readReports(x.resp.BodyStream(), each)
 }
 
 func readReports(body io.Reader, each func(Report) bool) error {
--- a/engine/events.go
+++ b/engine/events.go
@@ -8,8 +8,8 @@
 	"io"
 )
 
-// streamBufBytes is also the longest event that is accepted.
-const streamBufBytes = 8 << 10
+// maxEventBytes bounds one server-sent event.
+const maxEventBytes = 8 << 10
 
 var eventPrefix = []byte("data: ")
 
@@ -17,19 +17,18 @@
 type eventReader struct{ body *bufio.Reader }
 
 func newEventReader(body io.Reader) *eventReader {
-	return &eventReader{bufio.NewReaderSize(body, streamBufBytes)}
+	return &eventReader{bufio.NewReaderSize(body, maxEventBytes)}
 }
 
 // next returns the data of the next event; it is valid until the next call.
+// Comment lines and other fields are passed over; they count as progress.
 // Errors: ErrTruncated, ErrSilent, ErrFailed.
 func (r *eventReader) next() ([]byte, error) {
 	for {
 		b, err := r.body.ReadSlice('\n')
 		switch {
-		case errors.Is(err, io.EOF):
-			return nil, ErrTruncated
 		case errors.Is(err, bufio.ErrBufferFull):
-			return nil, fmt.Errorf("event over %d bytes: %w", streamBufBytes, ErrFailed)
+			return nil, fmt.Errorf("event over %d bytes: %w", maxEventBytes, ErrFailed)
 		case err != nil:
 			return nil, convert(err)
 		}
--- a/server/control/daemon.go
+++ b/server/control/daemon.go
@@ -19,7 +19,6 @@
 	"github.com/lentilpick/lentilpick/authority"
 	"github.com/lentilpick/lentilpick/daemon"
 	"github.com/lentilpick/lentilpick/engine"
-	"github.com/lentilpick/lentilpick/idempotency"
 	"github.com/lentilpick/lentilpick/membership"
 	"github.com/lentilpick/lentilpick/platform"
 	"github.com/lentilpick/lentilpick/types"
@@ -103,7 +102,11 @@
 	d.platform = platform.NewClient(s.Platform, d.traffic.platform.Conn)
 	d.config = NewConfigLog(d.platform, log)
 	d.lease = newLeaseRunner(d.platform, log, d.dc, s.lease(d.incarnation), d.gate)
-	d.keys = newKeyLog(d.platform, log, d.dc, s.KeyBatch, idempotency.Settings{Window: s.KeyWindow, InProgressLimit: s.KeyInProgress})
+	counters, err := newKeyCounters(m)
+	if err != nil {
+		return nil, err
+	}
+	d.keys = newKeyLog(d.platform, log, s, d.keyDeps(), counters)
 	targets := engine.NewClient(engine.Settings{
 		DialTimeout: targetTimeout, Progress: targetSilence, MaxIdle: 5 * time.Second, MaxAge: time.Minute, MaxConns: 8,
 		Wrap: d.traffic.targets.Conn,
--- a/server/control/peers.go
+++ b/server/control/peers.go
@@ -94,7 +94,7 @@
 	for {
 		err := w.watch(ctx, c, heartbeatLocal)
 		w.log.WithError(err).WithField(daemon.FieldAddress, c.Address).Debug("peer stream ended")
-		if !pause(ctx, watchPause) {
+		if !daemon.Sleep(ctx, watchPause) {
 			return
 		}
 	}
@@ -113,7 +113,7 @@
 		c := clients[i%len(clients)]
 		err := w.watch(ctx, c, heartbeatRemote)
 		w.log.WithError(err).WithField(daemon.FieldAddress, c.Address).Debug("peer stream ended")
-		if !pause(ctx, watchPause) {
+		if !daemon.Sleep(ctx, watchPause) {
 			return
 		}
 	}
