--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 CHECKS ?= 1500
 MODULES := $(sort $(dir $(wildcard */go.mod)))
 
-.PHONY: build test demo fuzz measure bench generate fmt
+.PHONY: build test demo faults latency fuzz measure bench generate fmt
 
 build:
 	go build -o $(BIN)/ ./cmd/...
@@ -21,6 +21,12 @@
 demo: build
 	./$(BIN)/lentilpick-load demo --bin $(BIN) --examples examples
 
+faults: build ## Runs the fault scenarios over real processes; results in out/faults.json.
+	./$(BIN)/lentilpick-load faults --bin $(BIN) --examples examples --out out
+
+latency: build ## Measures the latency that the entry daemon adds; result in out/latency.json.
+	./$(BIN)/lentilpick-load latency --bin $(BIN) --out out
+
 fuzz:
 	go test ./proof/... -run Stateful -rapid.seed=$(SEED) -rapid.checks=$(CHECKS) -count=1 -v
 
--- a/cmd/internal/load/balancer.go
+++ b/cmd/internal/load/balancer.go
@@ -4,6 +4,8 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -15,7 +17,10 @@
 	live atomic.Pointer[[]string]
 }
 
-const healthEvery = 250 * time.Millisecond
+const (
+	healthEvery   = 250 * time.Millisecond
+	healthTimeout = time.Second
+)
 
 func newBalancer(all []string) *balancer {
 	b := &balancer{all: all}
@@ -23,15 +28,26 @@
 	return b
 }
 
-func (b *balancer) pick() string {
+// pick returns a random healthy VM that is not in tried. It returns one of
+// tried when there is no other.
+func (b *balancer) pick(tried []string) string {
 	live := *b.live.Load()
-	return live[rand.IntN(len(live))]
+	rest := make([]string, 0, len(live))
+	for _, a := range live {
+		if !slices.Contains(tried, a) {
+			rest = append(rest, a)
+		}
+	}
+	if len(rest) == 0 {
+		rest = live
+	}
+	return rest[rand.IntN(len(rest))]
 }
 
 func (b *balancer) watch(ctx context.Context) {
 	tick := time.NewTicker(healthEvery)
 	defer tick.Stop()
-	client := &http.Client{Timeout: healthEvery}
+	client := &http.Client{Timeout: healthTimeout}
 	for {
 		b.check(client)
 		select {
@@ -42,10 +58,22 @@
 	}
 }
 
+// check asks all VMs at once, so that one that does not answer does not delay
+// what is known of the others.
 func (b *balancer) check(client *http.Client) {
-	live := make([]string, 0, len(b.all))
-	for _, a := range b.all {
-		if healthy(client, a) {
+	ok := make([]bool, len(b.all))
+	var wg sync.WaitGroup
+	for i, a := range b.all {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			ok[i] = healthy(client, a)
+		}()
+	}
+	wg.Wait()
+	var live []string
+	for i, a := range b.all {
+		if ok[i] {
 			live = append(live, a)
 		}
 	}
--- a/cmd/internal/load/client.go
+++ b/cmd/internal/load/client.go
@@ -5,7 +5,9 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -45,6 +47,8 @@
 	Tokens   int
 	// Good says that the answer met its deadlines.
 	Good bool
+	// Gaps, if recorded, are the times between tokens.
+	Gaps []time.Duration
 }
 
 // Completion is a completion request of the load.
@@ -65,7 +69,19 @@
 }
 
 // Client sends requests to entry daemons.
-type Client struct{ http *http.Client }
+type Client struct {
+	http *http.Client
+	// gaps says that each time between tokens is recorded.
+	gaps bool
+}
+
+const (
+	// completionLimit is the time after which a completion without an end
+	// counts as cut.
+	completionLimit = time.Minute
+	// callGrace is the time beyond its deadline after which a call counts as cut.
+	callGrace = 5 * time.Second
+)
 
 // NewClient returns a client with pooled connections.
 func NewClient() *Client {
@@ -105,8 +121,17 @@
 
 // Complete sends a completion request and checks each token of its answer.
 func (c *Client) Complete(address string, r *Completion) Sample {
-	body, _ := json.Marshal(completionBody{r.Model, r.Prompt, r.MaxTokens, true})
-	req, err := http.NewRequest(http.MethodPost, "http://"+address+"/v1/completions", bytes.NewReader(body))
+	body, err := json.Marshal(completionBody{r.Model, r.Prompt, r.MaxTokens, true})
+	if err != nil {
+		return Sample{Result: Refused, Reason: err.Error()}
+	}
+	return c.complete(address, r, body)
+}
+
+func (c *Client) complete(address string, r *Completion, body []byte) Sample {
+	ctx, cancel := context.WithTimeout(context.Background(), completionLimit)
+	defer cancel()
+	req, err := newRequest(ctx, http.MethodPost, "http://"+address+"/v1/completions", body)
 	if err != nil {
 		return Sample{Result: Refused, Reason: err.Error()}
 	}
@@ -123,11 +148,26 @@
 	if resp.StatusCode != http.StatusOK {
 		return refusedSample(resp)
 	}
-	s := readStream(resp.Body, r, start)
+	s := c.readStream(resp.Body, r, start)
+	// A connection can be used again only after its answer was read to the end.
+	_, _ = io.CopyN(io.Discard, resp.Body, 1<<10)
 	s.Good = s.Result == Answered && s.FirstToken <= r.Deadline && (r.Interval == 0 || s.Interval <= r.Interval)
 	return s
 }
 
+// newRequest returns a request that the HTTP client does not send again by
+// itself, so that each send is seen and counted.
+func newRequest(ctx context.Context, method, url string, body []byte) (*http.Request, error) {
+	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	if len(body) > 0 {
+		req.GetBody = nil
+	}
+	return req, nil
+}
+
 func setHeader(req *http.Request, id, workspace string, deadline time.Duration) {
 	req.Header.Set("X-Request-Id", id)
 	req.Header.Set("X-Workspace", workspace)
@@ -137,17 +177,31 @@
 // failedCall says whether a failed call was refused before it was sent, which
 // the balancer in front of the VMs would send to another VM.
 func failedCall(err error) Sample {
-	if strings.Contains(err.Error(), "connection refused") {
+	var n net.Error
+	switch {
+	case strings.Contains(err.Error(), "connection refused"):
 		return Sample{Result: Refused, Reason: "connection_refused"}
+	case errors.As(err, &n) && n.Timeout():
+		return Sample{Result: Cut, Reason: "client: no end in time"}
 	}
-	return Sample{Result: Cut, Reason: err.Error()}
+	return Sample{Result: Cut, Reason: "client: connection lost: " + lastPart(err.Error())}
 }
 
-func refusedSample(resp *http.Response) Sample {
-	var e errorBody
+// lastPart returns the cause at the end of an error text, without addresses.
+func lastPart(s string) string { return s[strings.LastIndex(s, ": ")+1:] }
+
+// errorOf reads the error that the system answered; ok is false if the body is
+// not one.
+func errorOf(resp *http.Response) (e errorBody, ok bool) {
 	b, err := io.ReadAll(io.LimitReader(resp.Body, 1<<16))
-	if err != nil || json.Unmarshal(b, &e) != nil {
-		return Sample{Result: Cut, Reason: fmt.Sprintf("status %d without an error body", resp.StatusCode)}
+	ok = err == nil && json.Unmarshal(b, &e) == nil && e.Error.Outcome != ""
+	return e, ok
+}
+
+func refusedSample(resp *http.Response) Sample {
+	e, ok := errorOf(resp)
+	if !ok {
+		return Sample{Result: Cut, Reason: fmt.Sprintf("client: status %d without an outcome", resp.StatusCode)}
 	}
 	s := Sample{Result: Cut, Reason: e.Error.Reason}
 	if e.Error.Outcome == "not_run" {
@@ -156,7 +210,7 @@
 	return s
 }
 
-func readStream(body io.Reader, r *Completion, start time.Time) Sample {
+func (c *Client) readStream(body io.Reader, r *Completion, start time.Time) Sample {
 	sc := bufio.NewScanner(body)
 	sc.Buffer(make([]byte, 0, 4096), 1<<20)
 	sum := xxhash.New()
@@ -169,7 +223,7 @@
 		}
 		var e streamEvent
 		if err := json.Unmarshal(data, &e); err != nil {
-			return Sample{Result: Cut, Reason: err.Error()}
+			return Sample{Result: Cut, Reason: "client: event does not decode"}
 		}
 		switch {
 		case e.Error != nil:
@@ -182,19 +236,22 @@
 		if e.Text != modelengine.TokenText(r.ID, e.Index) || e.Index != s.Tokens {
 			return Sample{Result: MixedUp, Reason: "token of another request or position"}
 		}
-		last = time.Now()
+		now := time.Now()
 		if s.Tokens == 0 {
-			first = last
+			first = now
+		} else if c.gaps {
+			s.Gaps = append(s.Gaps, now.Sub(last))
 		}
+		last = now
 		s.Tokens++
 		_, _ = sum.WriteString(e.Text)
 	}
-	return Sample{Result: Cut, Reason: "stream ended without its end marker"}
+	return Sample{Result: Cut, Reason: "client: stream ended without its end marker"}
 }
 
 func finish(s Sample, e *streamEvent, r *Completion, sum *xxhash.Digest, first, rest time.Duration) Sample {
 	if s.Tokens != r.MaxTokens || e.Tokens != s.Tokens || e.Checksum != fmt.Sprintf("%016x", sum.Sum64()) {
-		return Sample{Result: Cut, Reason: "end marker does not match the tokens"}
+		return Sample{Result: Cut, Reason: "client: end marker does not match the tokens"}
 	}
 	s.Result = Answered
 	s.FirstToken = first
@@ -207,7 +264,9 @@
 // CallService calls a plain service and returns the status and body of a whole
 // answer.
 func (c *Client) CallService(address string, r *Call) (Sample, int, string) {
-	req, err := http.NewRequest(r.Method, "http://"+address+"/v1/services/"+r.Service+r.Path, strings.NewReader(r.Body))
+	ctx, cancel := context.WithTimeout(context.Background(), r.Deadline+callGrace)
+	defer cancel()
+	req, err := newRequest(ctx, r.Method, "http://"+address+"/v1/services/"+r.Service+r.Path, []byte(r.Body))
 	if err != nil {
 		return Sample{Result: Refused, Reason: err.Error()}, 0, ""
 	}
@@ -224,15 +283,16 @@
 		return failedCall(err), 0, ""
 	}
 	defer func() { _ = resp.Body.Close() }()
-	if got := resp.Header.Get("X-Request-Id"); resp.StatusCode < 300 && got != r.ID {
-		return Sample{Result: MixedUp, Reason: "answer to " + got}, 0, ""
-	}
-	if resp.StatusCode >= 400 && resp.StatusCode != http.StatusNotFound {
+	// A 404 of the service itself has no outcome and is an answer.
+	if resp.StatusCode >= 400 && (resp.StatusCode != http.StatusNotFound || resp.Header.Get("X-Request-Id") == "") {
 		return refusedSample(resp), resp.StatusCode, ""
 	}
+	if got := resp.Header.Get("X-Request-Id"); got != r.ID {
+		return Sample{Result: MixedUp, Reason: "answer to " + got}, 0, ""
+	}
 	b, err := io.ReadAll(io.LimitReader(resp.Body, 1<<20))
 	if err != nil {
-		return Sample{Result: Cut, Reason: err.Error()}, 0, ""
+		return Sample{Result: Cut, Reason: "client: answer is not whole"}, 0, ""
 	}
 	took := time.Since(start)
 	return Sample{Result: Answered, FirstToken: took, Good: took <= r.Deadline}, resp.StatusCode, string(b)
--- a/cmd/internal/load/generator.go
+++ b/cmd/internal/load/generator.go
@@ -10,8 +10,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/HdrHistogram/hdrhistogram-go"
-
 	"github.com/lentilpick/lentilpick/types"
 )
 
@@ -40,14 +38,6 @@
 	Seed       uint64
 }
 
-// Totals are the counts over a run.
-type Totals struct {
-	Requests, Answered, Refused, Cut, MixedUp, Good int64
-	Reads, StaleReads                               int64
-	Reasons                                         map[string]int64
-	FirstToken, Interval                            *hdrhistogram.Histogram
-}
-
 // Generator sends the load of one deployment through its balancer.
 type Generator struct {
 	spec     Spec
@@ -57,62 +47,61 @@
 	wg       sync.WaitGroup
 
 	mu     sync.Mutex
-	totals Totals
+	phases []*Totals
 }
 
-const histogramMaxUs = 60_000_000
-
 // NewGenerator returns a generator that has sent nothing.
 func NewGenerator(s Spec) *Generator {
-	return &Generator{
-		spec: s, client: NewClient(), balancer: newBalancer(s.Entries),
-		totals: Totals{
-			Reasons: map[string]int64{}, FirstToken: hdrhistogram.New(1, histogramMaxUs, 3),
-			Interval: hdrhistogram.New(1, histogramMaxUs, 3),
-		},
+	g := &Generator{spec: s, client: NewClient(), balancer: newBalancer(s.Entries)}
+	for range s.Phases {
+		g.phases = append(g.phases, newTotals())
 	}
+	return g
 }
 
-// Run sends all phases and waits for the last answer.
-func (g *Generator) Run(ctx context.Context) Totals {
-	health, cancel := context.WithCancel(ctx)
+// Run sends all phases, waits for the last answer and returns the totals of
+// each phase. It stops sending when the context ends.
+func (g *Generator) Run(ctx context.Context) []*Totals {
+	health, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	go g.balancer.watch(health)
 	rnd := rand.New(rand.NewPCG(g.spec.Seed, 1))
-	for _, p := range g.spec.Phases {
-		g.runPhase(ctx, p, rnd)
+	for i, p := range g.spec.Phases {
+		g.runPhase(ctx, i, p, rnd)
 	}
 	g.wg.Wait()
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.totals
+	return g.phases
 }
 
 // runPhase sends requests with exponentially distributed gaps, independent of
 // the answers.
-func (g *Generator) runPhase(ctx context.Context, p Phase, rnd *rand.Rand) {
+func (g *Generator) runPhase(ctx context.Context, phase int, p Phase, rnd *rand.Rand) {
 	start := time.Now()
 	total := p.PerSecond + p.CallsPerSecond
 	at := start
-	timer := time.NewTimer(0)
-	defer timer.Stop()
 	for {
 		at = at.Add(time.Duration(rnd.ExpFloat64() / total * float64(time.Second)))
-		if at.Sub(start) > p.Length {
-			return
-		}
-		timer.Reset(time.Until(at))
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
+		if at.Sub(start) > p.Length || !pause(ctx, time.Until(at)) {
 			return
 		}
 		if rnd.Float64()*total < p.CallsPerSecond {
-			g.start(g.booking)
+			g.start(func() { g.booking(phase) })
 			continue
 		}
 		c := g.completion(p, rnd)
-		g.start(func() { g.complete(c) })
+		g.start(func() { g.complete(phase, c) })
+	}
+}
+
+// pause waits for d and reports whether the context is still live.
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
 	}
 }
 
@@ -146,91 +135,102 @@
 // tries bounds how often a request that was not run is sent to another VM.
 const tries = 3
 
-func (g *Generator) complete(c *Completion) {
-	var s Sample
+func (g *Generator) complete(phase int, c *Completion) {
+	vm, s := g.balance(func(vm string) Sample { return g.client.Complete(vm, c) })
+	g.record(phase, vm, &s)
+}
+
+// balance sends a request to a random VM, and to another one while the answer
+// says that it was not run for a reason of that VM alone.
+func (g *Generator) balance(send func(vm string) Sample) (vm string, s Sample) {
+	var tried []string
 	for range tries {
-		s = g.client.Complete(g.balancer.pick(), c)
+		vm = g.balancer.pick(tried)
+		s = send(vm)
 		if s.Result != Refused || !elsewhere(s.Reason) {
 			break
 		}
+		tried = append(tried, vm)
 	}
-	g.record(s)
+	return vm, s
 }
 
 // elsewhere reports whether the refusal concerns one VM only.
 func elsewhere(reason string) bool { return reason == "connection_refused" || reason == "stopping" }
 
+const bookingDeadline = 3 * time.Second
+
 // booking sends a keyed write, repeats it through another VM, and reads its
 // status back.
-func (g *Generator) booking() {
+func (g *Generator) booking(phase int) {
 	id := g.nextID()
 	c := Call{
 		ID: id, Workspace: g.spec.Workspaces[0], Service: g.spec.Plain, Method: http.MethodPost, Path: "/orders/" + id,
-		Key: "key-" + id, Affinity: id, Body: "order " + id, Deadline: 3 * time.Second,
+		Key: "key-" + id, Affinity: id, Body: "order " + id, Deadline: bookingDeadline,
 	}
-	s, status := g.call(c)
-	g.record(s)
-	if s.Result != Answered || status != http.StatusCreated {
+	vm, s, status, body := g.call(&c)
+	g.record(phase, vm, &s)
+	if s.Result == Refused {
 		return
 	}
 	repeat := c
 	repeat.ID = id + "-repeat"
-	s, _ = g.call(repeat)
-	if s.Reason == "key_in_progress" {
-		s.Result = Refused // the first answer is on its way to the log; nothing ran
+	vm, again, _, repeated := g.result(&repeat)
+	if s.Result != Answered {
+		return // the repeat tests only that the key does not run twice
+	}
+	if again.Result == Answered && repeated != body {
+		again = Sample{Result: MixedUp, Reason: "repeat has another answer"}
+	}
+	g.record(phase, vm, &again)
+	if status == http.StatusCreated {
+		g.readBack(phase, &c)
 	}
-	g.record(s)
-	g.readBack(c)
 }
 
-func (g *Generator) call(c Call) (Sample, int) {
-	var s Sample
-	var status int
-	for range tries {
-		s, status, _ = g.client.CallService(g.balancer.pick(), &c)
-		if s.Result != Refused || !elsewhere(s.Reason) {
+const (
+	// keyTries bounds how often the result of a key that is in progress is
+	// asked for.
+	keyTries = 10
+	// keyPause is the pause that the daemons name in retry_after_ms.
+	keyPause = 500 * time.Millisecond
+)
+
+// result repeats a keyed call until its key is no longer in progress, as the
+// answer tells the caller to do.
+func (g *Generator) result(c *Call) (vm string, s Sample, status int, body string) {
+	for range keyTries {
+		vm, s, status, body = g.call(c)
+		if s.Reason != "key_in_progress" || !pause(context.Background(), keyPause) {
 			break
 		}
 	}
-	return s, status
+	return vm, s, status, body
 }
 
-func (g *Generator) readBack(c Call) {
-	read := c
+func (g *Generator) call(c *Call) (vm string, s Sample, status int, body string) {
+	vm, s = g.balance(func(vm string) Sample {
+		s, status, body = g.client.CallService(vm, c)
+		return s
+	})
+	return vm, s, status, body
+}
+
+func (g *Generator) readBack(phase int, c *Call) {
+	read := *c
 	read.ID, read.Method, read.Key, read.Body = c.ID+"-read", http.MethodGet, "", ""
-	s, status, body := g.client.CallService(g.balancer.pick(), &read)
-	g.record(s)
+	vm, s, status, body := g.call(&read)
+	g.record(phase, vm, &s)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.totals.Reads++
+	g.phases[phase].Reads++
 	if s.Result == Answered && (status != http.StatusOK || body != c.Body) {
-		g.totals.StaleReads++
+		g.phases[phase].StaleReads++
 	}
 }
 
-func (g *Generator) record(s Sample) {
+func (g *Generator) record(phase int, vm string, s *Sample) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	t := &g.totals
-	t.Requests++
-	switch s.Result {
-	case Answered:
-		t.Answered++
-	case Refused:
-		t.Refused++
-	case Cut:
-		t.Cut++
-	case MixedUp:
-		t.MixedUp++
-	}
-	if s.Reason != "" {
-		t.Reasons[s.Reason]++
-	}
-	if s.Good {
-		t.Good++
-	}
-	if s.Tokens > 0 {
-		_ = t.FirstToken.RecordValue(s.FirstToken.Microseconds())
-		_ = t.Interval.RecordValue(max(s.Interval.Microseconds(), 1))
-	}
+	g.phases[phase].record(vm, s)
 }
--- a/cmd/internal/standins/run.go
+++ b/cmd/internal/standins/run.go
@@ -2,8 +2,7 @@
 
 import (
 	"context"
-	"encoding/json"
-	"net"
+	"strings"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -35,15 +34,16 @@
 	engines map[string]*modelengine.Runner
 	stores  map[string]*plainservice.Store
 	plain   map[string]*plainservice.Instance
-	servers []*fasthttp.Server
-	failed  chan error
+	// endpoints are the servers of the targets, by target.
+	endpoints map[string]*web.Endpoint
+	failed    chan error
 }
 
 // Run serves the stand-ins until the context ends.
 func Run(ctx context.Context, s *Settings, log *logrus.Entry) error {
 	p := &process{
 		log: log, engines: map[string]*modelengine.Runner{}, stores: map[string]*plainservice.Store{},
-		plain: map[string]*plainservice.Instance{}, failed: make(chan error, 1),
+		plain: map[string]*plainservice.Instance{}, endpoints: map[string]*web.Endpoint{}, failed: make(chan error, 1),
 	}
 	if err := p.start(s); err != nil {
 		return err
@@ -67,13 +67,9 @@
 		}
 	}
 	for _, e := range s.Engine {
-		params := modelengine.DefaultParams()
-		params.ChecksFencing = e.ChecksFencing
-		params.ChangeTime = e.ChangeTime
-		d := modelengine.Description{Role: e.Role, Model: e.Model, Version: e.Version, Adapters: e.Adapters}
-		r := modelengine.NewRunner(modelengine.NewEngine(params, d), e.ReportLag)
+		r := newEngine(&e, s.WeightStore)
 		p.engines[e.ID] = r
-		if err := p.serve(e.Listen, modelengine.NewServer(r).Handle); err != nil {
+		if err := p.serveTarget(e.ID, e.Listen, modelengine.NewServer(r).Handle); err != nil {
 			return err
 		}
 	}
@@ -83,7 +79,7 @@
 		}
 		i := &plainservice.Instance{Name: c.ID, Store: p.stores[c.Service], ServiceTime: c.ServiceTime}
 		p.plain[c.ID] = i
-		if err := p.serve(c.Listen, i.Handle); err != nil {
+		if err := p.serveTarget(c.ID, c.Listen, i.Handle); err != nil {
 			return err
 		}
 	}
@@ -93,6 +89,35 @@
 // replicationLag is how late the instances of a plain service see each other's writes.
 const replicationLag = 2 * time.Second
 
+// newEngine starts the runner of one engine. Settings of 0 leave the default
+// speed.
+func newEngine(e *Engine, weights string) *modelengine.Runner {
+	params := modelengine.DefaultParams()
+	params.ChecksFencing = e.ChecksFencing
+	params.ChangeTime = e.ChangeTime
+	if e.IterationBase > 0 {
+		params.Rates.IterationBase = e.IterationBase
+	}
+	if e.DecodeCost > 0 {
+		params.Rates.DecodeCost = e.DecodeCost
+	}
+	if e.MaxStreams > 0 {
+		params.Rates.MaxStreams = e.MaxStreams
+	}
+	if e.KVTokens > 0 {
+		params.KVTokens = e.KVTokens
+	}
+	s := modelengine.RunnerSettings{
+		ReportLag: e.ReportLag,
+		Events:    modelengine.EventSettings{Lag: e.EventLag, DropEvery: e.EventDropEvery},
+	}
+	if weights != "" {
+		s.Weights = modelengine.HTTPWeights{Address: weights}
+	}
+	d := modelengine.Description{Role: e.Role, Model: e.Model, Version: e.Version, Adapters: e.Adapters}
+	return modelengine.NewRunner(modelengine.NewEngine(params, d), s)
+}
+
 func (p *process) startPlatform(s *Platform) error {
 	p.service = logservice.New(logservice.Settings{AppendsPerSecond: s.AppendsPerSecond, Retention: s.Retention}, time.Now)
 	vms := vmlist.New(s.VM, s.VMListLag, time.Now)
@@ -104,41 +129,42 @@
 	})
 }
 
+func (p *process) serveTarget(id, address string, h fasthttp.RequestHandler) error {
+	e, err := p.listen(address, h)
+	p.endpoints[id] = e
+	return err
+}
+
 func (p *process) serve(address string, h fasthttp.RequestHandler) error {
-	l, err := net.Listen("tcp", address)
+	_, err := p.listen(address, h)
+	return err
+}
+
+func (p *process) listen(address string, h fasthttp.RequestHandler) (*web.Endpoint, error) {
+	e, err := web.Serve(address, h, func(err error) {
+		select {
+		case p.failed <- err:
+		default:
+		}
+	})
 	if err != nil {
-		return merry.Wrap(ErrStart, merry.WithCause(err))
+		return nil, merry.Wrap(ErrStart, merry.WithCause(err))
 	}
-	s := &fasthttp.Server{Handler: h, MaxRequestBodySize: 64 << 20, IdleTimeout: time.Minute}
-	p.servers = append(p.servers, s)
-	go func() {
-		if err := s.Serve(l); err != nil {
-			select {
-			case p.failed <- err:
-			default:
-			}
-		}
-	}()
-	return nil
+	return e, nil
 }
 
-// control serves GET /stats and POST /faults/log, /faults/engine/{id}.
+// control serves GET /stats and POST /faults/....
 func (p *process) control(ctx *fasthttp.RequestCtx) {
 	path := string(ctx.Path())
-	switch {
-	case path == "/stats":
+	if path == "/stats" {
 		web.Reply(ctx, p.stats())
-	case path == "/faults/log" && p.service != nil:
-		var f logservice.Faults
-		if err := json.Unmarshal(ctx.PostBody(), &f); err != nil {
-			web.Fail(ctx, fasthttp.StatusBadRequest, err.Error())
-			return
-		}
-		p.service.SetFaults(f)
-		web.Reply(ctx, struct{}{})
-	default:
-		web.Fail(ctx, fasthttp.StatusNotFound, "no such path")
+		return
+	}
+	if rest, ok := strings.CutPrefix(path, "/faults/"); ok && ctx.IsPost() {
+		p.fault(ctx, rest)
+		return
 	}
+	web.Fail(ctx, fasthttp.StatusNotFound, "no such path")
 }
 
 func (p *process) stats() Stats {
--- a/cmd/internal/standins/settings.go
+++ b/cmd/internal/standins/settings.go
@@ -16,8 +16,11 @@
 	// Control is the address on which faults are set and counts are read.
 	Control  string    `toml:"control"`
 	Platform *Platform `toml:"platform"`
-	Engine   []Engine  `toml:"engine"`
-	Plain    []Plain   `toml:"plain"`
+	// WeightStore is the address where the engines read weights; without it a
+	// load takes no weights.
+	WeightStore string   `toml:"weight_store"`
+	Engine      []Engine `toml:"engine"`
+	Plain       []Plain  `toml:"plain"`
 }
 
 // Platform is the stand-in for the platform's services.
@@ -41,6 +44,15 @@
 	ChecksFencing bool              `toml:"checks_fencing"`
 	ReportLag     time.Duration     `toml:"report_lag"`
 	ChangeTime    time.Duration     `toml:"change_time"`
+	// EventLag is how late cache events are; every EventDropEvery-th is left out.
+	EventLag       time.Duration `toml:"event_lag"`
+	EventDropEvery int           `toml:"event_drop_every"`
+	// IterationBase, DecodeCost, MaxStreams and KVTokens replace the default
+	// speed and size; 0 keeps the default.
+	IterationBase time.Duration `toml:"iteration_base"`
+	DecodeCost    time.Duration `toml:"decode_cost"`
+	MaxStreams    int           `toml:"max_streams"`
+	KVTokens      int           `toml:"kv_tokens"`
 }
 
 // Plain is the stand-in for one instance of a plain service. Instances with
@@ -66,11 +78,20 @@
 		c.Duration("platform.vm_list_lag", p.VMListLag, 0, time.Hour)
 		c.Int("platform.weights_per_minute", int64(p.WeightsPerMinute), 0, 1_000_000)
 	}
+	if s.WeightStore != "" {
+		c.Loopback("weight_store", s.WeightStore)
+	}
 	for _, e := range s.Engine {
 		c.Name("engine.id", e.ID)
 		c.Loopback("engine.listen", e.Listen)
 		c.Duration("engine.report_lag", e.ReportLag, 0, time.Minute)
 		c.Duration("engine.change_time", e.ChangeTime, 0, 10*time.Minute)
+		c.Duration("engine.event_lag", e.EventLag, 0, time.Minute)
+		c.Int("engine.event_drop_every", int64(e.EventDropEvery), 0, 1_000_000)
+		c.Duration("engine.iteration_base", e.IterationBase, 0, time.Second)
+		c.Duration("engine.decode_cost", e.DecodeCost, 0, time.Second)
+		c.Int("engine.max_streams", int64(e.MaxStreams), 0, 1<<16)
+		c.Int("engine.kv_tokens", int64(e.KVTokens), 0, 1<<30)
 	}
 	for _, p := range s.Plain {
 		c.Name("plain.id", p.ID)
--- a/cmd/lentilpick-load/main.go
+++ b/cmd/lentilpick-load/main.go
@@ -8,7 +8,9 @@
 )
 
 var cli struct {
-	Demo load.DemoCmd `cmd:"" help:"Run both example deployments on loopback, send a mixed load and print a report."`
+	Demo    load.DemoCmd    `cmd:"" help:"Run both example deployments on loopback, send a mixed load and print a report."`
+	Faults  load.FaultsCmd  `cmd:"" help:"Run fault scenarios over real processes and check what holds."`
+	Latency load.LatencyCmd `cmd:"" help:"Measure what the entry daemon adds to a direct call of an engine."`
 }
 
 func main() {
--- a/standin/logservice/http.go
+++ b/standin/logservice/http.go
@@ -50,8 +50,8 @@
 		web.Fail(ctx, fasthttp.StatusBadRequest, "stream name is not valid")
 		return true
 	}
-	if d := s.Faults().DelayMs; d > 0 {
-		web.Wait(time.Duration(d) * time.Millisecond)
+	if d := s.Delay(); d > 0 {
+		web.Wait(d)
 	}
 	switch {
 	case ctx.IsPost():
--- a/standin/logservice/service.go
+++ b/standin/logservice/service.go
@@ -1,6 +1,9 @@
 // Package logservice is a stand-in for the platform's append-only log service,
 // for tests and the demo. It keeps records in memory for a limited time, limits
 // the append rate, and can be told to fail.
+//
+// It does not model replication, durability over a restart, authentication,
+// outages of single streams, or readers that see a record later than others.
 package logservice
 
 import (
@@ -44,8 +47,10 @@
 	LoseAnswers int `json:"lose_answers"`
 	// DuplicateAppends stores every n-th append twice; 0 stores none twice.
 	DuplicateAppends int `json:"duplicate_appends"`
-	// DelayMs delays every answer, in milliseconds.
+	// DelayMs delays calls before they take effect, in milliseconds.
 	DelayMs int `json:"delay_ms"`
+	// DelayEvery delays every n-th call only; 0 and 1 delay each call.
+	DelayEvery int `json:"delay_every"`
 }
 
 type stream struct {
@@ -65,6 +70,7 @@
 	second  int64
 	inSec   int
 	appends int64
+	calls   int64
 }
 
 // New returns an empty log that reads the time from now.
@@ -72,11 +78,30 @@
 	return &Service{settings: s, now: now, streams: map[string]*stream{}}
 }
 
-// SetFaults replaces the faults.
+// SetFaults replaces the faults. Waiting reads look at them at once.
 func (s *Service) SetFaults(f Faults) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.faults = f
+	for _, st := range s.streams {
+		st.notify()
+	}
+}
+
+// Delay returns how long the next call has to wait before it takes effect.
+func (s *Service) Delay() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
+	if s.faults.DelayEvery > 1 && s.calls%int64(s.faults.DelayEvery) != 0 {
+		return 0
+	}
+	return time.Duration(s.faults.DelayMs) * time.Millisecond
+}
+
+func (st *stream) notify() {
+	close(st.changed)
+	st.changed = make(chan struct{})
 }
 
 // Faults returns the faults in force.
@@ -112,8 +137,7 @@
 	if every(s.faults.DuplicateAppends, s.appends) {
 		s.store(st, data)
 	}
-	close(st.changed)
-	st.changed = make(chan struct{})
+	st.notify()
 	return first, every(s.faults.LoseAnswers, s.appends), nil
 }
 
--- a/standin/modelengine/cache.go
+++ b/standin/modelengine/cache.go
@@ -25,14 +25,25 @@
 	return len(blocks)
 }
 
-// insert adds the blocks and returns the ones that were evicted.
-func (c *prefixCache) insert(blocks []uint64) (evicted []uint64) {
+// blocks returns all cached blocks.
+func (c *prefixCache) blocks() []uint64 {
+	out := make([]uint64, 0, len(c.entries))
+	for el := c.order.Front(); el != nil; el = el.Next() {
+		out = append(out, el.Value.(uint64))
+	}
+	return out
+}
+
+// insert adds the blocks and returns the ones that are new and the ones that
+// were evicted.
+func (c *prefixCache) insert(blocks []uint64) (stored, evicted []uint64) {
 	for _, b := range blocks {
 		if el, ok := c.entries[b]; ok {
 			c.order.MoveToFront(el)
 			continue
 		}
 		c.entries[b] = c.order.PushFront(b)
+		stored = append(stored, b)
 	}
 	for c.order.Len() > c.capacity {
 		el := c.order.Back()
@@ -40,5 +51,5 @@
 		delete(c.entries, b)
 		evicted = append(evicted, b)
 	}
-	return evicted
+	return stored, evicted
 }
--- a/standin/modelengine/http.go
+++ b/standin/modelengine/http.go
@@ -67,16 +67,35 @@
 }
 
 // Server is the HTTP front end of one engine.
-type Server struct{ runner *Runner }
+type Server struct {
+	runner *Runner
+	peers  *fasthttp.Client
+}
 
 // NewServer returns the front end of a runner.
-func NewServer(r *Runner) *Server { return &Server{runner: r} }
+func NewServer(r *Runner) *Server {
+	return &Server{runner: r, peers: &fasthttp.Client{Name: "modelengine", MaxIdemponentCallAttempts: 1}}
+}
 
-// Handle serves the engine's protocol.
+// Handle serves the engine's protocol. A silent engine answers once it moves
+// again.
 func (s *Server) Handle(ctx *fasthttp.RequestCtx) {
+	select {
+	case <-s.runner.Moving():
+	case <-s.runner.stop:
+		return
+	}
 	switch string(ctx.Path()) {
 	case "/v1/completions":
 		s.generate(ctx)
+	case "/v1/cancel":
+		s.cancel(ctx)
+	case "/v1/kv/export":
+		s.exportKV(ctx)
+	case "/v1/kv/import":
+		s.importKV(ctx)
+	case "/v1/events":
+		web.Reply(ctx, s.runner.Events(uint64(ctx.QueryArgs().GetUintOrZero("after"))))
 	case "/v1/report":
 		s.report(ctx)
 	case "/v1/state":
@@ -95,18 +114,6 @@
 	return fmt.Sprintf("%08x.%d ", uint32(xxhash.Sum64String(string(id))), index)
 }
 
-func promptBlocks(prompt string) []uint64 {
-	const blockBytes = types.BlockTokens * types.BytesPerToken
-	var out []uint64
-	sum := xxhash.New()
-	for len(prompt) >= blockBytes {
-		_, _ = sum.WriteString(prompt[:blockBytes])
-		out = append(out, sum.Sum64())
-		prompt = prompt[blockBytes:]
-	}
-	return out
-}
-
 func (s *Server) generate(ctx *fasthttp.RequestCtx) {
 	var in generateRequest
 	if err := json.Unmarshal(ctx.PostBody(), &in); err != nil {
@@ -121,6 +128,10 @@
 		ID: in.RequestID, PromptTokens: types.TokensOf(len(in.Prompt)), Blocks: promptBlocks(in.Prompt),
 		MaxTokens: in.MaxTokens, Priority: in.Priority, Produced: in.ResumeFrom, PrefillOnly: in.PrefillOnly,
 	}
+	if err := s.fetchKV(j, in.KVSource); err != nil {
+		web.Fail(ctx, fasthttp.StatusFailedDependency, err.Error())
+		return
+	}
 	out, err := s.runner.Submit(j, in.Model, in.Adapter)
 	if err != nil {
 		web.Fail(ctx, submitStatus(err), err.Error())
@@ -128,25 +139,56 @@
 	}
 	ctx.SetContentType("text/event-stream")
 	ctx.Response.Header.Set("X-Request-Id", string(in.RequestID))
-	ctx.SetBodyStreamWriter(func(w *bufio.Writer) { s.stream(w, j, out) })
+	ctx.SetBodyStreamWriter(func(w *bufio.Writer) { s.stream(w, j, in.ResumeFrom, out) })
 }
 
 func submitStatus(err error) int {
-	if errors.Is(err, ErrModel) {
+	switch {
+	case errors.Is(err, ErrModel):
 		return fasthttp.StatusNotFound
+	case errors.Is(err, ErrTooLong):
+		return fasthttp.StatusRequestEntityTooLarge
 	}
 	return fasthttp.StatusServiceUnavailable
 }
 
-func (s *Server) stream(w *bufio.Writer, j *Job, out <-chan Output) {
+// waitEvery is the time between two comment lines to a client whose request
+// has no token yet.
+const waitEvery = time.Second
+
+// next returns the next output of a job. Until the first one it sends comment
+// lines, so that the client can tell a queue from a silent engine.
+func (s *Server) next(w *bufio.Writer, out <-chan Output, queued bool) (Output, bool) {
+	if !queued {
+		o, ok := <-out
+		return o, ok
+	}
+	tick := time.NewTicker(waitEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case o, ok := <-out:
+			return o, ok
+		case <-tick.C:
+			<-s.runner.Moving()
+			_, _ = w.WriteString(": wait\n\n")
+			if w.Flush() != nil {
+				return Output{}, false
+			}
+		}
+	}
+}
+
+// stream writes the outputs of a job from the token at index on.
+func (s *Server) stream(w *bufio.Writer, j *Job, index int, out <-chan Output) {
+	defer s.runner.Drop(j) // has no effect on a job that has ended
 	sum := xxhash.New()
-	index := j.Produced
 	if w.Flush() != nil { // sends the header before the first token
-		s.runner.Drop(j)
 		return
 	}
-	for o := range out {
-		if o.Cut {
+	for queued := true; ; queued = false {
+		o, ok := s.next(w, out, queued)
+		if !ok || o.Cut {
 			return // no end marker: the client sees a truncated answer
 		}
 		if o.Tokens > 0 {
@@ -161,8 +203,7 @@
 				Checksum: fmt.Sprintf("%016x", sum.Sum64()), PromptTokens: j.PromptTokens, CachedTokens: j.CachedTokens,
 			})
 		}
-		if w.Flush() != nil {
-			s.runner.Drop(j)
+		if w.Flush() != nil || o.Done {
 			return
 		}
 	}
@@ -207,13 +248,7 @@
 		web.Fail(ctx, fasthttp.StatusBadRequest, err.Error())
 		return
 	}
-	var err error
-	s.runner.Do(func(e *Engine, now time.Time) []Output {
-		var cut []Output
-		cut, err = e.Apply(o, now)
-		return cut
-	})
-	if err != nil {
+	if err := s.runner.Order(o); err != nil {
 		web.Fail(ctx, fasthttp.StatusConflict, err.Error())
 		return
 	}
--- a/standin/modelengine/model.go
+++ b/standin/modelengine/model.go
@@ -1,6 +1,18 @@
 // Package modelengine is a stand-in for a model engine with continuous
 // batching. The Engine type is a pure model that advances one batch iteration
 // at a time on any clock; Server puts it behind HTTP.
+//
+// The stand-in models iteration times, chunked prefill, a prefix cache, KV
+// memory, KV transfers, orders with fencing numbers, late reports, late cache
+// events with gaps, crashes and silence. It does not model:
+//   - text: a token's text depends on the request and its position only;
+//   - attention cost: decode time does not grow with the context, and a token
+//     costs the same prefill time at any depth;
+//   - preemption: KV memory for the whole answer is reserved at admission;
+//   - the sharing of KV memory between the prefix cache and running jobs: each
+//     has the whole size;
+//   - the network: a KV transfer takes time on the sender's side only;
+//   - adapters: loading one takes no time.
 package modelengine
 
 import (
@@ -103,6 +115,9 @@
 	desc    Description
 	leaving bool
 	cache   *prefixCache
+	// cacheChanged, if set, is told of each change of the cache.
+	cacheChanged func(CacheEventKind, uint64)
+	kept         []keptKV
 
 	waiting  []*Job
 	prefill  []*Job
@@ -120,13 +135,16 @@
 
 // Stats counts what happened on an engine.
 type Stats struct {
-	Submitted         int64 `json:"submitted"`
-	Completed         int64 `json:"completed"`
-	Cancelled         int64 `json:"cancelled"`
-	Cut               int64 `json:"cut"`
-	RoleChanges       int64 `json:"role_changes"`
-	OrdersAccepted    int64 `json:"orders_accepted"`
-	OrdersStale       int64 `json:"orders_stale"`
+	Submitted      int64 `json:"submitted"`
+	Completed      int64 `json:"completed"`
+	Cancelled      int64 `json:"cancelled"`
+	Cut            int64 `json:"cut"`
+	RoleChanges    int64 `json:"role_changes"`
+	OrdersAccepted int64 `json:"orders_accepted"`
+	OrdersStale    int64 `json:"orders_stale"`
+	// StaleCarriedOut counts the stale orders that were not refused.
+	StaleCarriedOut   int64 `json:"stale_carried_out"`
+	ChangesAborted    int64 `json:"changes_aborted"`
 	OrdersConflicting int64 `json:"orders_conflicting"`
 	TokensProduced    int64 `json:"tokens_produced"`
 }
@@ -154,7 +172,8 @@
 	return e.changingTo != nil
 }
 
-// Submit adds a job. Errors: ErrModel, ErrLeaving, ErrChanging.
+// Submit adds a job. Errors: ErrModel, ErrLeaving, ErrChanging,
+// ErrTooLong.
 func (e *Engine) Submit(j *Job, m types.ModelID, a types.AdapterID, now time.Time) error {
 	if e.Changing(now) {
 		return ErrChanging
@@ -165,6 +184,9 @@
 	if m != e.desc.Model || (a != "" && !slices.Contains(e.desc.Adapters, a)) {
 		return ErrModel
 	}
+	if j.reserve() > e.params.KVTokens {
+		return ErrTooLong
+	}
 	e.Stats.Submitted++
 	e.arrivals++
 	j.order = e.arrivals
@@ -234,12 +256,16 @@
 func (e *Engine) admit() {
 	for len(e.waiting) > 0 && len(e.prefill)+len(e.decode) < e.params.Rates.MaxStreams {
 		j := e.waiting[0]
+		if !e.fits(j) {
+			return
+		}
 		e.waiting = e.waiting[1:]
 		if j.remaining == 0 {
 			e.decode = append(e.decode, j)
-			continue
+		} else {
+			e.prefill = append(e.prefill, j)
 		}
-		e.prefill = append(e.prefill, j)
+		e.yieldKept()
 	}
 }
 
@@ -256,7 +282,7 @@
 		if j.remaining > 0 {
 			break
 		}
-		e.cache.insert(j.Blocks)
+		e.storeBlocks(j.Blocks)
 		done = append(done, j)
 		e.prefill = e.prefill[1:]
 	}
@@ -303,7 +329,7 @@
 	return types.LoadReport{
 		At: now, Role: e.desc.Role, Model: e.desc.Model, Version: e.desc.Version,
 		Adapters: e.desc.Adapters, QueuedPrefillTokens: queued, DecodeStreams: len(e.decode),
-		Running: e.Running(), KVFreeTokens: max(e.params.KVTokens-e.kvInUse(), 0),
+		Running: e.Running(), KVFreeTokens: max(e.params.KVTokens-e.kvInUse()-e.keptTokens(), 0),
 		Leaving: e.leaving, Changing: e.Changing(now),
 	}
 }
--- a/standin/modelengine/order.go
+++ b/standin/modelengine/order.go
@@ -24,7 +24,8 @@
 // ErrBusy.
 func (e *Engine) Apply(o Order, now time.Time) ([]Output, error) {
 	changing := e.Changing(now)
-	if o.Fence < e.highestFence {
+	stale := o.Fence < e.highestFence
+	if stale {
 		e.Stats.OrdersStale++
 		if e.params.ChecksFencing {
 			return nil, ErrStaleFence
@@ -39,6 +40,9 @@
 	}
 	e.highestFence = max(e.highestFence, o.Fence)
 	e.Stats.OrdersAccepted++
+	if stale {
+		e.Stats.StaleCarriedOut++
+	}
 	e.lastOrder = o
 	e.leaving = o.Drain
 	if e.carries(o) {
@@ -63,7 +67,7 @@
 	}
 	o := e.changingTo
 	e.desc = Description{Role: o.Role, Model: o.Model, Version: o.Version, Adapters: slices.Clone(o.Adapters)}
-	e.cache = newPrefixCache(e.params.KVTokens / types.BlockTokens)
+	e.resetCache()
 	e.changingTo = nil
 }
 
--- a/standin/modelengine/runner.go
+++ b/standin/modelengine/runner.go
@@ -8,32 +8,51 @@
 )
 
 // Runner drives an Engine in real time. One goroutine steps the engine; the
-// HTTP handlers add and cancel jobs under the same lock.
+// HTTP handlers add and cancel jobs under the same lock. While there is no
+// work the goroutine waits for a signal or for the end of a change.
 type Runner struct {
-	lag time.Duration
+	start   time.Time
+	weights WeightStore
 
 	mu      sync.Mutex
 	engine  *Engine
+	lag     time.Duration
 	outputs map[*Job]chan Output
+	byID    map[types.RequestID]*Job
 	reports []types.LoadReport
-	silent  bool
+	events  eventLog
+	moving  chan struct{} // closed while the engine is not silent
 	wake    chan struct{}
 	stop    chan struct{}
 }
 
+// RunnerSettings of an engine in real time.
+type RunnerSettings struct {
+	// ReportLag is how late load reports are.
+	ReportLag time.Duration
+	Events    EventSettings
+	// Weights, if set, is read before a model is loaded.
+	Weights WeightStore
+}
+
 const (
+	// reportEvery is the least time between two recorded reports.
 	reportEvery = 100 * time.Millisecond
-	maxReports  = 128
+	maxReports  = 1024
 )
 
-// NewRunner starts an engine whose load reports are late by lag.
-func NewRunner(e *Engine, lag time.Duration) *Runner {
+// NewRunner starts an engine.
+func NewRunner(e *Engine, s RunnerSettings) *Runner {
 	r := &Runner{
-		lag: lag, engine: e, outputs: map[*Job]chan Output{},
+		start: time.Now(), weights: s.Weights, lag: s.ReportLag, engine: e,
+		outputs: map[*Job]chan Output{}, byID: map[types.RequestID]*Job{},
+		events: eventLog{settings: s.Events}, moving: make(chan struct{}),
 		wake: make(chan struct{}, 1), stop: make(chan struct{}),
 	}
+	close(r.moving)
+	e.OnCacheChange(func(k CacheEventKind, b uint64) { r.events.add(k, b, time.Now()) })
+	r.record(r.start)
 	go r.run()
-	go r.recordReports()
 	return r
 }
 
@@ -59,31 +78,100 @@
 	// One place for each token and one for a cut, so that delivery never blocks.
 	ch := make(chan Output, max(j.MaxTokens-j.Produced, 0)+2)
 	r.outputs[j] = ch
+	r.byID[j.ID] = j
 	r.signal()
 	return ch, nil
 }
 
+// Cancel ends the job of a request and reports whether there was one. The
+// stream of its answer ends without an end marker.
+func (r *Runner) Cancel(id types.RequestID) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	j, ok := r.byID[id]
+	if !ok {
+		return false
+	}
+	r.engine.Cancel(j)
+	r.deliver([]Output{{Job: j, Done: true, Cut: true}})
+	r.signal()
+	return true
+}
+
+// Drop cancels a job whose caller is gone.
+func (r *Runner) Drop(j *Job) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.engine.Cancel(j)
+	r.forget(j)
+	r.signal()
+}
+
 // SetSilent makes the engine produce nothing while its connections stay open.
 func (r *Runner) SetSilent(v bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.silent = v
+	if v == r.silent() {
+		return
+	}
+	if v {
+		r.moving = make(chan struct{})
+		return
+	}
+	close(r.moving)
 	r.signal()
 }
 
-// Report returns the newest report that is at least lag old, and its age.
+// silent reports whether the engine is silent. The lock is held.
+func (r *Runner) silent() bool {
+	select {
+	case <-r.moving:
+		return false
+	default:
+		return true
+	}
+}
+
+// Moving returns a channel that is closed while the engine is not silent.
+func (r *Runner) Moving() <-chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.moving
+}
+
+// SetLag sets how late load reports are.
+func (r *Runner) SetLag(d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lag = d
+}
+
+// Report returns the load as it was one lag ago, and its age. An engine that
+// has run for less than the lag reports its first state.
 func (r *Runner) Report() (types.LoadReport, time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	now := time.Now()
-	rep := r.engine.Report(now)
+	asOf := time.Now().Add(-r.lag)
+	if asOf.Before(r.start) {
+		asOf = r.start
+	}
+	rep := r.reports[0]
 	for i := len(r.reports) - 1; i >= 0; i-- {
-		if now.Sub(r.reports[i].At) >= r.lag {
+		if !r.reports[i].At.After(asOf) {
 			rep = r.reports[i]
 			break
 		}
 	}
-	return rep, now.Sub(rep.At)
+	rep.At = asOf
+	rep.Sequence = uint64(asOf.Sub(r.start)/reportEvery) + 1
+	return rep, time.Since(asOf)
+}
+
+// Events returns the cache events after sequence number n that can be read now.
+func (r *Runner) Events(n uint64) []CacheEvent {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.events.after(n, time.Now())
 }
 
 func (r *Runner) signal() {
@@ -96,30 +184,32 @@
 func (r *Runner) run() {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
+	<-timer.C
 	for {
-		d, out := r.step()
-		if d == 0 {
-			// An engine that is changing has no work until the change ends.
-			d = 50 * time.Millisecond
+		d, out, busy := r.step()
+		var fire <-chan time.Time
+		if d > 0 {
+			timer.Reset(d)
+			fire = timer.C
 		}
-		timer.Reset(d)
-		if !r.await(timer, len(out) > 0) {
+		if !r.await(fire, busy) {
 			return
 		}
+		timer.Stop()
 		r.mu.Lock()
 		r.deliver(out)
 		r.mu.Unlock()
 	}
 }
 
-// await waits for the timer, or for new work when nothing is being computed.
-func (r *Runner) await(timer *time.Timer, busy bool) bool {
+// await waits for the timer, or for a signal while no iteration is computed.
+func (r *Runner) await(fire <-chan time.Time, busy bool) bool {
 	wake := r.wake
 	if busy {
 		wake = nil
 	}
 	select {
-	case <-timer.C:
+	case <-fire:
 		return true
 	case <-wake:
 		return true
@@ -128,17 +218,24 @@
 	}
 }
 
-func (r *Runner) step() (time.Duration, []Output) {
+// step computes an iteration. Without work it returns the time until the end
+// of a change, or 0 when only a signal can bring work.
+func (r *Runner) step() (d time.Duration, out []Output, busy bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.silent {
-		return 0, nil
+	now := time.Now()
+	if r.silent() {
+		return 0, nil, false
 	}
-	d, out := r.engine.Step(time.Now())
-	if d > 0 && len(out) == 0 {
-		out = []Output{{}} // an iteration of prefill only still takes its time
+	if d, out = r.engine.Step(now); d > 0 {
+		r.recordLater(now)
+		return d, out, true
 	}
-	return d, out
+	r.record(now)
+	if end, ok := r.engine.ChangeEnds(now); ok {
+		return max(end.Sub(now), time.Microsecond), nil, false
+	}
+	return 0, nil, false
 }
 
 func (r *Runner) deliver(out []Output) {
@@ -147,40 +244,39 @@
 		if !ok {
 			continue
 		}
+		if o.Done && !o.Cut && o.Job.PrefillOnly {
+			_ = r.engine.KeepKV(o.Job.ID, KV{PromptTokens: o.Job.PromptTokens}, time.Now())
+		}
 		ch <- o
 		if o.Done {
-			delete(r.outputs, o.Job)
+			r.forget(o.Job)
 			close(ch)
 		}
 	}
 }
 
-// Drop cancels a job whose caller is gone.
-func (r *Runner) Drop(j *Job) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.engine.Cancel(j)
+func (r *Runner) forget(j *Job) {
 	delete(r.outputs, j)
+	if r.byID[j.ID] == j {
+		delete(r.byID, j.ID)
+	}
 }
 
-func (r *Runner) recordReports() {
-	ticker := time.NewTicker(reportEvery)
-	defer ticker.Stop()
-	var seq uint64
-	for {
-		select {
-		case <-ticker.C:
-		case <-r.stop:
-			return
-		}
-		r.mu.Lock()
-		seq++
-		rep := r.engine.Report(time.Now())
-		rep.Sequence = seq
-		r.reports = append(r.reports, rep)
-		if len(r.reports) > maxReports {
-			r.reports = r.reports[1:]
-		}
-		r.mu.Unlock()
+// recordLater records a report unless the last one is recent.
+func (r *Runner) recordLater(now time.Time) {
+	if now.Sub(r.reports[len(r.reports)-1].At) >= reportEvery {
+		r.record(now)
+	}
+}
+
+// record notes the load at now. It is called before each wait without end, so
+// that the last report holds while the engine is idle.
+func (r *Runner) record(now time.Time) {
+	if n := len(r.reports); n > 1 && now.Sub(r.reports[n-2].At) < reportEvery {
+		r.reports = r.reports[:n-1] // bounds the reports to one per reportEvery
+	}
+	r.reports = append(r.reports, r.engine.Report(now))
+	if extra := len(r.reports) - maxReports; extra > 0 {
+		r.reports = append(r.reports[:0], r.reports[extra:]...)
 	}
 }
--- a/standin/plainservice/plainservice.go
+++ b/standin/plainservice/plainservice.go
@@ -2,6 +2,9 @@
 // system behind several instances. Each execution of a write is counted by its
 // key, so that a request that ran twice is seen. A write is visible at once on
 // the instance that ran it and after a lag on the others.
+//
+// It does not model a limit on concurrent calls, partial failures of a write,
+// keys that the service itself remembers, or writes that are lost.
 package plainservice
 
 import (
@@ -87,6 +90,43 @@
 	mu      sync.Mutex
 	running int
 	leaving bool
+	slow    time.Duration
+	moving  chan struct{} // closed by SetSilent(false); nil while not silent
+}
+
+// SetSlow adds a time to each later call.
+func (i *Instance) SetSlow(d time.Duration) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.slow = d
+}
+
+// SetSilent stops the instance: it accepts connections and requests but runs
+// and answers nothing until it is set to false. The calls that it then holds
+// run late, as those of a process that was paused.
+func (i *Instance) SetSilent(v bool) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	switch {
+	case v && i.moving == nil:
+		i.moving = make(chan struct{})
+	case !v && i.moving != nil:
+		close(i.moving)
+		i.moving = nil
+	}
+}
+
+// hold waits while the instance is silent and returns how long a call takes.
+func (i *Instance) hold() time.Duration {
+	for {
+		i.mu.Lock()
+		moving, took := i.moving, i.ServiceTime+i.slow
+		i.mu.Unlock()
+		if moving == nil {
+			return took
+		}
+		<-moving
+	}
 }
 
 // SetLeaving marks the instance as leaving in its reports.
@@ -106,6 +146,7 @@
 // report and state.
 func (i *Instance) Handle(ctx *fasthttp.RequestCtx) {
 	path := string(ctx.Path())
+	took := i.hold()
 	switch {
 	case path == "/v1/report" || path == "/v1/state":
 		i.mu.Lock()
@@ -115,7 +156,7 @@
 	case strings.HasPrefix(path, "/orders/"):
 		i.enter(1)
 		defer i.enter(-1)
-		web.Wait(i.ServiceTime)
+		web.Wait(took)
 		i.handleOrder(ctx, strings.TrimPrefix(path, "/orders/"))
 	default:
 		web.Fail(ctx, fasthttp.StatusNotFound, "no such path")
--- a/standin/vmlist/vmlist.go
+++ b/standin/vmlist/vmlist.go
@@ -1,5 +1,6 @@
 // Package vmlist is a stand-in for the platform's list of VMs. Changes become
-// visible after a lag.
+// visible after a lag. It does not model failed reads, or readers that see
+// different versions of the list.
 package vmlist
 
 import (
--- a/standin/weightstore/weightstore.go
+++ b/standin/weightstore/weightstore.go
@@ -1,6 +1,7 @@
 // Package weightstore is a stand-in for the platform's rate-limited store of
 // model weights. It serves only the size of the weights, since the model
-// engine stand-in loads none.
+// engine stand-in loads none. It does not model the time of a transfer or its
+// bandwidth; a read over the rate is refused, never queued.
 package weightstore
 
 import (
