--- a/cmd/lentilpick-load/main.go
+++ b/cmd/lentilpick-load/main.go
@@ -9,8 +9,10 @@
 )
 
 var cli struct {
-	Capacity capacity.Cmd `cmd:"" help:"Measure what control costs at several sizes."`
-	Demo     load.DemoCmd `cmd:"" help:"Run both example deployments on loopback, send a mixed load and print a report."`
+	Capacity capacity.Cmd    `cmd:"" help:"Measure what control costs at several sizes."`
+	Demo     load.DemoCmd    `cmd:"" help:"Run both example deployments on loopback, send a mixed load and print a report."`
+	Faults   load.FaultsCmd  `cmd:"" help:"Run fault scenarios over real processes and check what holds."`
+	Latency  load.LatencyCmd `cmd:"" help:"Measure what the entry daemon adds to a direct call of an engine."`
 }
 
 func main() {
