control: read the state of a target only when its reports call for it

Cause: the lease holder read the state of every engine twice a second, about 290 KB/s at 370 targets, 22.4 KB/s as the mean over 12 daemons. Change: a target whose last read called for no order and whose fresh load reports show what is wanted is read every two minutes only.

--- a/authority/orders.go
+++ b/authority/orders.go
@@ -93,6 +93,9 @@
 	// slot says that the target has one of the load slots.
 	slot bool
 	last string
+	// satisfied is the fencing number under which the last read called for no
+	// order; 0 if it called for one.
+	satisfied types.FencingNumber
 }
 
 // Orders is the state machine of the orders to all targets of a data centre,
@@ -146,8 +149,10 @@
 	o.takeSlot(t, w, s)
 	order := nextOrder(w, s, fence, t.slot)
 	if order == nil {
+		t.satisfied = fence
 		return nil
 	}
+	t.satisfied = 0
 	o.sequence++
 	order.Fence = fence
 	order.ID = fmt.Sprintf("%d-%d", fence, o.sequence)
@@ -188,6 +193,14 @@
 	t.unsettled = out == OutcomeUnknown
 }
 
+// Satisfied reports whether the last read under the fencing number called for
+// no order. Such a target needs no read until what is wanted of it or what it
+// reports changes.
+func (o *Orders) Satisfied(id types.TargetID, fence types.FencingNumber) bool {
+	t, ok := o.targets[id]
+	return ok && fence != 0 && t.satisfied == fence && !t.unsettled
+}
+
 // Sending reports whether the result of any order is outstanding.
 func (o *Orders) Sending() bool {
 	for _, t := range o.targets {
--- a/server/control/daemon.go
+++ b/server/control/daemon.go
@@ -117,7 +117,7 @@
 	}
 	d.orders = &orderer{
 		dc: d.dc, log: log, config: d.config.Config, roleOf: configuredRole, leaving: d.fleet.addressLeaving, gate: d.gate,
-		gone: d.fleet.vmGone, client: targets, pool: pool, every: s.OrderInterval,
+		gone: d.fleet.vmGone, reported: d.fleet.report, client: targets, pool: pool, every: s.OrderInterval,
 	}
 	d.orders.start(s.MaxLoadOrders)
 	d.peers = &peerWatcher{
--- a/server/control/orders.go
+++ b/server/control/orders.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -28,12 +30,15 @@
 	// leaving reports whether the platform lists the VM at an address as leaving.
 	leaving func(address string) bool
 	gone    func(types.VMID) bool
-	gate    *authority.Gate
-	client  *engine.Client
-	pool    *ants.Pool
-	every   time.Duration
+	// reported returns the newest load report of a target.
+	reported func(types.TargetID) (types.LoadReport, bool)
+	gate     *authority.Gate
+	client   *engine.Client
+	pool     *ants.Pool
+	every    time.Duration
 
 	orders   *authority.Orders
+	lastRead map[types.TargetID]time.Time
 	statuses atomic.Pointer[map[types.TargetID]string]
 	events   chan orderEvent
 	finish   chan chan bool
@@ -54,6 +59,7 @@
 // start prepares the channels; it must be called before run and Finish.
 func (o *orderer) start(maxLoads int) {
 	o.orders = authority.NewOrders(maxLoads)
+	o.lastRead = map[types.TargetID]time.Time{}
 	o.events = make(chan orderEvent)
 	o.finish = make(chan chan bool)
 	o.ended = make(chan struct{})
@@ -102,18 +108,46 @@
 	}
 }
 
-// readAll starts a read of the state of each target that has nothing under way.
+const (
+	// freshReport is the age up to which a load report stands for the state.
+	freshReport = 5 * time.Second
+	// auditEvery is how often the state of a target is read although its reports
+	// show what is wanted.
+	auditEvery = 2 * time.Minute
+)
+
+// settled reports whether a target needs no read: the last read called for no
+// order and its reports show what is wanted. Without this the holder would read
+// the state of all targets of the data centre at each step.
+func (o *orderer) settled(t configuration.Target, fence types.FencingNumber, now time.Time) bool {
+	if !o.orders.Satisfied(t.ID, fence) || now.Sub(o.lastRead[t.ID]) > auditEvery {
+		return false
+	}
+	w := o.wanted(t)
+	if w.Withdrawn {
+		return true
+	}
+	r, ok := o.reported(t.ID)
+	return ok && now.Sub(r.At) < freshReport && !r.Changing && r.Leaving == w.Drain &&
+		r.Role == w.Role && r.Model == w.Model && r.Version == w.Version && slices.Equal(r.Adapters, w.Adapters)
+}
+
+// readAll starts a read of the state of each target that has nothing under way
+// and is not settled.
 func (o *orderer) readAll() {
-	g, err := o.gate.Check(time.Now(), true, false)
+	now := time.Now()
+	g, err := o.gate.Check(now, true, false)
 	if err != nil {
 		return
 	}
 	c := o.config()
 	o.orders.Forget(func(id types.TargetID) bool { return o.isOurs(c, id) })
+	maps.DeleteFunc(o.lastRead, func(id types.TargetID, _ time.Time) bool { return !o.isOurs(c, id) })
 	for id, t := range c.Targets {
-		if !o.isOurs(c, id) || !o.orders.BeginRead(id, g.Fence) {
+		if !o.isOurs(c, id) || o.settled(t.Value, g.Fence, now) || !o.orders.BeginRead(id, g.Fence) {
 			continue
 		}
+		o.lastRead[id] = now
 		if o.pool.Submit(func() { o.post(orderEvent{target: id, isRead: true, state: o.read(t.Value)}) }) != nil {
 			o.orders.Read(id, authority.Wanted{}, nil, g.Fence)
 		}
