--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 CHECKS ?= 1500
 MODULES := $(sort $(dir $(wildcard */go.mod)))
 
-.PHONY: build test demo fuzz measure bench generate fmt
+.PHONY: build test demo fuzz mutations measure bench generate fmt
 
 build:
 	go build -o $(BIN)/ ./cmd/...
@@ -24,6 +24,9 @@
 fuzz:
 	go test ./proof/... -run Stateful -rapid.seed=$(SEED) -rapid.checks=$(CHECKS) -count=1 -v
 
+mutations: ## Checks that the stateful tests find each deliberate fault.
+	go run ./tools/mutations --checks $(CHECKS)
+
 measure: build
 	mkdir -p out
 	./$(BIN)/lentilpick-measure --seed $(SEED) --out out
--- a/authority/gate.go
+++ b/authority/gate.go
@@ -69,3 +69,13 @@
 	}
 	return *gr, nil
 }
+
+// CheckTarget is Check for one target. gone says whether the platform's list
+// shows that a VM is gone.
+func (g *Gate) CheckTarget(now time.Time, checksFencing bool, gone func(types.VMID) bool) (Grant, error) {
+	gr, err := g.Check(now, true, false)
+	if err != nil {
+		return Grant{}, err
+	}
+	return g.Check(now, checksFencing, gr.Cleared(now, gone))
+}
--- a/authority/lease.go
+++ b/authority/lease.go
@@ -257,17 +257,18 @@
 }
 
 // Release returns the record that gives up the lease, or nil if this daemon
-// does not hold it. The daemon stops being the holder at once; renewals that
-// are still on their way extend nothing. A caller that has an order under way
-// must let the lease expire instead, because the next holder trusts a release.
+// does not hold it. The daemon stops being the holder at once; claims and
+// renewals that are still on their way give it nothing. A caller that has an
+// order under way must let the lease expire instead, because the next holder
+// trusts a release.
 func (l *Lease) Release(now time.Time) *Record {
-	if !l.Held(now) {
-		return nil
-	}
-	r := l.send(KindRelease, l.fence, now)
+	held := l.Held(now)
 	l.until = time.Time{}
 	clear(l.sent)
-	return r
+	if !held {
+		return nil
+	}
+	return l.send(KindRelease, l.fence, now)
 }
 
 func (l *Lease) send(k Kind, term types.FencingNumber, now time.Time) *Record {
--- a/authority/lease_test.go
+++ b/authority/lease_test.go
@@ -154,4 +154,9 @@
 	assert.Assert(t, a.Release(now) != nil)
 	feed(t, now, renew, a)
 	assert.Assert(t, !a.Held(now))
+	b := NewLease(settings("b"), now)
+	claim, _ := b.Step(now) // on its way when the daemon stops
+	assert.Assert(t, b.Release(now) == nil)
+	feed(t, now, claim, b)
+	assert.Assert(t, !b.Held(now))
 }
--- a/authority/orders.go
+++ b/authority/orders.go
@@ -110,7 +110,9 @@
 }
 
 // BeginRead reports whether the state of a target shall be read now under the
-// given fencing number. If so, the caller must call Read afterwards.
+// given fencing number. If so, the caller must call Read afterwards. The number
+// is that of Gate.Check for this target, 0 after an error: during a quarantine
+// an earlier holder's late order can still make the read obsolete.
 func (o *Orders) BeginRead(id types.TargetID, fence types.FencingNumber) bool {
 	t, ok := o.targets[id]
 	if !ok {
@@ -256,7 +258,9 @@
 		}
 		return nil
 	}
-	if !s.Leaving || (raise && s.Running > 0) {
+	if !s.Leaving || raise {
+		// A late order of an earlier holder could still open the target for work
+		// between the read and the change, so the number is raised first.
 		keep.Drain = true
 		return keep
 	}
--- a/authority/orders_test.go
+++ b/authority/orders_test.go
@@ -43,6 +43,7 @@
 func TestOneOrderInFlight(t *testing.T) {
 	o := NewOrders(1)
 	w := Wanted{Load: oldLoad, Drain: true}
+	assert.Assert(t, !o.BeginRead("t", 0), "a read in a quarantine may be obsolete when it is used")
 	assert.Assert(t, cycle(o, "t", w, State{Load: oldLoad}) != nil)
 	assert.Assert(t, !o.BeginRead("t", fence))
 	o.Result("t", OutcomeUnknown)
--- a/server/control/configlog_test.go
+++ b/server/control/configlog_test.go
@@ -127,3 +127,19 @@
 	assert.Assert(t, !c.Scanning())
 	assert.Equal(t, c.Next(), types.Offset(6))
 }
+
+// Guards against a daemon that cannot read the log and whose old snapshots put
+// off those of the others until the records after them have expired.
+func TestLaggingSnapshotDoesNotResetAge(t *testing.T) {
+	now := time.Now()
+	c := newTestLog(nil)
+	old, err := records.EncodeSnapshot(c.Snapshot())
+	assert.NilError(t, err)
+	assert.NilError(t, c.Records(batch(0, now.Add(-time.Hour), encoded(t, change("c", 0, false)))))
+	assert.NilError(t, c.Records(batch(1, now, old)))
+	assert.Assert(t, c.SnapshotDue(now, time.Hour))
+	complete, err := records.EncodeSnapshot(c.Snapshot())
+	assert.NilError(t, err)
+	assert.NilError(t, c.Records(batch(2, now, complete)))
+	assert.Assert(t, !c.SnapshotDue(now, time.Hour))
+}
--- a/server/control/orders.go
+++ b/server/control/orders.go
@@ -104,14 +104,18 @@
 
 // readAll starts a read of the state of each target that has nothing under way.
 func (o *orderer) readAll() {
-	g, err := o.gate.Check(time.Now(), true, false)
-	if err != nil {
+	if _, err := o.gate.Check(time.Now(), true, false); err != nil {
 		return
 	}
 	c := o.config()
 	o.orders.Forget(func(id types.TargetID) bool { return o.isOurs(c, id) })
 	for id, t := range c.Targets {
-		if !o.isOurs(c, id) || !o.orders.BeginRead(id, g.Fence) {
+		if !o.isOurs(c, id) {
+			continue
+		}
+		// In a quarantine the grant is the zero value and no read begins.
+		g, _ := o.check(t.Value)
+		if !o.orders.BeginRead(id, g.Fence) {
 			continue
 		}
 		if o.pool.Submit(func() { o.post(orderEvent{target: id, isRead: true, state: o.read(t.Value)}) }) != nil {
@@ -120,6 +124,11 @@
 	}
 }
 
+// check returns the grant under which the target may be ordered now.
+func (o *orderer) check(t configuration.Target) (authority.Grant, error) {
+	return o.gate.CheckTarget(time.Now(), t.ChecksFencing, o.gone)
+}
+
 // isOurs reports whether the target is an engine of this data centre.
 func (o *orderer) isOurs(c *configuration.Config, id types.TargetID) bool {
 	t, ok := c.Targets[id]
@@ -192,11 +201,7 @@
 		ID: order.ID, Fence: order.Fence, Revision: rev, Role: order.Role, Model: order.Model,
 		Version: order.Version, Adapters: order.Adapters, Drain: order.Drain,
 	}
-	now := time.Now()
-	g, err := o.gate.Check(now, true, false)
-	if err == nil {
-		g, err = o.gate.Check(now, t.ChecksFencing, g.Cleared(now, o.gone))
-	}
+	g, err := o.check(t)
 	if err != nil || g.Fence != order.Fence {
 		l.WithError(err).Debug("order was not sent")
 		return authority.OutcomeNotSent
--- /dev/null
+++ b/tools/mutations/main.go
@@ -0,0 +1,110 @@
+// Command mutations checks the stateful tests: it builds them with one
+// deliberate fault at a time, through the compiler's overlay, and expects each
+// fault to be found. It changes no file of the repository.
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+
+	"github.com/alecthomas/kong"
+)
+
+var errNotOnce = errors.New("text to replace does not occur exactly once")
+
+var cli struct {
+	Checks int    `default:"1500" help:"Sequences per seed."`
+	Seeds  int    `default:"30" help:"Seeds to try, from 1."`
+	Only   string `help:"Run only the faults whose name contains this text."`
+}
+
+func main() {
+	kong.Parse(&cli)
+	dir, err := os.MkdirTemp("", "mutations")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	missed := 0
+	for _, f := range faults {
+		if !strings.Contains(f.name, cli.Only) {
+			continue
+		}
+		if !check(dir, f) {
+			missed++
+		}
+	}
+	_ = os.RemoveAll(dir)
+	if missed > 0 {
+		fmt.Fprintf(os.Stderr, "%d faults were not found\n", missed)
+		os.Exit(1)
+	}
+}
+
+// check prints the first seed that finds the fault and reports whether one does.
+func check(dir string, f fault) bool {
+	overlay, err := write(dir, f)
+	if err != nil {
+		fmt.Printf("%-55s ERROR %v\n", f.name, err)
+		return false
+	}
+	for seed := 1; seed <= cli.Seeds; seed++ {
+		out, err := run(overlay, f.test, seed)
+		if err == nil {
+			continue
+		}
+		_, message, found := strings.Cut(out, "--- FAIL: ")
+		if !found {
+			fmt.Printf("%-55s ERROR %s\n", f.name, out)
+			return false
+		}
+		if _, after, ok := strings.Cut(message, "[rapid] "); ok {
+			message = after
+		}
+		message, _, _ = strings.Cut(message, "\n")
+		fmt.Printf("%-55s seed %d: %s\n", f.name, seed, message)
+		return true
+	}
+	fmt.Printf("%-55s NOT FOUND\n", f.name)
+	return false
+}
+
+func run(overlay, test string, seed int) (string, error) {
+	pkg, name, _ := strings.Cut(test, " ")
+	args := []string{"test", "-overlay", overlay, "./" + pkg, "-run", "^" + name + "$", "-count=1"}
+	if pkg == "proof" {
+		args = append(args, fmt.Sprintf("-rapid.seed=%d", seed), fmt.Sprintf("-rapid.checks=%d", cli.Checks), "-rapid.shrinktime=0s")
+	}
+	out, err := exec.Command("go", args...).CombinedOutput()
+	return string(out), err
+}
+
+// write stores the changed file and the overlay that puts it in place.
+func write(dir string, f fault) (overlay string, err error) {
+	original, err := filepath.Abs(f.file)
+	if err != nil {
+		return "", err
+	}
+	src, err := os.ReadFile(original)
+	if err != nil {
+		return "", err
+	}
+	if strings.Count(string(src), f.old) != 1 {
+		return "", errNotOnce
+	}
+	changed := filepath.Join(dir, "changed.go")
+	if err := os.WriteFile(changed, []byte(strings.Replace(string(src), f.old, f.new, 1)), 0o600); err != nil {
+		return "", err
+	}
+	b, err := json.Marshal(map[string]map[string]string{"Replace": {original: changed}})
+	if err != nil {
+		return "", err
+	}
+	overlay = filepath.Join(dir, "overlay.json")
+	return overlay, os.WriteFile(overlay, b, 0o600)
+}
