--- a/server/control/orders.go
+++ b/server/control/orders.go
@@ -136,15 +136,19 @@
 // and is not settled.
 func (o *orderer) readAll() {
 	now := time.Now()
-	g, err := o.gate.Check(now, true, false)
-	if err != nil {
+	if _, err := o.gate.Check(now, true, false); err != nil {
 		return
 	}
 	c := o.config()
 	o.orders.Forget(func(id types.TargetID) bool { return o.isOurs(c, id) })
 	maps.DeleteFunc(o.lastRead, func(id types.TargetID, _ time.Time) bool { return !o.isOurs(c, id) })
 	for id, t := range c.Targets {
-		if !o.isOurs(c, id) || o.settled(t.Value, g.Fence, now) || !o.orders.BeginRead(id, g.Fence) {
+		if !o.isOurs(c, id) {
+			continue
+		}
+		// In a quarantine the grant is the zero value and no read begins.
+		g, _ := o.check(t.Value)
+		if o.settled(t.Value, g.Fence, now) || !o.orders.BeginRead(id, g.Fence) {
 			continue
 		}
 		o.lastRead[id] = now
@@ -154,6 +158,11 @@
 	}
 }
 
+// check returns the grant under which the target may be ordered now.
+func (o *orderer) check(t configuration.Target) (authority.Grant, error) {
+	return o.gate.CheckTarget(time.Now(), t.ChecksFencing, o.gone)
+}
+
 // isOurs reports whether the target is an engine of this data centre.
 func (o *orderer) isOurs(c *configuration.Config, id types.TargetID) bool {
 	t, ok := c.Targets[id]
@@ -226,11 +235,7 @@
 		ID: order.ID, Fence: order.Fence, Revision: rev, Role: order.Role, Model: order.Model,
 		Version: order.Version, Adapters: order.Adapters, Drain: order.Drain,
 	}
-	now := time.Now()
-	g, err := o.gate.Check(now, true, false)
-	if err == nil {
-		g, err = o.gate.Check(now, t.ChecksFencing, g.Cleared(now, o.gone))
-	}
+	g, err := o.check(t)
 	if err != nil || g.Fence != order.Fence {
 		l.WithError(err).Debug("order was not sent")
 		return authority.OutcomeNotSent
