--- a/idempotency/claims.go
+++ b/idempotency/claims.go
@@ -1,6 +1,8 @@
 package idempotency
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/lentilpick/lentilpick/types"
@@ -19,6 +21,8 @@
 	// appended says that an intent was handed out, seen that it was read back.
 	appended bool
 	seen     bool
+	// order is the order in which claims were opened.
+	order uint64
 }
 
 // Intent returns the record that claims the key.
@@ -34,7 +38,8 @@
 // table then holds every record before that intent.
 type Claims struct {
 	*Table
-	waiting map[string]*Claim // by attempt
+	waiting map[string][]*Claim // by attempt
+	opened  uint64
 	atEnd   bool
 	// needHomes says that a claim waits for the first Homes record.
 	needHomes bool
@@ -42,12 +47,9 @@
 
 // NewClaims returns an empty table without claims.
 func NewClaims(s Settings) *Claims {
-	return &Claims{Table: NewTable(s), waiting: map[string]*Claim{}}
+	return &Claims{Table: NewTable(s), waiting: map[string][]*Claim{}}
 }
 
-// Waiting returns the number of claims without a verdict.
-func (c *Claims) Waiting() int { return len(c.waiting) }
-
 // AtEnd reports whether the stream was read to its end at the last read.
 func (c *Claims) AtEnd() bool { return c.atEnd }
 
@@ -56,9 +58,11 @@
 
 // Open adds a claim. It returns true when the claim's intent has to be appended.
 func (c *Claims) Open(cl *Claim, now time.Time) bool {
+	c.opened++
+	cl.order = c.opened
 	appendIntent := c.judge(cl, now)
 	if cl.Verdict == VerdictPending {
-		c.waiting[cl.Attempt] = cl
+		c.waiting[cl.Attempt] = append(c.waiting[cl.Attempt], cl)
 	}
 	return appendIntent
 }
@@ -67,9 +71,7 @@
 // has no verdict but whose key is held by another attempt gets
 // VerdictInProgress.
 func (c *Claims) Close(cl *Claim, now time.Time) {
-	if c.waiting[cl.Attempt] == cl {
-		delete(c.waiting, cl.Attempt)
-	}
+	c.remove(cl)
 	if cl.Verdict != VerdictPending || !c.atEnd {
 		return
 	}
@@ -78,13 +80,25 @@
 	}
 }
 
+func (c *Claims) remove(cl *Claim) {
+	rest := slices.DeleteFunc(c.waiting[cl.Attempt], func(v *Claim) bool { return v == cl })
+	if len(rest) == 0 {
+		delete(c.waiting, cl.Attempt)
+		return
+	}
+	c.waiting[cl.Attempt] = rest
+}
+
 // Apply folds the records at offset o, as Table.Apply does.
 func (c *Claims) Apply(o types.Offset, at time.Time, records []Record) error {
 	if err := c.Table.Apply(o, at, records); err != nil {
 		return err
 	}
 	for i := range records {
-		if cl := c.waiting[records[i].Attempt]; cl != nil && records[i].Kind == KindIntent {
+		if records[i].Kind != KindIntent {
+			continue
+		}
+		for _, cl := range c.waiting[records[i].Attempt] {
 			cl.seen = true
 		}
 	}
@@ -99,21 +113,29 @@
 
 // Settle judges the waiting claims after a read; end is the offset that the
 // next appended record will get. It returns the claims that now have a verdict
-// and those whose intent has to be appended.
+// and those whose intent has to be appended, in the order of Open.
 func (c *Claims) Settle(end types.Offset, now time.Time) (settled, intents []*Claim) {
 	c.atEnd = c.next >= end
-	for attempt, cl := range c.waiting {
-		if c.judge(cl, now) {
-			intents = append(intents, cl)
-		}
-		if cl.Verdict != VerdictPending {
-			delete(c.waiting, attempt)
-			settled = append(settled, cl)
+	for _, list := range c.waiting {
+		for _, cl := range list {
+			if c.judge(cl, now) {
+				intents = append(intents, cl)
+			}
+			if cl.Verdict != VerdictPending {
+				settled = append(settled, cl)
+			}
 		}
 	}
+	for _, cl := range settled {
+		c.remove(cl)
+	}
+	slices.SortFunc(settled, byOrder)
+	slices.SortFunc(intents, byOrder)
 	return settled, intents
 }
 
+func byOrder(a, b *Claim) int { return cmp.Compare(a.order, b.order) }
+
 // judge sets the verdict of a claim if there is one, and returns true when the
 // claim's intent has to be appended.
 func (c *Claims) judge(cl *Claim, now time.Time) bool {
--- a/server/control/service.go
+++ b/server/control/service.go
@@ -158,10 +158,6 @@
 	return peerv1.KeyVerdict_KEY_VERDICT_UNAVAILABLE
 }
 
-// peerShare is the part of the remaining time that one of several peers gets,
-// so that a peer that does not answer leaves time to ask another.
-const peerShare = 2
-
 // forwardClaim asks the control daemons of the key's home data centre, one
 // after the other. Asking twice for one attempt is harmless.
 func (s viewService) forwardClaim(ctx context.Context, home types.DataCentreID, m *peerv1.ClaimKeyRequest) (*connect.Response[peerv1.ClaimKeyResponse], error) {
@@ -177,10 +173,14 @@
 	return connect.NewResponse(&peerv1.ClaimKeyResponse{Verdict: peerv1.KeyVerdict_KEY_VERDICT_UNAVAILABLE}), nil
 }
 
+// claimFrom gives a peer three quarters of the remaining time, so that one that
+// does not answer leaves time to ask another. A claim takes up to two batch
+// periods; with half of the time at each of two steps the first claims of a
+// data centre, with a deadline of 2 s, were not decided in time.
 func claimFrom(ctx context.Context, c peerClient, m *peerv1.ClaimKeyRequest) (*connect.Response[peerv1.ClaimKeyResponse], error) {
 	if d, ok := ctx.Deadline(); ok {
 		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, time.Until(d)/peerShare)
+		ctx, cancel = context.WithTimeout(ctx, time.Until(d)*3/4)
 		defer cancel()
 	}
 	return c.view.ClaimKey(ctx, connect.NewRequest(m))
--- a/server/entry/daemon_test.go
+++ b/server/entry/daemon_test.go
@@ -29,8 +29,8 @@
 	"github.com/lentilpick/lentilpick/types"
 )
 
-// harness is an entry daemon on loopback with one engine and one instance of a
-// plain service, both written by the test.
+// harness is an entry daemon on loopback with one engine and two instances of
+// a plain service, both written by the test.
 type harness struct {
 	*Daemon
 	address string
@@ -69,6 +69,9 @@
 	c.Targets["p"] = configuration.Entry[configuration.Target]{Value: configuration.Target{
 		ID: "p", Service: "book", Address: plainAddress, DataCentre: "a",
 	}}
+	c.Targets["p2"] = configuration.Entry[configuration.Target]{Value: configuration.Target{
+		ID: "p2", Service: "book", Address: plainAddress, DataCentre: "a",
+	}}
 	c.Workspaces["club"] = configuration.Entry[configuration.Workspace]{Value: configuration.Workspace{ID: "club", Share: 1}}
 	b, err := records.EncodeSnapshot(&configuration.Snapshot{Config: c})
 	assert.NilError(t, err)
@@ -363,11 +366,11 @@
 		"other answer":     {keyStub{verdict: idempotency.VerdictRun}, func(ctx *fasthttp.RequestCtx) { ctx.Response.Header.Set("X-Request-Id", "q") }, 504, outcomeUnknown, 1, idempotency.KindUnknown},
 		"replayed":         {keyStub{verdict: idempotency.VerdictCompleted, answer: &idempotency.Answer{Status: 201, Body: []byte("booked")}}, booked, 201, "", 0, ""},
 		"body not kept":    {keyStub{verdict: idempotency.VerdictCompleted, answer: &idempotency.Answer{Status: 201, BodyDropped: true}}, booked, 409, outcomeUnknown, 0, ""},
-		"in progress":      {keyStub{verdict: idempotency.VerdictInProgress}, booked, 409, outcomeUnknown, 0, ""},
-		"conflict":         {keyStub{verdict: idempotency.VerdictConflict}, booked, 409, outcomeNotRun, 0, ""},
-		"earlier unknown":  {keyStub{verdict: idempotency.VerdictUnknown}, booked, 409, outcomeUnknown, 0, ""},
+		"in progress":      {keyStub{verdict: idempotency.VerdictInProgress}, booked, 409, outcomeUnknown, 0, idempotency.KindReleased},
+		"conflict":         {keyStub{verdict: idempotency.VerdictConflict}, booked, 409, outcomeNotRun, 0, idempotency.KindReleased},
+		"earlier unknown":  {keyStub{verdict: idempotency.VerdictUnknown}, booked, 409, outcomeUnknown, 0, idempotency.KindReleased},
 		"claim fails":      {keyStub{err: errors.New("unreachable")}, booked, 503, outcomeNotRun, 0, idempotency.KindReleased},
-		"log down, refuse": {keyStub{verdict: idempotency.VerdictLogDown}, booked, 503, outcomeNotRun, 0, ""},
+		"log down, refuse": {keyStub{verdict: idempotency.VerdictLogDown}, booked, 503, outcomeNotRun, 0, idempotency.KindReleased},
 	} {
 		t.Run(name, func(t *testing.T) {
 			var runs atomic.Int64
@@ -377,6 +380,9 @@
 				}
 				c.plain(ctx)
 			})
+			for range 20 { // so that the retry budget does not hide a retry
+				budgetOf(h.views.Load(), "book").Earn()
+			}
 			c.keys.ends = make(chan idempotency.Kind, 1)
 			h.keys = &c.keys
 			status, e, body := h.do(t, http.DefaultClient, send{"POST", "/v1/services/book/x", "", map[string]string{"Idempotency-Key": "k"}})
--- a/server/entry/keyed.go
+++ b/server/entry/keyed.go
@@ -54,9 +54,15 @@
 		if v.Config.Services[c.Service].Value.RunWithoutLog {
 			return d.runKeyed(k, v, a)
 		}
+		d.finishKey(k, idempotency.KindReleased, nil)
 		return nil, a.Refuse(types.RefusedKeyUnavailable)
 	case idempotency.VerdictCompleted:
 		return replay(answer, a)
+	}
+	// An intent of this attempt that lands later, or a copy of it, must not hold
+	// the key after the other attempt has been released.
+	d.finishKey(k, idempotency.KindReleased, nil)
+	switch verdict {
 	case idempotency.VerdictConflict:
 		return nil, a.Refuse(types.RefusedKeyConflict)
 	case idempotency.VerdictInProgress:
--- a/server/localview/client.go
+++ b/server/localview/client.go
@@ -99,8 +99,8 @@
 func (c *Client) client() peerv1connect.ViewServiceClient { return c.clients[c.current.Load()] }
 
 // firstAnswer asks the control daemons, the current one first, until one
-// answers. Each but the last gets half of the time that is left, so that one
-// that does not answer leaves time to ask another.
+// answers. Each but the last gets three quarters of the time that is left, so
+// that one that does not answer leaves time to ask another.
 func firstAnswer[T any](ctx context.Context, c *Client, ask func(context.Context, peerv1connect.ViewServiceClient) (T, error)) (answer T, err error) {
 	n, start := len(c.clients), int(c.current.Load())
 	for i := range n {
@@ -120,7 +120,7 @@
 	if last {
 		return time.Until(d)
 	}
-	return time.Until(d) / 2
+	return time.Until(d) * 3 / 4
 }
 
 func askFor[T any](ctx context.Context, limit time.Duration, p peerv1connect.ViewServiceClient, ask func(context.Context, peerv1connect.ViewServiceClient) (T, error)) (T, error) {
