Route on predicted times with bounded work, and admit by shares

Admission had no shares, so that one workspace's burst delayed all others.

Change in routing: NewFleet prepares rings of targets by model, adapter, version, role and side of the data centre's border; a decision looks at no more than 16 targets of a ring. Affinity keys and prefix blocks use multi-probe consistent hashing, so that daemons agree whatever their load reports say. The load estimate is the report, plus own work now less own work at the time of the report, plus what digests tell of the others; reported queues drain with the age of the report. Each daemon prefers its own part of the ring at equal cost. The scorer predicts time to first token and time between tokens with chunked prefill; a decision may name a prefill engine (Decision.Prefill). The random source is a value (routing.Rand).

Change in admission: start-time fair queueing without a queue decides which work is within its workspace's share; beyond that, places are lent while the first tokens within the shares come in time. Each target has a concurrency limit by additive increase and multiplicative decrease. Failed targets return with a growing back-off and a low limit, and the retry hint to callers varies.

--- /dev/null
+++ b/admission/retry.go
@@ -0,0 +1,35 @@
+package admission
+
+import "sync/atomic"
+
+// RetryBudget is a token bucket that earns a fraction of a retry with each
+// request, so that retries cannot multiply load during an outage.
+type RetryBudget struct {
+	millis atomic.Int64
+}
+
+const (
+	retryEarnMillis = 100    // one retry for ten requests
+	retryCapMillis  = 50_000 // at most 50 saved retries
+	retryCostMillis = 1000
+)
+
+// Earn adds one request to the budget.
+func (b *RetryBudget) Earn() {
+	if b.millis.Load() < retryCapMillis {
+		b.millis.Add(retryEarnMillis)
+	}
+}
+
+// Spend takes one retry from the budget and reports whether there was one.
+func (b *RetryBudget) Spend() bool {
+	for {
+		v := b.millis.Load()
+		if v < retryCostMillis {
+			return false
+		}
+		if b.millis.CompareAndSwap(v, v-retryCostMillis) {
+			return true
+		}
+	}
+}
--- a/routing/hash.go
+++ b/routing/hash.go
@@ -19,19 +19,6 @@
 	return h
 }
 
-// rendezvousWeight is the weight of a target for a key in rendezvous
-// (highest random weight) hashing, Thaler and Ravishankar 1998. The mixing
-// function is the finalizer of SplitMix64 (Steele, Lea and Flood 2014).
-func rendezvousWeight(key, target uint64) uint64 {
-	x := key ^ (target * 0x9e3779b97f4a7c15)
-	x ^= x >> 30
-	x *= 0xbf58476d1ce4e5b9
-	x ^= x >> 27
-	x *= 0x94d049bb133111eb
-	x ^= x >> 31
-	return x
-}
-
 // Blocks appends to dst the chained hash of each complete block of the prompt
 // and returns the result. Two prompts share the first n hashes exactly when
 // they share the first n blocks, up to hash collisions.
--- a/routing/router.go
+++ b/routing/router.go
@@ -1,22 +1,13 @@
 package routing
 
 import (
-	"math/rand/v2"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/lentilpick/lentilpick/types"
 )
 
-// Prediction is what a Scorer expects of a request on one target.
-type Prediction struct {
-	// FirstToken is the predicted time until the first token.
-	FirstToken time.Duration
-	// TokenInterval is the predicted time between tokens.
-	TokenInterval time.Duration
-	// Cost orders candidates; the lowest is best. It has no unit.
-	Cost float64
-}
-
 // Candidate is a target that passed all filters, with its prediction.
 type Candidate struct {
 	*Target
@@ -28,118 +19,307 @@
 	Keep(r *Request, t *Target, now time.Time) bool
 }
 
-// Scorer predicts how a target would serve a request.
-type Scorer interface {
-	Score(r *Request, t *Target, now time.Time) Prediction
-}
-
 // Picker chooses one of the candidates and returns its index. It is never
-// called with no candidates.
+// called with no candidates. Candidates are in order of preference where their
+// costs are equal.
 type Picker interface {
-	Pick(r *Request, c []Candidate, rnd *rand.Rand) int
+	Pick(r *Request, c []Candidate, rnd *Rand) int
 }
 
-// maxCandidates bounds the work of one decision, so that its cost does not grow
-// with the fleet.
-const maxCandidates = 16
+const (
+	// maxCandidates bounds the work of one decision, so that its cost does not
+	// grow with the fleet.
+	maxCandidates = 16
+	// maxLooked bounds the targets that one search looks at, including those that
+	// filters drop.
+	maxLooked = 32
+	// prefixRanks is how many targets in the order of preference of a prefix
+	// block are candidates. A popular prefix spreads over them as their queues
+	// outgrow what the cache saves.
+	prefixRanks = 2
+	// defaultSamples is chosen by measurement (docs/decisions/0002): more than
+	// four brought nothing at 370 targets.
+	defaultSamples = 4
+)
 
 // Router combines filters, a scorer and a picker.
 type Router struct {
 	Filters []Filter
 	Scorer  Scorer
 	Picker  Picker
+	// Home is the position of this daemon among its peers, as a fraction of the
+	// ring in 1/2^64. Targets from there on are preferred at equal cost, so that
+	// daemons with the same stale report choose different targets. 0 means none.
+	Home uint64
+	// Daemons is the number of daemons that share the ring; each has that part of
+	// it as its home.
+	Daemons int
+	// Samples is the number of candidates besides those with the prefix.
+	Samples int
 }
 
 // NewRouter returns the router that the entry daemon uses.
 func NewRouter() *Router {
 	return &Router{
-		Filters: []Filter{AvailableFilter{}, AdapterFilter{}},
-		Scorer:  LoadScorer{},
+		Filters: []Filter{AvailableFilter{}, ResidencyFilter{}},
+		Scorer:  NewLoadScorer(),
 		Picker:  LowestCost{},
+		Samples: defaultSamples,
 	}
 }
 
+// SetHome makes the router the one of daemon i of n.
+func (ro *Router) SetHome(i, n int) {
+	ro.Home, ro.Daemons = ^uint64(0)/uint64(n)*uint64(i)+1, n
+}
+
+// SetHomeOf sets a home from the name of the daemon, for use when the other
+// daemons are not known. Homes of different daemons then overlap.
+func (ro *Router) SetHomeOf(name string) {
+	ro.Home, ro.Daemons = mix(hashString(name)), defaultDaemons
+}
+
+// defaultDaemons is the usual number of entry daemons in a deployment.
+const defaultDaemons = 12
+
 // Decision is the result of Route.
 type Decision struct {
 	// Target is nil when the request cannot be served; Reason then says why.
-	Target     *Target
+	Target *Target
+	// Prefill, if not nil, is the engine that runs the prefill; Target then
+	// imports its KV cache and generates the tokens.
+	Prefill    *Target
 	Prediction Prediction
 	Reason     types.RefusalReason
 }
 
-// Route chooses a target for the request. It does not change any counter.
-func (ro *Router) Route(f *Fleet, r *Request, now time.Time, rnd *rand.Rand) Decision {
-	pool, missing := pool(f, r)
-	if len(pool) == 0 {
+// search is the working memory of one decision. It is reused, because what is
+// passed to the interfaces of a Router would otherwise be allocated each time.
+type search struct {
+	router *Router
+	r      *Request
+	now    time.Time
+	rnd    Rand
+	buf    [maxCandidates]Candidate
+	n      int
+	looked int
+	full   bool // a target was dropped only for its concurrency limit
+	rank   ranking
+}
+
+var searches = sync.Pool{New: func() any { return new(search) }}
+
+// Route chooses a target for the request. It does not change any counter. Its
+// cost is bounded for fleets of any size, and it does not allocate.
+func (ro *Router) Route(f *Fleet, r *Request, now time.Time, rnd Rand) Decision {
+	p, missing := f.pool(r)
+	if p == nil {
 		return Decision{Reason: missing}
 	}
-	var buf [maxCandidates]Candidate
-	c := ro.collect(buf[:0], f, pool, r, now, rnd)
-	if len(c) == 0 {
-		return Decision{Reason: types.RefusedNoTarget}
+	s := searches.Get().(*search)
+	s.router, s.r, s.now, s.rnd, s.full = ro, r, now, rnd, false
+	d := s.decide(p)
+	s.r, s.router = nil, nil
+	searches.Put(s)
+	return d
+}
+
+func (s *search) decide(p *pool) Decision {
+	if s.r.AffinityKey != 0 {
+		if d := s.byKey(&p.any); d.Target != nil {
+			return d
+		}
+	}
+	best := s.best(&p.local)
+	if !s.meets(best) {
+		if remote := s.best(&p.remote); better(remote, best) {
+			best = remote
+		}
 	}
-	best := c[ro.Picker.Pick(r, c, rnd)]
-	if !r.Deadline.IsZero() && now.Add(best.FirstToken).After(r.Deadline) {
+	switch {
+	case best.Target == nil && s.full:
+		return Decision{Reason: types.RefusedTargetLimit}
+	case best.Target == nil:
+		return Decision{Reason: types.RefusedNoTarget}
+	case s.late(best):
 		return Decision{Prediction: best.Prediction, Reason: types.RefusedDeadline}
 	}
-	return Decision{Target: best.Target, Prediction: best.Prediction}
+	return best
+}
+
+// late reports whether the first token would miss its deadline.
+func (s *search) late(d Decision) bool {
+	budget, ok := s.r.budget(s.now)
+	return ok && d.Prediction.FirstToken > budget
 }
 
-func pool(f *Fleet, r *Request) ([]*Target, types.RefusalReason) {
-	if r.Service != "" {
-		return f.Plain(r.Service), types.RefusedUnknownService
+// meets reports whether the decision meets both deadlines of the request.
+func (s *search) meets(d Decision) bool {
+	if d.Target == nil || s.late(d) {
+		return false
 	}
-	return f.Engines(r.Model), types.RefusedUnknownModel
+	return s.r.TokenInterval == 0 || d.Prediction.TokenInterval <= s.r.TokenInterval
+}
+
+func better(a, b Decision) bool {
+	return a.Target != nil && (b.Target == nil || a.Prediction.Cost < b.Prediction.Cost)
 }
 
-// collect filters and scores up to maxCandidates targets. With an affinity key
-// all targets are considered in rendezvous order, since the key must win over
-// sampling.
-func (ro *Router) collect(dst []Candidate, f *Fleet, pool []*Target, r *Request, now time.Time, rnd *rand.Rand) []Candidate {
-	if r.AffinityKey != 0 {
-		return ro.collectByKey(dst, pool, r, now)
+// best compares serving the whole request on one engine with splitting it.
+func (s *search) best(g *group) Decision {
+	if s.r.Service != "" {
+		return s.whole(&g.all)
+	}
+	d := s.whole(&g.role[types.RoleMixed])
+	if !s.r.Whole {
+		if split := s.split(g); better(split, d) {
+			d = split
+		}
 	}
-	start := rnd.IntN(len(pool))
-	for pass := 0; pass < 2 && len(dst) == 0; pass++ {
-		for i := range pool {
-			t := pool[(start+i)%len(pool)]
-			local := t.DataCentre == f.Local
-			if local != (pass == 0) || !ro.keep(r, t, now) {
-				continue
-			}
-			dst = append(dst, Candidate{t, ro.Scorer.Score(r, t, now)})
-			if len(dst) == maxCandidates {
-				return dst
-			}
+	if !s.meets(d) && g.role[types.RoleMixed].len() < g.all.len() {
+		if other := s.whole(&g.all); better(other, d) {
+			d = other
 		}
 	}
-	return dst
+	return d
+}
+
+func (s *search) whole(g *ring) Decision {
+	c := s.choose(g, true)
+	return Decision{Target: c.Target, Prediction: c.Prediction}
 }
 
-func (ro *Router) collectByKey(dst []Candidate, pool []*Target, r *Request, now time.Time) []Candidate {
-	var best *Target
-	var weight uint64
-	for _, t := range pool {
-		w := rendezvousWeight(r.AffinityKey, t.Hash)
-		if (best == nil || w > weight) && ro.keep(r, t, now) {
-			best, weight = t, w
+func (s *search) split(g *group) Decision {
+	if g.role[types.RolePrefill].len() == 0 || g.role[types.RoleDecode].len() == 0 {
+		return Decision{}
+	}
+	prefill := s.choose(&g.role[types.RolePrefill], true)
+	decode := s.choose(&g.role[types.RoleDecode], false)
+	if prefill.Target == nil || decode.Target == nil {
+		return Decision{}
+	}
+	p := s.router.Scorer.Join(s.r, &prefill, &decode, s.now)
+	return Decision{Target: decode.Target, Prefill: prefill.Target, Prediction: p}
+}
+
+// choose returns the best of a bounded number of targets. Without prefill the
+// target is scored for its streams alone.
+func (s *search) choose(g *ring, prefill bool) Candidate {
+	s.n, s.looked = 0, 0
+	if g.len() == 0 {
+		return Candidate{}
+	}
+	if prefill && len(s.r.Blocks) > 0 {
+		s.addByPrefix(g)
+	}
+	s.addSamples(g, prefill)
+	if s.n == 0 {
+		return Candidate{}
+	}
+	return s.buf[s.router.Picker.Pick(s.r, s.buf[:s.n], &s.rnd)]
+}
+
+// addByPrefix adds the preferred targets of the first and of the last block:
+// one is shared by many requests, the other is the most specific.
+func (s *search) addByPrefix(g *ring) {
+	last := len(s.r.Blocks) - 1
+	s.addRanked(g, last)
+	if last > 0 {
+		s.addRanked(g, 0)
+	}
+}
+
+func (s *search) addRanked(g *ring, block int) {
+	g.rank(s.r.Blocks[block], &s.rank)
+	for i := range min(s.rank.n, prefixRanks) {
+		// The best ranked target is expected to hold the block, because every
+		// daemon sends it there first; each further one half as likely.
+		s.add(s.rank.targets[i], (block+1)*types.BlockTokens>>(i+1), true)
+	}
+}
+
+// addSamples adds the home targets of this daemon and random others. A ring of
+// up to maxCandidates is added whole, from home on.
+func (s *search) addSamples(g *ring, prefill bool) {
+	s.looked = 0
+	start := g.position(s.router.Home)
+	if s.router.Home == 0 {
+		start = s.rnd.IntN(g.len())
+	}
+	if g.len() <= maxCandidates {
+		for i := range g.len() {
+			s.add(g.targets[(start+i)%g.len()], 0, prefill)
 		}
+		return
 	}
-	if best == nil {
-		return dst
+	start += s.rnd.IntN(max(g.len()/max(s.router.Daemons, 1), 1))
+	s.add(g.targets[start%g.len()], 0, prefill)
+	most := min(s.n+s.router.Samples-1, maxCandidates)
+	for s.n < most && s.looked < maxLooked {
+		s.add(g.targets[s.rnd.IntN(g.len())], 0, prefill)
 	}
-	return append(dst, Candidate{best, ro.Scorer.Score(r, best, now)})
 }
 
-func (ro *Router) keep(r *Request, t *Target, now time.Time) bool {
-	for _, f := range ro.Filters {
-		if !f.Keep(r, t, now) {
+// add scores a target unless it is a candidate already or a filter drops it.
+func (s *search) add(t *Target, expected int, prefill bool) {
+	s.looked++
+	for i := range s.n {
+		if s.buf[i].Target == t {
+			return
+		}
+	}
+	if s.n == maxCandidates || !s.keep(t) {
+		return
+	}
+	cached := s.r.PromptTokens
+	if prefill {
+		cached = t.cached(s.r, expected)
+	}
+	s.buf[s.n] = Candidate{t, s.router.Scorer.Score(s.r, t, cached, s.now)}
+	s.n++
+}
+
+func (s *search) keep(t *Target) bool {
+	for _, f := range s.router.Filters {
+		if !f.Keep(s.r, t, s.now) {
 			return false
 		}
 	}
+	if t.Counters.Full() {
+		s.full = true
+		return false
+	}
 	return true
 }
 
+// byKey returns the most preferred target of the affinity key that passes the
+// filters. Load does not matter, so that all daemons choose the same one.
+func (s *search) byKey(g *ring) Decision {
+	if g.len() == 0 {
+		return Decision{}
+	}
+	g.rank(s.r.AffinityKey, &s.rank)
+	for _, t := range s.rank.targets[:s.rank.n] {
+		if s.keep(t) {
+			return Decision{Target: t, Prediction: s.router.Scorer.Score(s.r, t, 0, s.now)}
+		}
+	}
+	return Decision{}
+}
+
+// cached returns how many prompt tokens the target's prefix cache is expected
+// to hold: what its view shows, or by affinity when events are still to come.
+func (t *Target) cached(r *Request, expected int) int {
+	if len(r.Blocks) == 0 {
+		return 0
+	}
+	known := t.Cache.leading(r.Blocks) * types.BlockTokens
+	if t.Cache.Uncertain() {
+		known /= 2
+	}
+	return max(known, expected)
+}
+
 // AvailableFilter drops targets that are leaving, changing, excluded for this
 // request, or in their back-off after a failure.
 type AvailableFilter struct{}
@@ -152,50 +332,23 @@
 	return t.Counters.RetryAfter.Load() <= now.UnixNano()
 }
 
-// AdapterFilter drops engines that do not carry the requested adapter.
-type AdapterFilter struct{}
+// ResidencyFilter drops engines that do not carry the requested adapter or
+// version.
+type ResidencyFilter struct{}
 
 // Keep implements Filter.
-func (AdapterFilter) Keep(r *Request, t *Target, _ time.Time) bool {
-	if r.Adapter == "" {
-		return true
-	}
-	for _, a := range t.Adapters {
-		if a == r.Adapter {
-			return true
-		}
-	}
-	return false
-}
-
-// LoadScorer predicts from the last report and this daemon's own dispatches.
-type LoadScorer struct{}
-
-// Score implements Scorer.
-func (LoadScorer) Score(r *Request, t *Target, _ time.Time) Prediction {
-	own := t.Counters
-	if t.Kind == types.KindPlain {
-		load := float64(own.InFlight.Load()) + float64(t.Report.Running)
-		return Prediction{Cost: load}
-	}
-	queued := max(float64(t.Report.QueuedPrefillTokens), 0) + float64(own.QueuedPrefill.Load())
-	rate := max(t.Rates.PrefillTokensPerSecond, 1)
-	first := (queued + float64(r.PromptTokens)) / rate
-	streams := max(int64(t.Report.DecodeStreams), own.Decoding.Load()) + 1
-	interval := t.Rates.IterationBase + time.Duration(streams)*t.Rates.DecodeCost
-	p := Prediction{
-		FirstToken:    time.Duration(first*float64(time.Second)) + interval,
-		TokenInterval: interval,
+func (ResidencyFilter) Keep(r *Request, t *Target, _ time.Time) bool {
+	if r.Version != "" && t.Version != r.Version {
+		return false
 	}
-	p.Cost = p.FirstToken.Seconds() + float64(r.MaxTokens)*interval.Seconds()
-	return p
+	return r.Adapter == "" || slices.Contains(t.Adapters, r.Adapter)
 }
 
-// LowestCost picks the candidate with the lowest cost.
+// LowestCost picks the candidate with the lowest cost, the first among equals.
 type LowestCost struct{}
 
 // Pick implements Picker.
-func (LowestCost) Pick(_ *Request, c []Candidate, _ *rand.Rand) int {
+func (LowestCost) Pick(_ *Request, c []Candidate, _ *Rand) int {
 	best := 0
 	for i := range c {
 		if c[i].Cost < c[best].Cost {
--- a/server/entry/answer.go
+++ b/server/entry/answer.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"math/rand/v2"
 
 	"github.com/valyala/fasthttp"
 
@@ -21,7 +22,7 @@
 	RetryAfterMs int             `json:"retry_after_ms,omitempty"`
 }
 
-// retryAfterMs is the hint to callers that were refused for load.
+// retryAfterMs is the mean of the hint to callers that were refused for load.
 const retryAfterMs = 500
 
 const (
@@ -49,7 +50,8 @@
 func detailFor(id types.RequestID, outcome string, r types.RefusalReason) errorDetail {
 	d := errorDetail{RequestID: id, Outcome: outcome, Reason: r.String(), Message: messages[r]}
 	if r == types.RefusedKeyInProgress || (outcome == outcomeNotRun && isLoad(r)) {
-		d.RetryAfterMs = retryAfterMs
+		// The spread keeps callers that were refused together from returning together.
+		d.RetryAfterMs = retryAfterMs/2 + rand.IntN(retryAfterMs)
 	}
 	return d
 }
@@ -57,7 +59,7 @@
 func isLoad(r types.RefusalReason) bool {
 	switch r {
 	case types.RefusedWorkspaceLimit, types.RefusedDeadline, types.RefusedNoTarget, types.RefusedOverload,
-		types.RefusedPoolFull, types.RefusedStopping, types.RefusedRetryBudget:
+		types.RefusedPoolFull, types.RefusedStopping, types.RefusedRetryBudget, types.RefusedTargetLimit:
 		return true
 	}
 	return false
@@ -107,6 +109,7 @@
 	types.RefusedTargetSilent:      "the target stopped answering",
 	types.RefusedAnswerTruncated:   "the answer ended early",
 	types.RefusedCallerGone:        "the caller closed the connection",
+	types.RefusedTargetLimit:       "all targets have as many requests as they can serve in time; send it again later",
 }
 
 func (r refusal) write(ctx *fasthttp.RequestCtx) {
--- a/server/entry/call.go
+++ b/server/entry/call.go
@@ -46,7 +46,7 @@
 	if !ok || s.Value.Kind != types.KindPlain {
 		return nil, a.Refuse(types.RefusedUnknownService)
 	}
-	w, o := d.admit(v, c.Workspace, c.Service, &a)
+	w, _, o := d.admit(v, c.Workspace, c.Service, 0, &a)
 	if o != nil {
 		return nil, o
 	}
@@ -98,6 +98,10 @@
 	if errors.Is(err, engine.ErrNotSent) {
 		dispatch.NotStarted()
 	}
+	if err == nil {
+		t.Counters.Failures.Store(0)
+		observe(t, 0, 0) // plain services have no prediction; the limit only recovers from failures
+	}
 	return reply, err
 }
 
--- a/server/entry/completion.go
+++ b/server/entry/completion.go
@@ -76,11 +76,12 @@
 		return nil, a.Refuse(types.RefusedUnknownModel)
 	}
 	service := engines[0].Service
-	w, o := d.admit(v, c.Workspace, service, &a)
+	w, ticket, o := d.admit(v, c.Workspace, service, c.Priority, &a)
 	if o != nil {
 		return nil, o
 	}
 	x := newExchange(d, c, v, budgetOf(v, service))
+	x.ticket, x.route.BudgetShare = ticket, ticket.BudgetShare
 	x.release = func() { d.admission.Release(w.Admission) }
 	d.demand.add(c.Model, x.route.PromptTokens, c.MaxTokens)
 	if err := d.pool.Submit(x.run); err != nil {
--- a/server/entry/daemon.go
+++ b/server/entry/daemon.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -78,7 +79,7 @@
 		settings: s, log: log, metrics: m, pool: pool,
 		incarnation: strconv.FormatUint(rand.Uint64(), 36),
 		views:       localview.NewStore(types.DataCentreID(s.DataCentre)),
-		router:      routing.NewRouter(),
+		router:      newRouter(s),
 		admission: admission.NewController(admission.Limits{
 			MaxInFlight: int64(s.MaxInFlight), WorkspaceInFlight: int64(s.WorkspaceInFlight),
 		}),
@@ -202,25 +203,53 @@
 }
 
 // admit checks the workspace and takes a place for the request.
-func (d *Daemon) admit(v *localview.View, ws types.WorkspaceID, s types.ServiceID, a *types.Attempt) (*localview.Workspace, types.Outcome) {
+func (d *Daemon) admit(v *localview.View, ws types.WorkspaceID, s types.ServiceID, priority int, a *types.Attempt) (*localview.Workspace, admission.Ticket, types.Outcome) {
+	var none admission.Ticket
 	if d.stopping.Load() {
-		return nil, a.Refuse(types.RefusedStopping)
+		return nil, none, a.Refuse(types.RefusedStopping)
 	}
 	w, ok := v.Workspaces[ws]
 	if !ok || !w.Allows(s) {
-		return nil, a.Refuse(types.RefusedUnknownWorkspace)
+		return nil, none, a.Refuse(types.RefusedUnknownWorkspace)
 	}
-	if reason, ok := d.admission.Admit(w.Admission, w.Share); !ok {
-		return nil, a.Refuse(reason)
+	ticket, reason, ok := d.admission.Admit(w.Admission, w.Share, priority, time.Now())
+	if !ok {
+		return nil, none, a.Refuse(reason)
 	}
-	return w, nil
+	return w, ticket, nil
 }
 
 func (d *Daemon) markFailed(t *routing.Target, now time.Time) {
-	t.Counters.Failures.Add(1)
-	t.Counters.RetryAfter.Store(now.Add(d.settings.FailureBackoff).UnixNano())
+	t.Counters.Fail(now, d.settings.FailureBackoff, seed())
 }
 
 // seed returns a random source for one decision; the global generator of
 // math/rand/v2 is safe for concurrent use and keeps state for each thread.
-func seed() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
+func seed() routing.Rand { return routing.NewRand(rand.Uint64()) }
+
+// newRouter returns a router that prefers, at equal cost, other targets than
+// the other entry daemons of the data centre do. The settings list the control
+// daemons of the data centre, the one on this VM first.
+func newRouter(s *Settings) *routing.Router {
+	r := routing.NewRouter()
+	if len(s.Control) == 1 {
+		r.SetHomeOf(s.VM)
+		return r
+	}
+	sorted := slices.Sorted(slices.Values(s.Control))
+	r.SetHome(slices.Index(sorted, s.Control[0]), len(sorted))
+	return r
+}
+
+// observe adapts the target's limit to a first token or a whole answer.
+func observe(t *routing.Target, observed, predicted time.Duration) {
+	most := int64(t.Rates.MaxStreams)
+	if most == 0 {
+		most = defaultTargetLimit
+	}
+	admission.Observe(&t.Counters.Limit, t.Counters.InFlight.Load(), most, observed, predicted)
+}
+
+// defaultTargetLimit bounds this daemon's requests on a target that declares no
+// maximum; it is the stream limit of a mid-sized engine.
+const defaultTargetLimit = 128
--- a/server/entry/exchange.go
+++ b/server/entry/exchange.go
@@ -40,6 +40,9 @@
 	parts   chan part
 	gone    chan struct{} // closed when the caller is gone
 	tokens  int           // tokens passed to the caller
+
+	ticket     admission.Ticket
+	prediction routing.Prediction // of the last decision
 }
 
 func newExchange(d *Daemon, c *completion, v *localview.View, budget *admission.RetryBudget) *exchange {
@@ -49,6 +52,7 @@
 		route: routing.Request{
 			Model: c.Model, Adapter: c.Adapter, PromptTokens: types.TokensOf(len(c.Prompt)), MaxTokens: c.MaxTokens,
 			Blocks: routing.Blocks(nil, []byte(c.Prompt)), Deadline: c.Deadline, TokenInterval: c.TokenInterval,
+			Whole: true, // dispatch uses one engine only
 		},
 	}
 }
@@ -108,6 +112,7 @@
 	if dec.Target == nil {
 		return nil, x.attempt.Refuse(dec.Reason)
 	}
+	x.prediction = dec.Prediction
 	return dec.Target, nil
 }
 
@@ -115,7 +120,7 @@
 var errCallerGone = errors.New("caller is gone")
 
 func (x *exchange) dispatch(t *routing.Target) error {
-	load := startLoad(t, x.route.PromptTokens)
+	load := startLoad(t, x.prediction)
 	defer load.end()
 	d := x.attempt.Begin()
 	s, err := x.daemon.targets.Generate(t.Address, &engine.Generate{
@@ -148,7 +153,9 @@
 		if e.Done {
 			return nil
 		}
-		load.firstToken()
+		if load.firstToken() && x.tokens == 0 {
+			x.daemon.admission.FirstToken(x.ticket, time.Now().After(x.request.Deadline))
+		}
 		if !x.pass(part{index: e.Index, count: e.Count, text: e.Text}) {
 			return errCallerGone
 		}
@@ -158,25 +165,33 @@
 
 // targetLoad keeps a target's counters while a request is on it.
 type targetLoad struct {
-	c       *routing.Counters
-	prefill int64
-	decodes bool
+	target    *routing.Target
+	c         *routing.Counters
+	started   time.Time
+	predicted time.Duration // until the first token
+	prefill   int64
+	decodes   bool
 }
 
-func startLoad(t *routing.Target, promptTokens int) *targetLoad {
-	l := &targetLoad{c: t.Counters, prefill: int64(promptTokens)}
+func startLoad(t *routing.Target, p routing.Prediction) *targetLoad {
+	l := &targetLoad{
+		target: t, c: t.Counters, started: time.Now(), predicted: p.FirstToken, prefill: int64(p.Prefill),
+	}
 	l.c.InFlight.Add(1)
 	l.c.QueuedPrefill.Add(l.prefill)
 	return l
 }
 
-func (l *targetLoad) firstToken() {
+// firstToken reports whether this is the first call.
+func (l *targetLoad) firstToken() bool {
 	if l.decodes {
-		return
+		return false
 	}
 	l.decodes = true
+	observe(l.target, time.Since(l.started), l.predicted)
 	l.c.QueuedPrefill.Add(-l.prefill)
 	l.c.Decoding.Add(1)
+	return true
 }
 
 func (l *targetLoad) end() {
--- a/server/localview/view.go
+++ b/server/localview/view.go
@@ -38,6 +38,7 @@
 	current    atomic.Pointer[View]
 	config     *configuration.Config
 	counters   map[types.TargetID]*routing.Counters
+	histories  map[types.TargetID]*routing.History
 	reports    map[types.TargetID]types.LoadReport
 	leaving    map[types.TargetID]bool
 	workspaces map[types.WorkspaceID]*admission.Workspace
@@ -49,12 +50,13 @@
 	s := &Store{
 		local: local, config: configuration.New(),
 		counters:   map[types.TargetID]*routing.Counters{},
+		histories:  map[types.TargetID]*routing.History{},
 		reports:    map[types.TargetID]types.LoadReport{},
 		leaving:    map[types.TargetID]bool{},
 		workspaces: map[types.WorkspaceID]*admission.Workspace{},
 		budgets:    map[types.ServiceID]*admission.RetryBudget{},
 	}
-	s.publish()
+	s.publish(time.Time{})
 	return s
 }
 
@@ -78,7 +80,7 @@
 	for _, id := range v.GetLeaving() {
 		s.leaving[types.TargetID(id)] = true
 	}
-	s.publish()
+	s.publish(now)
 	return err
 }
 
@@ -94,9 +96,9 @@
 	return nil
 }
 
-func (s *Store) publish() {
+func (s *Store) publish(now time.Time) {
 	v := &View{
-		Config: s.config, Fleet: s.fleet(),
+		Config: s.config, Fleet: s.fleet(now),
 		Workspaces: make(map[types.WorkspaceID]*Workspace, len(s.config.Workspaces)),
 		Budgets:    make(map[types.ServiceID]*admission.RetryBudget, len(s.config.Services)),
 	}
@@ -118,18 +120,18 @@
 	return v
 }
 
-func (s *Store) fleet() *routing.Fleet {
+func (s *Store) fleet(now time.Time) *routing.Fleet {
 	targets := make([]*routing.Target, 0, len(s.config.Targets))
 	for id, e := range s.config.Targets {
 		if e.Value.State == configuration.TargetWithdrawn {
 			continue
 		}
-		targets = append(targets, s.target(id, e.Value))
+		targets = append(targets, s.target(id, e.Value, now))
 	}
 	return routing.NewFleet(s.config.Revision, s.local, targets)
 }
 
-func (s *Store) target(id types.TargetID, c configuration.Target) *routing.Target {
+func (s *Store) target(id types.TargetID, c configuration.Target, now time.Time) *routing.Target {
 	t := &routing.Target{
 		ID: id, Service: c.Service, Kind: s.config.Services[c.Service].Value.Kind,
 		Address: c.Address, DataCentre: c.DataCentre, Model: c.Model, Version: c.Version,
@@ -137,11 +139,13 @@
 		Leaving: c.State != configuration.TargetActive || s.leaving[id],
 		Rates:   types.EngineRates(c.Rates), Counters: getOrNew(s.counters, id),
 	}
+	h := getOrNew(s.histories, id)
+	h.Record(now, t.Counters.Load())
 	r, ok := s.reports[id]
 	if !ok {
 		return t
 	}
-	t.Report, t.HasReport = r, true
+	t.Report, t.HasReport, t.OwnAtReport = r, true, h.At(r.At)
 	t.Leaving = t.Leaving || r.Leaving
 	t.Changing = r.Changing
 	if t.Kind == types.KindEngine && r.Model != "" {
--- a/types/outcome.go
+++ b/types/outcome.go
@@ -28,6 +28,7 @@
 	RefusedTargetSilent
 	RefusedAnswerTruncated
 	RefusedCallerGone
+	RefusedTargetLimit
 	// RefusalReasonCount is the number of reasons; it is not a reason.
 	RefusalReasonCount
 )
@@ -38,6 +39,7 @@
 	"stopping", "key_in_progress", "key_conflict", "key_unknown",
 	"key_unavailable", "retry_budget", "target_unreachable",
 	"target_failed", "target_silent", "answer_truncated", "caller_gone",
+	"target_limit",
 }
 
 // String returns the name used in answers, logs and metrics.
