--- a/server/entry/exchange.go
+++ b/server/entry/exchange.go
@@ -41,7 +41,9 @@
 	tokens  int           // tokens passed to the caller
 	// prefill is the engine that prefills the prompt for the target that choose
 	// returned; nil when the request is served whole.
-	prefill *routing.Target
+	prefill    *routing.Target
+	ticket     admission.Ticket
+	prediction routing.Prediction // of the last decision
 }
 
 func newExchange(d *Daemon, c *completion, v *localview.View, budget *admission.RetryBudget) *exchange {
@@ -108,12 +110,15 @@
 func (x *exchange) choose() (*routing.Target, types.Outcome) {
 	v := x.daemon.views.Load()
 	if x.tokens > 0 {
-		x.route.Deadline = time.Time{} // the first token is out; only the end matters now
+		// The first token is out, so that only the end matters now. The KV cache
+		// of the tokens that the caller has is not on any prefill engine.
+		x.route.Deadline, x.route.Whole = time.Time{}, true
 	}
 	dec := x.daemon.router.Route(v.Fleet, &x.route, time.Now(), seed())
 	if dec.Target == nil {
 		return nil, x.attempt.Refuse(dec.Reason)
 	}
+	x.prediction, x.prefill = dec.Prediction, dec.Prefill
 	return dec.Target, nil
 }
 
@@ -126,14 +131,16 @@
 	if x.prefill != nil {
 		return x.dispatchSplit(x.prefill, t)
 	}
-	return x.generate(t, "", x.route.PromptTokens)
+	return x.generate(t, "", x.prediction.Prefill)
 }
 
 // generate passes a target's answer to the caller. kvSource names the engine
 // that holds the KV cache of the prompt, if any; prefill is the number of
 // tokens that the target has to prefill.
 func (x *exchange) generate(t *routing.Target, kvSource string, prefill int) error {
-	load := startLoad(t, prefill)
+	p := x.prediction
+	p.Prefill = prefill
+	load := startLoad(t, p)
 	defer load.end()
 	s, err := x.open(t, x.body(kvSource))
 	if err != nil {
@@ -175,7 +182,9 @@
 		if e.Done {
 			return nil
 		}
-		load.firstToken()
+		if load.firstToken() && x.tokens == 0 {
+			x.daemon.admission.FirstToken(x.ticket, time.Now().After(x.request.Deadline))
+		}
 		if !x.pass(part{index: e.Index, count: e.Count, text: e.Text}) {
 			return errCallerGone
 		}
@@ -185,25 +194,33 @@
 
 // targetLoad keeps a target's counters while a request is on it.
 type targetLoad struct {
-	c       *routing.Counters
-	prefill int64
-	decodes bool
+	target    *routing.Target
+	c         *routing.Counters
+	started   time.Time
+	predicted time.Duration // until the first token
+	prefill   int64
+	decodes   bool
 }
 
-func startLoad(t *routing.Target, promptTokens int) *targetLoad {
-	l := &targetLoad{c: t.Counters, prefill: int64(promptTokens)}
+func startLoad(t *routing.Target, p routing.Prediction) *targetLoad {
+	l := &targetLoad{
+		target: t, c: t.Counters, started: time.Now(), predicted: p.FirstToken, prefill: int64(p.Prefill),
+	}
 	l.c.InFlight.Add(1)
 	l.c.QueuedPrefill.Add(l.prefill)
 	return l
 }
 
-func (l *targetLoad) firstToken() {
+// firstToken reports whether this is the first call.
+func (l *targetLoad) firstToken() bool {
 	if l.decodes {
-		return
+		return false
 	}
 	l.decodes = true
+	observe(l.target, time.Since(l.started), l.predicted)
 	l.c.QueuedPrefill.Add(-l.prefill)
 	l.c.Decoding.Add(1)
+	return true
 }
 
 func (l *targetLoad) end() {
--- a/server/localview/view.go
+++ b/server/localview/view.go
@@ -40,6 +40,7 @@
 	config     *configuration.Config
 	lists      map[types.DataCentreID]*membership.TargetList
 	counters   map[types.TargetID]*routing.Counters
+	histories  map[types.TargetID]*routing.History
 	reports    map[types.TargetID]types.LoadReport
 	leaving    map[types.TargetID]bool
 	workspaces map[types.WorkspaceID]*admission.Workspace
@@ -55,13 +56,14 @@
 	s := &Store{
 		local: local, config: configuration.New(),
 		counters:   map[types.TargetID]*routing.Counters{},
+		histories:  map[types.TargetID]*routing.History{},
 		reports:    map[types.TargetID]types.LoadReport{},
 		leaving:    map[types.TargetID]bool{},
 		workspaces: map[types.WorkspaceID]*admission.Workspace{},
 		budgets:    map[types.ServiceID]*admission.RetryBudget{},
 	}
 	s.configured()
-	s.publish()
+	s.publish(time.Time{})
 	return s
 }
 
@@ -85,7 +87,7 @@
 	for _, id := range v.GetLeaving() {
 		s.leaving[types.TargetID(id)] = true
 	}
-	s.publish()
+	s.publish(now)
 	return err
 }
 
@@ -102,8 +104,8 @@
 	return nil
 }
 
-func (s *Store) publish() {
-	s.current.Store(&View{Config: s.config, Fleet: s.fleet(), Workspaces: s.byWorkspace, Budgets: s.byService})
+func (s *Store) publish(now time.Time) {
+	s.current.Store(&View{Config: s.config, Fleet: s.fleet(now), Workspaces: s.byWorkspace, Budgets: s.byService})
 }
 
 // configured rebuilds what depends on the configuration only. Published maps
@@ -119,6 +121,7 @@
 		s.byService[id] = getOrNew(s.budgets, id)
 	}
 	dropOthers(s.counters, s.config.Targets)
+	dropOthers(s.histories, s.config.Targets)
 	dropOthers(s.reports, s.config.Targets)
 	dropOthers(s.workspaces, s.config.Workspaces)
 	dropOthers(s.budgets, s.config.Services)
@@ -142,18 +145,18 @@
 	return v
 }
 
-func (s *Store) fleet() *routing.Fleet {
+func (s *Store) fleet(now time.Time) *routing.Fleet {
 	targets := make([]*routing.Target, 0, len(s.config.Targets))
 	for id, e := range s.config.Targets {
 		if e.Value.State == configuration.TargetWithdrawn {
 			continue
 		}
-		targets = append(targets, s.target(id, e.Value))
+		targets = append(targets, s.target(id, e.Value, now))
 	}
 	return routing.NewFleet(s.config.Revision, s.local, targets)
 }
 
-func (s *Store) target(id types.TargetID, c configuration.Target) *routing.Target {
+func (s *Store) target(id types.TargetID, c configuration.Target, now time.Time) *routing.Target {
 	t := &routing.Target{
 		ID: id, Service: c.Service, Kind: s.config.Services[c.Service].Value.Kind,
 		Address: c.Address, DataCentre: c.DataCentre, Model: c.Model, Version: c.Version,
@@ -161,11 +164,13 @@
 		Leaving: c.State != configuration.TargetActive || s.leaving[id],
 		Rates:   types.EngineRates(c.Rates), Counters: getOrNew(s.counters, id),
 	}
+	h := getOrNew(s.histories, id)
+	h.Record(now, t.Counters.Load())
 	r, ok := s.reports[id]
 	if !ok {
 		return t
 	}
-	t.Report, t.HasReport = r, true
+	t.Report, t.HasReport, t.OwnAtReport = r, true, h.At(r.At)
 	t.Leaving = t.Leaving || r.Leaving
 	t.Changing = r.Changing
 	if t.Kind == types.KindEngine && r.Model != "" {
