planning: add the mix estimate and the role planner

Cause: roles are fixed by configuration, so a shift of the prompt-to-output mix leaves some engines idle while others refuse work. Change: a fast and a slow average of prefill and decode demand per group; a capacity model with a concave frontier per role, so that mixed batching and spill-over are used before a change; a planner that compares the goodput gained over the horizon with seconds out of service x capacity x weight, keeps a minimum per role, holds a change for its payback time and bounds the changes in flight. Changes of engines that fail, leave, are replaced or time out free their slot.

--- /dev/null
+++ b/planning/planner_test.go
@@ -0,0 +1,209 @@
+package planning
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lentilpick/lentilpick/types"
+)
+
+var (
+	group = Group{DataCentre: "chaguanas", Model: "assistant"}
+	start = time.Unix(1_000_000, 0)
+	rates = types.EngineRates{
+		PrefillTokensPerSecond: 16_000, IterationBase: 8 * time.Millisecond,
+		DecodeCost: 150 * time.Microsecond, MaxStreams: 128,
+	}
+	chunks = [types.RoleCount]int{types.RoleMixed: 256, types.RolePrefill: 4096, types.RoleDecode: 64}
+	// Each demand keeps nine or ten engines busy.
+	decodeHeavy  = Demand{Prefill: 30_000, Decode: 33_000}
+	prefillHeavy = Demand{Prefill: 110_000, Decode: 12_000}
+)
+
+// fixture drives a planner with a group of engines on virtual time.
+type fixture struct {
+	*Planner
+	now     time.Time
+	engines []Engine
+}
+
+func newFixture(s Settings, prefill, decode int) *fixture {
+	c := CapacityOf(rates, chunks, 26*time.Millisecond)
+	f := &fixture{Planner: NewPlanner(s, c), now: start}
+	for i := range prefill + decode {
+		role := types.RolePrefill
+		if i >= prefill {
+			role = types.RoleDecode
+		}
+		id := types.TargetID(fmt.Sprintf("e%03d", i))
+		f.engines = append(f.engines, Engine{ID: id, Group: group, Role: role})
+	}
+	return f
+}
+
+// run feeds a steady demand, plans once a second and returns the changes. The
+// engines do not carry them out.
+func (f *fixture) run(d Demand, t time.Duration) []Change {
+	var out []Change
+	for range int(t / time.Second) {
+		f.now = f.now.Add(time.Second)
+		f.Observe(group, f.now, d.Prefill, d.Decode)
+		out = append(out, f.Plan(f.now, f.engines)...)
+	}
+	return out
+}
+
+func (f *fixture) engine(id types.TargetID) *Engine {
+	for i := range f.engines {
+		if f.engines[i].ID == id {
+			return &f.engines[i]
+		}
+	}
+	return nil
+}
+
+// finish makes the engines carry out the changes.
+func (f *fixture) finish(changes []Change) {
+	for _, c := range changes {
+		f.engine(c.Engine).Role = c.To
+	}
+}
+
+// oneAtATime never regards a loss as severe.
+func oneAtATime() Settings {
+	s := DefaultSettings(LowWeight)
+	s.SevereLoss = 1
+	return s
+}
+
+// Guards against changes that cost more than they gain.
+func TestNoChangeWhileTheMixIsServed(t *testing.T) {
+	f := newFixture(DefaultSettings(LowWeight), 3, 9)
+	assert.Equal(t, len(f.run(decodeHeavy, time.Minute)), 0)
+}
+
+// Guards against two changes in progress at once in one group.
+func TestOneChangeInFlight(t *testing.T) {
+	f := newFixture(oneAtATime(), 2, 10)
+	assert.Equal(t, len(f.run(prefillHeavy, 30*time.Second)), 1)
+}
+
+// Guards against a group that adapts one engine at a time while a large part
+// of its demand is lost, and against taking too many engines out at once.
+func TestSevereLossAllowsSeveralChanges(t *testing.T) {
+	f := newFixture(DefaultSettings(LowWeight), 2, 10)
+	assert.Equal(t, len(f.run(prefillHeavy, 30*time.Second)), 3)
+}
+
+// Guards against undoing a change before it has paid for itself.
+func TestNoReversalWithinPayback(t *testing.T) {
+	f := newFixture(oneAtATime(), 2, 10)
+	first := f.run(prefillHeavy, 10*time.Second)
+	assert.Equal(t, len(first), 1)
+	f.finish(first)
+	end := f.now.Add(first[0].Payback)
+	for f.now.Before(end) {
+		for _, c := range f.run(decodeHeavy, time.Second) {
+			assert.Equal(t, direction(c.From, c.To), towardPrefill, "reversed at %v", f.now.Sub(start))
+			f.finish([]Change{c})
+		}
+	}
+	back := f.run(Demand{Prefill: 3_000, Decode: 55_000}, time.Minute)
+	assert.Assert(t, len(back) > 0)
+	assert.Equal(t, direction(back[0].From, back[0].To), towardDecode)
+}
+
+// Guards against a plan that leaves a role without its minimum of engines.
+func TestMinimumPerRole(t *testing.T) {
+	s := DefaultSettings(LowWeight)
+	s.Minimum[types.RoleDecode] = 4
+	f := newFixture(s, 2, 6)
+	for range 30 {
+		f.finish(f.run(Demand{Prefill: 500_000, Decode: 10}, 10*time.Second))
+	}
+	decode := 0
+	for _, e := range f.engines {
+		if e.Role == types.RoleDecode {
+			decode++
+		}
+	}
+	assert.Equal(t, decode, 4)
+}
+
+// Guards against a group whose planning stops for good after an engine crashed
+// in the middle of its change.
+func TestCrashDuringChangeFreesTheSlot(t *testing.T) {
+	f := newFixture(oneAtATime(), 2, 10)
+	first := f.run(prefillHeavy, 10*time.Second)
+	assert.Equal(t, len(first), 1)
+	f.engine(first[0].Engine).State = Failed
+	second := f.run(prefillHeavy, time.Second)
+	assert.Equal(t, len(second), 1)
+	assert.Assert(t, second[0].Engine != first[0].Engine)
+}
+
+// Guards against waiting for an engine that was replaced during its change.
+func TestReplacedEngineFreesTheSlot(t *testing.T) {
+	f := newFixture(oneAtATime(), 2, 10)
+	first := f.run(prefillHeavy, 10*time.Second)
+	assert.Equal(t, len(first), 1)
+	*f.engine(first[0].Engine) = Engine{ID: "new", Group: group, Role: types.RoleDecode}
+	assert.Equal(t, len(f.run(prefillHeavy, time.Second)), 1)
+}
+
+// Guards against demand planned onto engines that are being withdrawn.
+func TestWithdrawnEngineIsNotCounted(t *testing.T) {
+	f := newFixture(DefaultSettings(LowWeight), 8, 4)
+	assert.Equal(t, len(f.run(prefillHeavy, 30*time.Second)), 0)
+	for i := range 4 {
+		f.engines[i].State = Leaving
+	}
+	got := f.run(prefillHeavy, 30*time.Second)
+	assert.Assert(t, len(got) > 0)
+	assert.Equal(t, got[0].To, types.RolePrefill)
+	for _, c := range got {
+		assert.Equal(t, f.engine(c.Engine).State, Serving)
+	}
+}
+
+// Guards against a new lease holder that orders a second change while an
+// earlier holder's change is in progress.
+func TestChangeOfAnEarlierHolderCounts(t *testing.T) {
+	f := newFixture(oneAtATime(), 2, 10)
+	f.engines[11].State, f.engines[11].ChangingTo = Changing, types.RolePrefill
+	assert.Equal(t, len(f.run(prefillHeavy, 30*time.Second)), 0)
+}
+
+// Guards against a change for demand that mixed batching can serve.
+func TestMixedBatchingBeforeChange(t *testing.T) {
+	f := newFixture(DefaultSettings(LowWeight), 2, 4)
+	for i := range 6 {
+		id := types.TargetID(fmt.Sprintf("m%d", i))
+		f.engines = append(f.engines, Engine{ID: id, Group: group, Role: types.RoleMixed})
+	}
+	f.run(Demand{Prefill: 20_000, Decode: 15_000}, 30*time.Second)
+	assert.Equal(t, len(f.run(Demand{Prefill: 50_000, Decode: 12_000}, 30*time.Second)), 0)
+}
+
+// Guards against a weight that has no effect.
+func TestHighWeightChangesLess(t *testing.T) {
+	changes := func(weight float64) int {
+		f := newFixture(DefaultSettings(weight), 3, 9)
+		n := 0
+		for i := range 60 {
+			d := decodeHeavy
+			if i%2 == 1 {
+				d = prefillHeavy
+			}
+			got := f.run(d, 10*time.Second)
+			f.finish(got)
+			n += len(got)
+		}
+		return n
+	}
+	low, high := changes(LowWeight), changes(HighWeight)
+	assert.Assert(t, high < low, "low %d, high %d", low, high)
+}
