control: plan roles from the demand that entry daemons report

Cause: the role planner was a library without a user. Change: every control daemon follows the demand of its data centre from its own entry daemon and the peers' cumulative counts; the lease holder plans for services with roles_planned and hands roles to the order loop. A new holder begins with the roles that engines have.

--- a/server/control/daemon.go
+++ b/server/control/daemon.go
@@ -55,6 +55,7 @@
 	fleet       *fleetState
 	entries     *entries
 	orders      *orderer
+	plan        *rolePlanner
 	reports     *reportReader
 	peers       *peerWatcher
 	pool        *ants.Pool
@@ -116,10 +117,12 @@
 		watched: map[types.TargetID]string{},
 	}
 	d.orders = &orderer{
-		dc: d.dc, log: log, config: d.config.Config, roleOf: configuredRole, leaving: d.fleet.addressLeaving, gate: d.gate,
+		dc: d.dc, log: log, config: d.config.Config, leaving: d.fleet.addressLeaving, gate: d.gate,
 		gone: d.fleet.vmGone, reported: d.fleet.report, client: targets, pool: pool, every: s.OrderInterval,
 	}
 	d.orders.start(s.MaxLoadOrders)
+	d.plan = newRolePlanner(d)
+	d.orders.roleOf = d.plan.roleOf
 	d.peers = &peerWatcher{
 		vm: s.VM, dc: d.dc, log: log, fleet: d.fleet, config: d.config.Config, clients: newPeerClients(s.Peers, s.Listen, &d.traffic.peers),
 	}
@@ -264,6 +267,7 @@
 	go d.lease.run(ctx)
 	go d.reports.run(ctx)
 	go d.orders.run(ctx)
+	go d.plan.run(ctx)
 	d.peers.run(ctx)
 	go d.every(ctx, d.settings.VMListInterval, d.readVMs)
 	go d.every(ctx, catchUpEvery, d.catchUp)
--- a/server/control/fleet.go
+++ b/server/control/fleet.go
@@ -35,11 +35,21 @@
 	// named holds the daemons that each peer named: its entry daemon, or all
 	// daemons of another data centre.
 	named map[types.VMID][]DaemonStatus
+	// demand holds the work that callers asked of each peer's entry daemon.
+	demand map[types.VMID]vmDemand
 	// lists belongs to the configuration revision listsAt.
 	lists   map[types.DataCentreID]*membership.TargetList
 	listsAt types.Revision
 }
 
+// vmDemand is the cumulative demand of one run of a daemon.
+type vmDemand struct {
+	vm          types.VMID
+	dc          types.DataCentreID
+	incarnation string
+	models      []*peerv1.ModelDemand
+}
+
 // vmList is the platform's list of VMs as it was last read. names says of each
 // VM that was ever listed whether it is in the newest list.
 type vmList struct {
@@ -56,6 +66,7 @@
 		reports: map[types.TargetID]types.LoadReport{}, own: map[types.TargetID]bool{},
 		peers: membership.NewTable(self, suspectAfter), told: map[types.VMID][]types.TargetID{},
 		named: map[types.VMID][]DaemonStatus{}, vms: vmList{names: map[types.VMID]bool{}},
+		demand: map[types.VMID]vmDemand{},
 	}
 }
 
@@ -179,6 +190,26 @@
 	return out
 }
 
+// setDemand records the cumulative demand of a peer's entry daemon.
+func (f *fleetState) setDemand(p membership.Peer, models []*peerv1.ModelDemand) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.demand[p.VM] = vmDemand{p.VM, p.DataCentre, p.Incarnation, models}
+}
+
+// peerDemand returns the cumulative demand of the peers of a data centre.
+func (f *fleetState) peerDemand(dc types.DataCentreID) []vmDemand {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []vmDemand
+	for _, d := range f.demand {
+		if d.dc == dc {
+			out = append(out, d)
+		}
+	}
+	return out
+}
+
 // setNamed records the daemons that a peer named.
 func (f *fleetState) setNamed(by types.VMID, daemons []DaemonStatus) {
 	f.mu.Lock()
--- a/server/control/orders.go
+++ b/server/control/orders.go
@@ -25,8 +25,8 @@
 	dc     types.DataCentreID
 	log    *logrus.Entry
 	config func() *configuration.Config
-	// roleOf returns the role that a target shall have.
-	roleOf func(configuration.Target) types.Role
+	// roleOf returns the role that a target shall have, given the one it has.
+	roleOf func(t configuration.Target, current types.Role) types.Role
 	// leaving reports whether the platform lists the VM at an address as leaving.
 	leaving func(address string) bool
 	gone    func(types.VMID) bool
@@ -53,9 +53,6 @@
 	outcome authority.Outcome
 }
 
-// configuredRole is the role function without a role plan.
-func configuredRole(t configuration.Target) types.Role { return t.Role }
-
 // start prepares the channels; it must be called before run and Finish.
 func (o *orderer) start(maxLoads int) {
 	o.orders = authority.NewOrders(maxLoads)
@@ -123,11 +120,11 @@
 	if !o.orders.Satisfied(t.ID, fence) || now.Sub(o.lastRead[t.ID]) > auditEvery {
 		return false
 	}
-	w := o.wanted(t)
+	r, ok := o.reported(t.ID)
+	w := o.wanted(t, r.Role)
 	if w.Withdrawn {
 		return true
 	}
-	r, ok := o.reported(t.ID)
 	return ok && now.Sub(r.At) < freshReport && !r.Changing && r.Leaving == w.Drain &&
 		r.Role == w.Role && r.Model == w.Model && r.Version == w.Version && slices.Equal(r.Adapters, w.Adapters)
 }
@@ -204,7 +201,11 @@
 func (o *orderer) decide(e orderEvent, finishing bool) {
 	c := o.config()
 	t := c.Targets[e.target].Value
-	w := o.wanted(t)
+	current := t.Role
+	if e.state != nil {
+		current = e.state.Role
+	}
+	w := o.wanted(t, current)
 	w.Withdrawn = w.Withdrawn || finishing || !o.isOurs(c, e.target)
 	// Without authority the grant is the zero value and the read is not used.
 	g, _ := o.gate.Check(time.Now(), true, false)
@@ -219,9 +220,9 @@
 
 // wanted returns what a target shall be. A target that the platform lists as
 // leaving stays drained, so that no order opens it again for new work.
-func (o *orderer) wanted(t configuration.Target) authority.Wanted {
+func (o *orderer) wanted(t configuration.Target, current types.Role) authority.Wanted {
 	return authority.Wanted{
-		Load:          authority.Load{Role: o.roleOf(t), Model: t.Model, Version: t.Version, Adapters: t.Adapters},
+		Load:          authority.Load{Role: o.roleOf(t, current), Model: t.Model, Version: t.Version, Adapters: t.Adapters},
 		Drain:         t.State == configuration.TargetDraining || o.leaving(t.Address),
 		Withdrawn:     t.State == configuration.TargetWithdrawn,
 		ChecksFencing: t.ChecksFencing,
--- a/server/control/peers.go
+++ b/server/control/peers.go
@@ -155,6 +155,7 @@
 	if d := s.GetLoads(); d != nil {
 		w.fleet.putDigest(w.config(), d, now)
 	}
+	w.fleet.setDemand(from, s.GetDemand())
 	w.fleet.setNamed(from.VM, namedDaemons(s, from.DataCentre))
 }
 
