control: fold the earlier homes of keys, ask live peers first

Cause: a test of a new data centre showed that it granted a key that had run in its former home: the newest homes record of the other streams was read without the fold, which alone knows the earlier sets. Forwarded claims went to the first peer by settings, also when it was down, and batches went to a lease holder that was not heard of.

Change: lastHomes folds the stream. The test covers a moved key, a key that stays, a restart, and the end of the window. A keyed call of a service with run_without_log has a test at the entry daemon.

Conclusion: a moved key is refused for one window in every data centre.

--- a/server/control/keyhomes.go
+++ b/server/control/keyhomes.go
@@ -79,7 +79,7 @@
 		if dc == k.dc {
 			continue
 		}
-		other, err := lastHomes(ctx, k.log, platform.KeyStream(dc))
+		other, err := k.lastHomes(ctx, platform.KeyStream(dc))
 		if err != nil {
 			return nil, err
 		}
@@ -94,30 +94,34 @@
 	return h, nil
 }
 
-// lastHomes returns the newest record of KindHomes in a stream, or nil.
-func lastHomes(ctx context.Context, log platform.Log, stream string) (*idempotency.Homes, error) {
-	var last *idempotency.Homes
-	for next := types.Offset(0); ; {
-		b, err := log.Read(ctx, stream, next, homesReadLimit, 0)
+// lastHomes folds the records of KindHomes in a stream and returns the result,
+// or nil. The fold also knows the earlier sets, by the time of the log.
+func (k *keyLog) lastHomes(ctx context.Context, stream string) (*idempotency.Homes, error) {
+	table := idempotency.NewTable(idempotency.Settings{Window: k.window})
+	for {
+		b, err := k.log.Read(ctx, stream, table.Next(), homesReadLimit, 0)
 		var expired *platform.ExpiredError
 		if errors.As(err, &expired) {
-			next = expired.Oldest
+			table.Restart(expired.Oldest)
 			continue
 		}
 		if err != nil {
 			return nil, err
 		}
 		for _, r := range b.Records {
-			recs, _ := records.DecodeKeys(r.Data) // the stream's own readers report what does not decode
-			for i := range recs {
-				if recs[i].Kind == idempotency.KindHomes {
-					last = recs[i].Homes
-				}
+			if err := table.Apply(r.Offset, r.At, onlyHomes(r.Data)); err != nil {
+				return nil, err
 			}
 		}
-		next += types.Offset(len(b.Records))
-		if next >= b.Next {
-			return last, nil
+		if table.Next() >= b.Next {
+			return table.Homes(), nil
 		}
 	}
 }
+
+// onlyHomes decodes the records of KindHomes. The stream's own readers report
+// what does not decode.
+func onlyHomes(data []byte) []idempotency.Record {
+	recs, _ := records.DecodeKeys(data)
+	return slices.DeleteFunc(recs, func(r idempotency.Record) bool { return r.Kind != idempotency.KindHomes })
+}
--- a/server/control/keys.go
+++ b/server/control/keys.go
@@ -62,6 +62,7 @@
 	entry     *logrus.Entry
 	dc        types.DataCentreID
 	stream    string
+	window    time.Duration
 	retention time.Duration
 	deps      keyDeps
 	queue     chan idempotency.Record
@@ -83,7 +84,7 @@
 func newKeyLog(log platform.Log, entry *logrus.Entry, s *Settings, deps keyDeps, c keyCounters) *keyLog {
 	dc := types.DataCentreID(s.DataCentre)
 	k := &keyLog{
-		log: log, dc: dc, stream: platform.KeyStream(dc), retention: s.LogRetention, deps: deps,
+		log: log, dc: dc, stream: platform.KeyStream(dc), window: s.KeyWindow, retention: s.LogRetention, deps: deps,
 		queue: make(chan idempotency.Record, maxKeyQueue), forwards: make(chan struct{}, maxForwards),
 		wantHomes: make(chan struct{}, 1),
 		claims: idempotency.NewClaims(idempotency.Settings{
--- a/server/control/keys_test.go
+++ b/server/control/keys_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"io"
+	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -21,34 +23,40 @@
 	"github.com/lentilpick/lentilpick/types"
 )
 
-// memoryLog is a log with one stream and no retention limit.
+// memoryLog is a log without a retention limit.
 type memoryLog struct {
 	mu      sync.Mutex
-	records []platform.Record
+	streams map[string][]platform.Record
 	appends int
 	down    bool
 	changed chan struct{}
 	running sync.WaitGroup // goroutines that use the log
 }
 
-func (l *memoryLog) Append(_ context.Context, _ string, data [][]byte) (types.Offset, error) {
+func newMemoryLog() *memoryLog {
+	return &memoryLog{streams: map[string][]platform.Record{}, changed: make(chan struct{})}
+}
+
+func (l *memoryLog) Append(_ context.Context, stream string, data [][]byte) (types.Offset, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.down {
 		return 0, platform.ErrUnavailable
 	}
 	l.appends++
-	first := types.Offset(len(l.records))
+	recs := l.streams[stream]
+	first := types.Offset(len(recs))
 	for _, d := range data {
-		l.records = append(l.records, platform.Record{Offset: types.Offset(len(l.records)), At: time.Now(), Data: d})
+		recs = append(recs, platform.Record{Offset: types.Offset(len(recs)), At: time.Now(), Data: d})
 	}
+	l.streams[stream] = recs
 	close(l.changed)
 	l.changed = make(chan struct{})
 	return first, nil
 }
 
-func (l *memoryLog) Read(ctx context.Context, _ string, from types.Offset, _ int, wait time.Duration) (platform.Batch, error) {
-	b, changed, err := l.read(from)
+func (l *memoryLog) Read(ctx context.Context, stream string, from types.Offset, _ int, wait time.Duration) (platform.Batch, error) {
+	b, changed, err := l.read(stream, from)
 	if err != nil || len(b.Records) > 0 || wait == 0 {
 		return b, err
 	}
@@ -58,17 +66,18 @@
 	case <-changed:
 	case <-sleep.Done():
 	}
-	b, _, err = l.read(from)
+	b, _, err = l.read(stream, from)
 	return b, err
 }
 
-func (l *memoryLog) read(from types.Offset) (platform.Batch, chan struct{}, error) {
+func (l *memoryLog) read(stream string, from types.Offset) (platform.Batch, chan struct{}, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.down {
 		return platform.Batch{}, nil, platform.ErrUnavailable
 	}
-	return platform.Batch{Next: types.Offset(len(l.records)), Records: l.records[from:]}, l.changed, nil
+	recs := l.streams[stream]
+	return platform.Batch{Next: types.Offset(len(recs)), Records: recs[from:]}, l.changed, nil
 }
 
 func (l *memoryLog) setDown(v bool) {
@@ -90,16 +99,22 @@
 
 // startKeys runs a key log over l until the test's context ends.
 func startKeys(ctx context.Context, t *testing.T, l *memoryLog, writer peerv1connect.PeerServiceClient) *keyLog {
+	t.Helper()
+	homes := func() (types.Revision, []types.DataCentreID) { return 1, []types.DataCentreID{"a"} }
+	return startKeysIn(ctx, t, "a", l, writer, homes)
+}
+
+func startKeysIn(ctx context.Context, t *testing.T, dc string, l *memoryLog, writer peerv1connect.PeerServiceClient, homes func() (types.Revision, []types.DataCentreID)) *keyLog {
 	t.Helper()
 	m, err := daemon.NewMetrics("test")
 	assert.NilError(t, err)
 	c, err := newKeyCounters(m)
 	assert.NilError(t, err)
 	s := DefaultSettings()
-	s.DataCentre = "a"
+	s.DataCentre = dc
 	k := newKeyLog(l, daemon.NewLogger(io.Discard, "error", "test"), s, keyDeps{
 		writer: func() peerv1connect.PeerServiceClient { return writer },
-		homes:  func() (types.Revision, []types.DataCentreID) { return 1, []types.DataCentreID{"a"} },
+		homes:  homes,
 		runsWithoutLog: func(s types.ServiceID) bool {
 			return s == "allowed"
 		},
@@ -117,7 +132,7 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		l := &memoryLog{changed: make(chan struct{})}
+		l := newMemoryLog()
 		defer l.running.Wait()
 		defer cancel()
 		f(ctx, l)
@@ -135,7 +150,7 @@
 		}
 		wg.Wait()
 		assert.Equal(t, l.appends, 1)
-		assert.Equal(t, len(l.records), 12)
+		assert.Equal(t, len(l.streams[k.stream]), 12)
 	})
 }
 
@@ -202,3 +217,44 @@
 		assert.Equal(t, len(k.unrecorded), 0)
 	})
 }
+
+// Guards against a key that runs in two data centres because the set of data
+// centres changed: in the one that is new, and after a restart.
+func TestMovedKeyIsRefused(t *testing.T) {
+	run(t, func(ctx context.Context, l *memoryLog) {
+		var revision atomic.Int64
+		revision.Store(1)
+		sets := [][]types.DataCentreID{nil, {"a", "b"}, {"a", "b", "c"}}
+		homes := func() (types.Revision, []types.DataCentreID) {
+			r := revision.Load()
+			return types.Revision(r), sets[r]
+		}
+		key, moved := claimFor("s", "k0"), claimFor("s", "k0")
+		for i := 0; homeOf(moved, sets[1]) != "a" || homeOf(moved, sets[2]) != "c"; i++ {
+			moved = claimFor("s", "k"+strconv.Itoa(i))
+		}
+		for i := 0; homeOf(key, sets[1]) != "a" || homeOf(key, sets[2]) != "a"; i++ {
+			key = claimFor("s", "k"+strconv.Itoa(i))
+		}
+		a := startKeysIn(ctx, t, "a", l, nil, homes)
+		v, _, err := a.Claim(ctx, moved, "1", 1)
+		assert.NilError(t, err)
+		assert.Equal(t, v, idempotency.VerdictRun)
+		revision.Store(2)
+		time.Sleep(5 * time.Second)
+		c := startKeysIn(ctx, t, "c", l, nil, homes)
+		v, _, err = c.Claim(ctx, moved, "2", 1)
+		assert.Assert(t, errors.Is(err, ErrKeyUnavailable))
+		assert.Equal(t, v, idempotency.VerdictMoved)
+		v, _, err = a.Claim(ctx, key, "3", 1)
+		assert.NilError(t, err)
+		assert.Equal(t, v, idempotency.VerdictRun)
+		c = startKeysIn(ctx, t, "c", l, nil, homes) // a restarted daemon knows it from the stream
+		v, _, _ = c.Claim(ctx, moved, "4", 1)
+		assert.Equal(t, v, idempotency.VerdictMoved)
+		time.Sleep(DefaultSettings().KeyWindow)
+		v, _, err = c.Claim(ctx, moved, "5", 1)
+		assert.NilError(t, err)
+		assert.Equal(t, v, idempotency.VerdictRun)
+	})
+}
--- a/server/control/service.go
+++ b/server/control/service.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -158,32 +159,54 @@
 	return peerv1.KeyVerdict_KEY_VERDICT_UNAVAILABLE
 }
 
-// forwardClaim asks the control daemons of the key's home data centre, one
-// after the other. Asking twice for one attempt is harmless.
+// forwardClaim asks the control daemons of the key's home data centre. Asking
+// two of them for one attempt is harmless.
 func (s viewService) forwardClaim(ctx context.Context, home types.DataCentreID, m *peerv1.ClaimKeyRequest) (*connect.Response[peerv1.ClaimKeyResponse], error) {
 	out := &peerv1.ClaimKeyRequest{Key: m.GetKey(), Attempt: m.GetAttempt(), Digest: m.GetDigest(), Forwarded: true}
-	for _, c := range s.d.clientsIn(home) {
-		if resp, err := claimFrom(ctx, c, out); err == nil {
-			return resp, nil
-		}
-		if ctx.Err() != nil {
+	resp, err := askPeers(ctx, s.d.livePeersFirst(home), func(ctx context.Context, c peerClient) (*connect.Response[peerv1.ClaimKeyResponse], error) {
+		return c.view.ClaimKey(ctx, connect.NewRequest(out))
+	})
+	if err != nil {
+		return connect.NewResponse(&peerv1.ClaimKeyResponse{Verdict: peerv1.KeyVerdict_KEY_VERDICT_UNAVAILABLE}), nil
+	}
+	return resp, nil
+}
+
+var errNoPeer = errors.New("no control daemon in the key's home data centre answers")
+
+// askPeers asks one peer after the other until one answers. Each gets three
+// quarters of the time that is left, so that one that does not answer leaves
+// time to ask another. A claim takes up to two batch periods; with half of the
+// time at each of two steps the first claims of a data centre, with a deadline
+// of 2 s, were not decided in time.
+func askPeers[T any](ctx context.Context, peers []peerClient, ask func(context.Context, peerClient) (T, error)) (answer T, err error) {
+	err = errNoPeer
+	for _, c := range peers {
+		if answer, err = askPeer(ctx, c, ask); err == nil || ctx.Err() != nil {
 			break
 		}
 	}
-	return connect.NewResponse(&peerv1.ClaimKeyResponse{Verdict: peerv1.KeyVerdict_KEY_VERDICT_UNAVAILABLE}), nil
+	return answer, err
 }
 
-// claimFrom gives a peer three quarters of the remaining time, so that one that
-// does not answer leaves time to ask another. A claim takes up to two batch
-// periods; with half of the time at each of two steps the first claims of a
-// data centre, with a deadline of 2 s, were not decided in time.
-func claimFrom(ctx context.Context, c peerClient, m *peerv1.ClaimKeyRequest) (*connect.Response[peerv1.ClaimKeyResponse], error) {
+func askPeer[T any](ctx context.Context, c peerClient, ask func(context.Context, peerClient) (T, error)) (T, error) {
 	if d, ok := ctx.Deadline(); ok {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, time.Until(d)*3/4)
 		defer cancel()
 	}
-	return c.view.ClaimKey(ctx, connect.NewRequest(m))
+	return ask(ctx, c)
+}
+
+// livePeersFirst returns the peers in a data centre, those that were heard of
+// lately before the others.
+func (d *Daemon) livePeersFirst(dc types.DataCentreID) []peerClient {
+	live := d.fleet.live(dc, time.Now())
+	peers := d.clientsIn(dc)
+	slices.SortStableFunc(peers, func(a, b peerClient) int {
+		return cmp.Compare(slices.Index(live, types.VMID(b.VM)), slices.Index(live, types.VMID(a.VM)))
+	})
+	return peers
 }
 
 // FinishKey implements the service.
@@ -212,14 +235,13 @@
 
 func (s viewService) forwardFinish(ctx context.Context, home types.DataCentreID, m *peerv1.FinishKeyRequest) (*connect.Response[peerv1.FinishKeyResponse], error) {
 	out := &peerv1.FinishKeyRequest{Key: m.GetKey(), Attempt: m.GetAttempt(), End: m.GetEnd(), Answer: m.GetAnswer(), Forwarded: true}
-	err := errors.New("no control daemon in the key's home data centre answers")
-	for _, c := range s.d.clientsIn(home) {
-		var resp *connect.Response[peerv1.FinishKeyResponse]
-		if resp, err = c.view.FinishKey(ctx, connect.NewRequest(out)); err == nil {
-			return resp, nil
-		}
+	resp, err := askPeers(ctx, s.d.livePeersFirst(home), func(ctx context.Context, c peerClient) (*connect.Response[peerv1.FinishKeyResponse], error) {
+		return c.view.FinishKey(ctx, connect.NewRequest(out))
+	})
+	if err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
 	}
-	return nil, connect.NewError(connect.CodeUnavailable, err)
+	return resp, nil
 }
 
 // home returns the data centre whose log stream holds the records of a key.
@@ -243,10 +265,11 @@
 }
 
 // keyWriter returns the lease holder of the data centre, which appends the key
-// records of all its daemons, or nil when that is this daemon or is not known.
+// records of all its daemons, or nil when that is this daemon, is not known or
+// was not heard of lately.
 func (d *Daemon) keyWriter() peerv1connect.PeerServiceClient {
 	l := d.lease.status.Load()
-	if !l.Known {
+	if !l.Known || !slices.Contains(d.fleet.live(d.dc, time.Now()), l.Holder.VM) {
 		return nil
 	}
 	for _, c := range d.clientsIn(d.dc) {
--- a/server/entry/daemon_test.go
+++ b/server/entry/daemon_test.go
@@ -29,8 +29,7 @@
 	"github.com/lentilpick/lentilpick/types"
 )
 
-// harness is an entry daemon on loopback with one engine and two instances of
-// a plain service, both written by the test.
+// harness is an entry daemon on loopback with one engine and two plain services, both written by the test.
 type harness struct {
 	*Daemon
 	address string
@@ -72,6 +71,10 @@
 	c.Targets["p2"] = configuration.Entry[configuration.Target]{Value: configuration.Target{
 		ID: "p2", Service: "book", Address: plainAddress, DataCentre: "a",
 	}}
+	c.Services["slot"] = configuration.Entry[configuration.Service]{Value: configuration.Service{ID: "slot", Kind: types.KindPlain, RunWithoutLog: true}}
+	c.Targets["s"] = configuration.Entry[configuration.Target]{Value: configuration.Target{
+		ID: "s", Service: "slot", Address: plainAddress, DataCentre: "a",
+	}}
 	c.Workspaces["club"] = configuration.Entry[configuration.Workspace]{Value: configuration.Workspace{ID: "club", Share: 1}}
 	b, err := records.EncodeSnapshot(&configuration.Snapshot{Config: c})
 	assert.NilError(t, err)
@@ -354,6 +357,7 @@
 // again after its first byte, or gets an outcome that is not accurate.
 func TestKeyedCall(t *testing.T) {
 	for name, c := range map[string]struct {
+		service string
 		keys    keyStub
 		plain   fasthttp.RequestHandler
 		status  int
@@ -361,16 +365,17 @@
 		runs    int64
 		end     idempotency.Kind
 	}{
-		"runs":             {keyStub{verdict: idempotency.VerdictRun}, booked, 201, "", 1, idempotency.KindCompleted},
-		"no answer":        {keyStub{verdict: idempotency.VerdictRun}, func(ctx *fasthttp.RequestCtx) { _ = ctx.Conn().Close() }, 504, outcomeUnknown, 1, idempotency.KindUnknown},
-		"other answer":     {keyStub{verdict: idempotency.VerdictRun}, func(ctx *fasthttp.RequestCtx) { ctx.Response.Header.Set("X-Request-Id", "q") }, 504, outcomeUnknown, 1, idempotency.KindUnknown},
-		"replayed":         {keyStub{verdict: idempotency.VerdictCompleted, answer: &idempotency.Answer{Status: 201, Body: []byte("booked")}}, booked, 201, "", 0, ""},
-		"body not kept":    {keyStub{verdict: idempotency.VerdictCompleted, answer: &idempotency.Answer{Status: 201, BodyDropped: true}}, booked, 409, outcomeUnknown, 0, ""},
-		"in progress":      {keyStub{verdict: idempotency.VerdictInProgress}, booked, 409, outcomeUnknown, 0, idempotency.KindReleased},
-		"conflict":         {keyStub{verdict: idempotency.VerdictConflict}, booked, 409, outcomeNotRun, 0, idempotency.KindReleased},
-		"earlier unknown":  {keyStub{verdict: idempotency.VerdictUnknown}, booked, 409, outcomeUnknown, 0, idempotency.KindReleased},
-		"claim fails":      {keyStub{err: errors.New("unreachable")}, booked, 503, outcomeNotRun, 0, idempotency.KindReleased},
-		"log down, refuse": {keyStub{verdict: idempotency.VerdictLogDown}, booked, 503, outcomeNotRun, 0, idempotency.KindReleased},
+		"runs":              {"book", keyStub{verdict: idempotency.VerdictRun}, booked, 201, "", 1, idempotency.KindCompleted},
+		"no answer":         {"book", keyStub{verdict: idempotency.VerdictRun}, func(ctx *fasthttp.RequestCtx) { _ = ctx.Conn().Close() }, 504, outcomeUnknown, 1, idempotency.KindUnknown},
+		"other answer":      {"book", keyStub{verdict: idempotency.VerdictRun}, func(ctx *fasthttp.RequestCtx) { ctx.Response.Header.Set("X-Request-Id", "q") }, 504, outcomeUnknown, 1, idempotency.KindUnknown},
+		"replayed":          {"book", keyStub{verdict: idempotency.VerdictCompleted, answer: &idempotency.Answer{Status: 201, Body: []byte("booked")}}, booked, 201, "", 0, ""},
+		"body not kept":     {"book", keyStub{verdict: idempotency.VerdictCompleted, answer: &idempotency.Answer{Status: 201, BodyDropped: true}}, booked, 409, outcomeUnknown, 0, ""},
+		"in progress":       {"book", keyStub{verdict: idempotency.VerdictInProgress}, booked, 409, outcomeUnknown, 0, idempotency.KindReleased},
+		"conflict":          {"book", keyStub{verdict: idempotency.VerdictConflict}, booked, 409, outcomeNotRun, 0, idempotency.KindReleased},
+		"earlier unknown":   {"book", keyStub{verdict: idempotency.VerdictUnknown}, booked, 409, outcomeUnknown, 0, idempotency.KindReleased},
+		"claim fails":       {"book", keyStub{err: errors.New("unreachable")}, booked, 503, outcomeNotRun, 0, idempotency.KindReleased},
+		"log down, refuse":  {"book", keyStub{verdict: idempotency.VerdictLogDown}, booked, 503, outcomeNotRun, 0, idempotency.KindReleased},
+		"log down, allowed": {"slot", keyStub{verdict: idempotency.VerdictLogDown}, booked, 201, "", 1, idempotency.KindCompleted},
 	} {
 		t.Run(name, func(t *testing.T) {
 			var runs atomic.Int64
@@ -385,7 +390,7 @@
 			}
 			c.keys.ends = make(chan idempotency.Kind, 1)
 			h.keys = &c.keys
-			status, e, body := h.do(t, http.DefaultClient, send{"POST", "/v1/services/book/x", "", map[string]string{"Idempotency-Key": "k"}})
+			status, e, body := h.do(t, http.DefaultClient, send{"POST", "/v1/services/" + c.service + "/x", "", map[string]string{"Idempotency-Key": "k"}})
 			assert.Equal(t, status, c.status)
 			assert.Equal(t, e.Outcome, c.outcome)
 			assert.Assert(t, status != 201 || body == "booked")
