proof: fixed number of checks for the deliberate faults

Cause: keys_faults.sh took the number of checks from the defaults of the test package.

Change: the script passes 2,000 checks and 60 steps.

--- a/proof/keys_faults.sh
+++ b/proof/keys_faults.sh
@@ -29,7 +29,7 @@
 	fi
 }
 
-stateful() { fault "$1" "$2" "$3" ./proof TestStatefulKeys -rapid.seed="$4"; }
+stateful() { fault "$1" "$2" "$3" ./proof TestStatefulKeys -rapid.seed="$4" -rapid.checks=2000 -rapid.steps=60; }
 
 stateful "second intent wins" idempotency/table.go 's/released || e.state != StateFree {/released {/' 1
 stateful "released attempt revived" idempotency/table.go 's/if _, released := e.released\[r.Attempt\]; released || e.state/if e.state/' 1
