planning: weigh the averages by their spread and damp turns of the plan

Change: a utilisation for each phase; the slow average while the spread is small, the fast one when it is large; a change has to pay back within half of the horizon; the last swing of the mix is remembered; each turn of the plan raises the cost of further changes for a while.

--- a/planning/capacity.go
+++ b/planning/capacity.go
@@ -82,20 +82,19 @@
 }
 
 // Served returns the largest part of the demand, from 0 to 1, that engines
-// with the given roles can serve when each runs at the given utilisation.
-// Prefill goes first to the engines that lose the least decode capacity by it,
+// with the given roles can serve. Prefill goes first to the engines that lose the least decode capacity by it,
 // so mixed batching and spill-over are used before demand counts as lost.
-func (c *Capacity) Served(n Counts, utilisation float64, d Demand) float64 {
+func (c *Capacity) Served(n Counts, d Demand) float64 {
 	var prefill, decode float64
 	for _, s := range c.segments {
-		decode += s.decode * float64(n[s.role]) * utilisation
+		decode += s.decode * float64(n[s.role])
 	}
 	if d.Prefill <= 0 {
 		return part(decode, d.Decode)
 	}
 	for _, s := range c.segments {
-		p := s.prefill * float64(n[s.role]) * utilisation
-		q := s.decode * float64(n[s.role]) * utilisation
+		p := s.prefill * float64(n[s.role])
+		q := s.decode * float64(n[s.role])
 		if p == 0 && q == 0 {
 			continue
 		}
@@ -116,3 +115,7 @@
 	}
 	return min(have/want, 1)
 }
+
+// Single returns the best rates of one engine for each phase, when it does
+// only that phase.
+func (c *Capacity) Single() Demand { return c.single }
--- a/planning/planner.go
+++ b/planning/planner.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -51,9 +52,10 @@
 	OutOfService time.Duration
 	// Horizon is how long the present mix is expected to last.
 	Horizon time.Duration
-	// Utilisation is the part of an engine's capacity that can be used before
-	// queues break the deadlines.
-	Utilisation float64
+	// PrefillUtilisation and DecodeUtilisation are the parts of the capacity
+	// that can be used before the deadlines break. Prefill needs more room,
+	// because its queue counts against the deadline of the first token.
+	PrefillUtilisation, DecodeUtilisation float64
 	// SevereLoss is the part of the demand whose loss allows several changes of
 	// a group at a time.
 	SevereLoss float64
@@ -69,20 +71,21 @@
 // Weights for the two kinds of operator.
 const (
 	LowWeight  = 1.0
-	HighWeight = 4.0
+	HighWeight = 2.0
 )
 
 // DefaultSettings returns settings with the given weight.
 func DefaultSettings(weight float64) Settings {
 	return Settings{
-		Weight:        weight,
-		OutOfService:  7 * time.Second, // 4 s for the order and about 3 s of draining
-		Horizon:       time.Minute,     // the mix changes within minutes
-		Utilisation:   0.85,
-		SevereLoss:    0.1,
-		SevereShare:   0.25,
-		Minimum:       Counts{types.RolePrefill: 1, types.RoleDecode: 1},
-		ChangeTimeout: time.Minute,
+		Weight:             weight,
+		OutOfService:       7 * time.Second, // 4 s for the order and about 3 s of draining
+		Horizon:            time.Minute,     // the mix changes within minutes
+		PrefillUtilisation: 0.85,
+		DecodeUtilisation:  0.95,
+		SevereLoss:         0.1,
+		SevereShare:        0.25,
+		Minimum:            Counts{types.RolePrefill: 1, types.RoleDecode: 1},
+		ChangeTimeout:      time.Minute,
 	}
 }
 
@@ -108,6 +111,7 @@
 	// heldUntil is the end of the payback time of the last change in each
 	// direction.
 	heldUntil [2]time.Time
+	flaps     flaps
 }
 
 type pending struct {
@@ -224,7 +228,7 @@
 
 // allowedInFlight returns how many engines of the group may change at a time.
 func (p *Planner) allowedInFlight(st *groupState, planned Counts) int {
-	loss := 1 - p.capacity.Served(planned, p.settings.Utilisation, st.estimate.fast)
+	loss := 1 - p.served(planned, st.estimate.fast)
 	if loss < p.settings.SevereLoss {
 		return 1
 	}
@@ -240,10 +244,13 @@
 }
 
 // best returns the move with the highest goodput over the horizon minus the
-// cost of the changes.
+// cost of the changes. A change has to pay back within half of the horizon,
+// because it blocks changes in the other direction until then.
 func (p *Planner) best(now time.Time, st *groupState, serving, planned Counts) (move, bool) {
-	base := p.goodput(st, planned)
-	cost := p.changeCost()
+	o := p.outlook(now, st)
+	base := p.goodput(o, planned)
+	cost := p.changeCost() * (1 + st.flaps.level(now, p.settings.Horizon))
+	horizon := p.settings.Horizon.Seconds()
 	found := move{}
 	for from := range types.RoleCount {
 		room := serving[from] - p.settings.Minimum[from]
@@ -255,9 +262,9 @@
 			for k := 1; k <= room; k++ {
 				after[from]--
 				after[to]++
-				gain := p.goodput(st, after) - base
-				net := gain*p.settings.Horizon.Seconds() - float64(k)*cost
-				if net > found.net+1e-9 {
+				gain := p.goodput(o, after) - base
+				net := gain*horizon - float64(k)*cost
+				if net > found.net+1e-9 && gain*horizon/2 >= float64(k)*cost {
 					found = move{from, to, k, gain, net}
 				}
 			}
@@ -266,21 +273,51 @@
 	return found, found.net > 0
 }
 
-// goodput returns the engines' worth of demand that is served, as the mean
-// over both ends of the spread between the fast and the slow average. While
-// the mix moves, half of the weight stays on the mix of the last SlowWindow,
-// which keeps a short excursion from causing a change.
-func (p *Planner) goodput(st *groupState, n Counts) float64 {
-	fast, slow := st.estimate.fast, st.estimate.slow
-	u := p.settings.Utilisation
-	return (p.capacity.Served(n, u, fast)*p.capacity.Work(fast) +
-		p.capacity.Served(n, u, slow)*p.capacity.Work(slow)) / 2
+// outlook is the demand expected over the horizon: a few demands, each with
+// the part of the horizon that it is expected to take.
+type outlook [3]struct {
+	demand Demand
+	part   float64
+}
+
+// outlook expects the present mix for the time that it is likely to last. If
+// it has alternated with another, the two share the rest of the horizon.
+func (p *Planner) outlook(now time.Time, st *groupState) outlook {
+	e := &st.estimate
+	horizon := p.settings.Horizon
+	stays := e.swing.remaining(now, horizon).Seconds() / horizon.Seconds()
+	part := (1 + stays) / 2
+	trust := e.trust()
+	var o outlook
+	o[0].demand, o[0].part = e.fast, trust*part
+	o[1].demand, o[1].part = e.slow, (1-trust)*part
+	o[2].demand, o[2].part = e.swing.previous, 1-part
+	return o
+}
+
+// goodput returns the engines' worth of the expected demand that is served.
+func (p *Planner) goodput(o outlook, n Counts) float64 {
+	sum := 0.0
+	for _, x := range o {
+		if x.part > 0 {
+			sum += x.part * p.served(n, x.demand) * p.capacity.Work(x.demand)
+		}
+	}
+	return sum
+}
+
+// served returns the part of the demand that can be served within the deadlines.
+func (p *Planner) served(n Counts, d Demand) float64 {
+	return p.capacity.Served(n, Demand{
+		Prefill: d.Prefill / p.settings.PrefillUtilisation,
+		Decode:  d.Decode / p.settings.DecodeUtilisation,
+	})
 }
 
 // changeCost returns the cost of one change in engine-seconds: seconds out of
 // service times the capacity of one engine times the weight.
 func (p *Planner) changeCost() float64 {
-	return p.settings.OutOfService.Seconds() * p.settings.Utilisation * p.settings.Weight
+	return p.settings.OutOfService.Seconds() * p.settings.Weight
 }
 
 // prefillRank orders the roles from decode to prefill.
@@ -323,6 +360,7 @@
 		st.pending[e.ID] = pending{to: m.to, started: now}
 		out = append(out, Change{Engine: e.ID, Group: g, From: m.from, To: m.to, Payback: payback})
 	}
+	st.flaps.change(now, p.settings.Horizon, direction(m.from, m.to))
 	held := &st.heldUntil[direction(m.from, m.to)]
 	until := now.Add(p.settings.OutOfService + payback)
 	if until.After(*held) {
@@ -336,3 +374,26 @@
 	cost := float64(m.engines) * p.changeCost()
 	return time.Duration(cost / m.gain * float64(time.Second))
 }
+
+// flaps counts how often the plan has turned round lately. Each turn raises the
+// cost of further changes by its own amount and fades over two horizons, as in
+// route flap damping (RFC 2439), so that a mix that comes and goes faster than
+// changes pay off soon finds the roles settled.
+type flaps struct {
+	count float64
+	at    time.Time
+	last  int
+	any   bool
+}
+
+// level returns the faded count.
+func (f *flaps) level(now time.Time, horizon time.Duration) float64 {
+	return f.count * math.Exp(-now.Sub(f.at).Seconds()/(2*horizon.Seconds()))
+}
+
+func (f *flaps) change(now time.Time, horizon time.Duration, direction int) {
+	if f.any && direction != f.last {
+		f.count, f.at = f.level(now, horizon)+1, now
+	}
+	f.last, f.any = direction, true
+}
--- a/planning/planner_test.go
+++ b/planning/planner_test.go
@@ -207,3 +207,53 @@
 	low, high := changes(LowWeight), changes(HighWeight)
 	assert.Assert(t, high < low, "low %d, high %d", low, high)
 }
+
+// Guards against roles that follow every swing of a mix that comes and goes
+// faster than changes pay off.
+func TestAlternatingMixSettles(t *testing.T) {
+	f := newFixture(DefaultSettings(LowWeight), 3, 9)
+	const swings = 30
+	late := 0
+	for i := range swings {
+		d := decodeHeavy
+		if i%2 == 1 {
+			d = prefillHeavy
+		}
+		got := f.run(d, 40*time.Second)
+		f.finish(got)
+		if i >= swings/2 {
+			late += len(got)
+		}
+	}
+	assert.Assert(t, late < swings/2, "%d changes in the last %d swings", late, swings/2)
+}
+
+// Guards against noise of the fast average being taken for a new mix.
+func TestSteadyDemandTrustsTheSlowAverage(t *testing.T) {
+	var e Estimate
+	now := start
+	for i := range 120 {
+		noise := 1 + 0.1*float64(i%2*2-1)
+		now = now.Add(time.Second)
+		e.Observe(now, 30_000*noise, 30_000/noise)
+	}
+	assert.Assert(t, e.trust() < 0.25, "trust %f", e.trust())
+	for range 5 {
+		now = now.Add(time.Second)
+		e.Observe(now, 90_000, 10_000)
+	}
+	assert.Equal(t, e.trust(), 1.0)
+}
+
+// Guards against a plan that turns round again and again at no extra cost.
+func TestTurnsRaiseTheCost(t *testing.T) {
+	f := newFixture(DefaultSettings(LowWeight), 2, 10)
+	st := f.group(group)
+	const many = 20
+	for i := range many {
+		st.flaps.change(start, f.settings.Horizon, i%2)
+	}
+	assert.Equal(t, len(f.run(prefillHeavy, 20*time.Second)), 0)
+	f.run(prefillHeavy, 10*time.Minute)
+	assert.Assert(t, len(st.pending) > 0, "the cost does not fade")
+}
