measure: compare role policies on virtual time

Cause: the role plan needs a measurement against the bounds of the design. Change: a module that drives routing, admission and planning against the engine model of the stand-in, event by event in one goroutine, with six traces and eight policies, and lentilpick-measure, which prints a row for each trace and policy and a verdict for each bound and writes a JSON file and a plot.

--- /dev/null
+++ b/measure/sim_test.go
@@ -0,0 +1,86 @@
+package measure
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"gotest.tools/v3/assert"
+
+	"github.com/lentilpick/lentilpick/planning"
+)
+
+// shortTrace is the first part of a trace, with its share shifted early.
+func shortTrace(t *testing.T, name string) *Trace {
+	t.Helper()
+	for _, tr := range Traces(1) {
+		if tr.Name != name {
+			continue
+		}
+		short := *tr
+		short.Requests = nil
+		for _, r := range tr.Requests {
+			if r.Arrival >= 145*time.Second && r.Arrival < 175*time.Second {
+				r.Arrival -= 140 * time.Second
+				short.Requests = append(short.Requests, r)
+			}
+		}
+		if tr.Loss != nil {
+			short.Loss = &Loss{Engine: tr.Loss.Engine, At: 10 * time.Second, Back: 20 * time.Second}
+		}
+		return &short
+	}
+	t.Fatalf("no trace %q", name)
+	return nil
+}
+
+// Guards against a result that depends on map order or on the machine.
+func TestSameSeedSameResult(t *testing.T) {
+	tr := shortTrace(t, "loss")
+	policy := func() Policy { return newLentilpick(PolicyLow, planning.LowWeight, tr.initial()) }
+	a, b := run(tr, policy(), 7), run(tr, policy(), 7)
+	a.first, a.intervals, b.first, b.intervals = nil, nil, nil, nil
+	assert.DeepEqual(t, *a, *b, cmp.AllowUnexported(Result{}))
+}
+
+// Guards against requests that are lost or counted twice when engines change
+// role or crash.
+func TestEveryRequestHasOneOutcome(t *testing.T) {
+	for _, name := range []string{"step", "loss"} {
+		tr := shortTrace(t, name)
+		r := run(tr, newLentilpick(PolicyLow, planning.LowWeight, tr.initial()), 7)
+		answered := int(r.first.TotalCount())
+		assert.Equal(t, r.Requests, len(tr.Requests))
+		assert.Assert(t, answered+r.RefusedAdmission+r.RefusedPlacement <= r.Requests)
+		assert.Assert(t, answered+r.RefusedAdmission+r.RefusedPlacement+r.Cut >= r.Requests)
+		if tr.Loss == nil {
+			assert.Assert(t, r.RoleChanges > 0)
+			assert.Equal(t, answered+r.RefusedAdmission+r.RefusedPlacement+r.Cut, r.Requests)
+		}
+	}
+}
+
+// Guards against a verdict that calls a missed bound a pass.
+func TestBoundVerdicts(t *testing.T) {
+	result := func(policy string, goodput float64, changes int) *Result {
+		return &Result{Trace: "step", Policy: policy, Goodput: goodput, RoleChanges: changes}
+	}
+	got := bounds([]*Result{
+		result(PolicyStatic, 0.6, 0), result(PolicyReactive, 0.7, 9), result(PolicyClairvoyant, 0.9, 4),
+		result(PolicyLow, 0.88, 5), result(PolicyHigh, 0.84, 4),
+	})
+	want := map[string]bool{
+		"lentilpick low / clairvoyant goodput":     true,
+		"lentilpick low / best static goodput":     true,
+		"lentilpick low - 0.5 x reactive changes":  false,
+		"lentilpick high / clairvoyant goodput":    false,
+		"lentilpick high / best static goodput":    true,
+		"lentilpick high - 0.5 x reactive changes": true,
+		"high - low weight changes":                true,
+		"goodput lost by the high weight":          false,
+	}
+	assert.Equal(t, len(got), len(want))
+	for _, b := range got {
+		assert.Equal(t, b.Pass, want[b.Name], b.Name)
+	}
+}
