--- a/admission/admission.go
+++ b/admission/admission.go
@@ -62,10 +62,12 @@
 	// activePeriod is how long a workspace without requests keeps its share. It
 	// covers a few requests of a workspace that sends one or two a second.
 	activePeriod = 2 * time.Second
-	// virtualUnit is the virtual time of one request at weight 1.
-	virtualUnit = 1 << 30
-	// maxWeight keeps the virtual time of a request above the rounding error.
-	maxWeight = 1 << 20
+	// virtualUnit is the virtual time of one request at weight 1. Virtual time
+	// overflows after 2^37 requests, four years at 1,000 a second.
+	virtualUnit = 1 << 26
+	// maxWeight keeps the step of virtual time positive for the sum of the weights
+	// of 3,700 workspaces.
+	maxWeight = 1000
 	// shareBurst is how many requests a workspace may be ahead of its share, so
 	// that random arrivals at its own rate are not taken for a burst.
 	shareBurst  = 4
@@ -114,7 +116,7 @@
 	case own > c.limits.WorkspaceInFlight*weight, ticket.Borrowed && !c.lends(total):
 		reason = types.RefusedWorkspaceLimit
 	default:
-		c.virtual.Add(virtualUnit / active)
+		c.virtual.Add(max(virtualUnit/active, 1))
 		return ticket, 0, true
 	}
 	c.Release(w)
--- a/routing/router.go
+++ b/routing/router.go
@@ -73,15 +73,6 @@
 	ro.Home, ro.Daemons = ^uint64(0)/uint64(n)*uint64(i)+1, n
 }
 
-// SetHomeOf sets a home from the name of the daemon, for use when the other
-// daemons are not known. Homes of different daemons then overlap.
-func (ro *Router) SetHomeOf(name string) {
-	ro.Home, ro.Daemons = mix(hashString(name)), defaultDaemons
-}
-
-// defaultDaemons is the usual number of entry daemons in a deployment.
-const defaultDaemons = 12
-
 // Decision is the result of Route.
 type Decision struct {
 	// Target is nil when the request cannot be served; Reason then says why.
--- a/server/entry/daemon.go
+++ b/server/entry/daemon.go
@@ -229,15 +229,15 @@
 
 // newRouter returns a router that prefers, at equal cost, other targets than
 // the other entry daemons of the data centre do. The settings list the control
-// daemons of the data centre, the one on this VM first.
+// daemons of the data centre, the one on this VM first. With one address the
+// others are not known; a position from a hash was measured to be no better
+// than none (docs/decisions/0002).
 func newRouter(s *Settings) *routing.Router {
 	r := routing.NewRouter()
-	if len(s.Control) == 1 {
-		r.SetHomeOf(s.VM)
-		return r
+	if len(s.Control) > 1 {
+		sorted := slices.Sorted(slices.Values(s.Control))
+		r.SetHome(slices.Index(sorted, s.Control[0]), len(sorted))
 	}
-	sorted := slices.Sorted(slices.Values(s.Control))
-	r.SetHome(slices.Index(sorted, s.Control[0]), len(sorted))
 	return r
 }
 
