--- a/routing/ring.go
+++ b/routing/ring.go
@@ -15,14 +15,15 @@
 	starts []int32
 }
 
-func (g *ring) add(t *Target) {
-	g.targets = append(g.targets, t)
-	g.hashes = append(g.hashes, t.Hash)
-}
+func (g *ring) add(t *Target) { g.targets = append(g.targets, t) }
 
 // finish prepares lookups; no target may be added afterwards.
 func (g *ring) finish() {
 	g.starts = make([]int32, len(g.targets))
+	g.hashes = make([]uint64, len(g.targets))
+	for i, t := range g.targets {
+		g.hashes[i] = t.Hash
+	}
 	at := 0
 	for i := range g.starts {
 		for at < len(g.hashes) && g.position(g.hashes[at]) < i {
--- a/routing/router.go
+++ b/routing/router.go
@@ -94,8 +94,10 @@
 	buf    [maxCandidates]Candidate
 	n      int
 	looked int
-	full   bool // a target was dropped only for its concurrency limit
-	rank   ranking
+	// checked is how many of the first candidates a new one may repeat.
+	checked int
+	full    bool // a target was dropped only for its concurrency limit
+	rank    ranking
 }
 
 var searches = sync.Pool{New: func() any { return new(search) }}
@@ -196,7 +198,7 @@
 // choose returns the best of a bounded number of targets. Without prefill the
 // target is scored for its streams alone.
 func (s *search) choose(g *ring, prefill bool) Candidate {
-	s.n, s.looked = 0, 0
+	s.n, s.looked, s.checked = 0, 0, maxCandidates
 	if g.len() == 0 {
 		return Candidate{}
 	}
@@ -238,6 +240,7 @@
 		start = s.rnd.IntN(g.len())
 	}
 	if g.len() <= maxCandidates {
+		s.checked = s.n
 		for i := range g.len() {
 			s.add(g.targets[(start+i)%g.len()], 0, prefill)
 		}
@@ -254,7 +257,7 @@
 // add scores a target unless it is a candidate already or a filter drops it.
 func (s *search) add(t *Target, expected int, prefill bool) {
 	s.looked++
-	for i := range s.n {
+	for i := range min(s.n, s.checked) {
 		if s.buf[i].Target == t {
 			return
 		}
