--- a/routing/router.go
+++ b/routing/router.go
@@ -73,15 +73,6 @@
 	ro.Home, ro.Daemons = ^uint64(0)/uint64(n)*uint64(i)+1, n
 }
 
-// SetHomeOf sets a home from the name of the daemon, for use when the other
-// daemons are not known. Homes of different daemons then overlap.
-func (ro *Router) SetHomeOf(name string) {
-	ro.Home, ro.Daemons = mix(hashString(name)), defaultDaemons
-}
-
-// defaultDaemons is the usual number of entry daemons in a deployment.
-const defaultDaemons = 12
-
 // Decision is the result of Route.
 type Decision struct {
 	// Target is nil when the request cannot be served; Reason then says why.
@@ -103,8 +94,13 @@
 	buf    [maxCandidates]Candidate
 	n      int
 	looked int
-	full   bool // a target was dropped only for its concurrency limit
-	rank   ranking
+	// checked is how many of the first candidates a new one may repeat.
+	checked int
+	full    bool // a target was dropped only for its concurrency limit
+	remote  bool // the targets are in another data centre
+	rank    ranking
+	// prefill and decode are the two parts of a split.
+	prefill, decode Candidate
 }
 
 var searches = sync.Pool{New: func() any { return new(search) }}
@@ -130,8 +126,10 @@
 			return d
 		}
 	}
+	s.remote = false
 	best := s.best(&p.local)
 	if !s.meets(best) {
+		s.remote = true
 		if remote := s.best(&p.remote); better(remote, best) {
 			best = remote
 		}
@@ -171,12 +169,14 @@
 		return s.whole(&g.all)
 	}
 	d := s.whole(&g.role[types.RoleMixed])
-	if !s.r.Whole {
+	splits := !s.r.Whole && g.role[types.RolePrefill].len() > 0 && g.role[types.RoleDecode].len() > 0
+	if splits {
 		if split := s.split(g); better(split, d) {
 			d = split
 		}
 	}
-	if !s.meets(d) && g.role[types.RoleMixed].len() < g.all.len() {
+	// A prefill or a decode engine serves whole requests only where it must.
+	if !splits && !s.meets(d) && g.role[types.RoleMixed].len() < g.all.len() {
 		if other := s.whole(&g.all); better(other, d) {
 			d = other
 		}
@@ -190,26 +190,24 @@
 }
 
 func (s *search) split(g *group) Decision {
-	if g.role[types.RolePrefill].len() == 0 || g.role[types.RoleDecode].len() == 0 {
-		return Decision{}
-	}
-	prefill := s.choose(&g.role[types.RolePrefill], true)
-	decode := s.choose(&g.role[types.RoleDecode], false)
-	if prefill.Target == nil || decode.Target == nil {
+	s.prefill = s.choose(&g.role[types.RolePrefill], true)
+	s.decode = s.choose(&g.role[types.RoleDecode], false)
+	if s.prefill.Target == nil || s.decode.Target == nil {
 		return Decision{}
 	}
-	p := s.router.Scorer.Join(s.r, &prefill, &decode, s.now)
-	return Decision{Target: decode.Target, Prefill: prefill.Target, Prediction: p}
+	p := s.router.Scorer.Join(s.r, &s.prefill, &s.decode, s.now)
+	return Decision{Target: s.decode.Target, Prefill: s.prefill.Target, Prediction: p}
 }
 
 // choose returns the best of a bounded number of targets. Without prefill the
 // target is scored for its streams alone.
 func (s *search) choose(g *ring, prefill bool) Candidate {
-	s.n, s.looked = 0, 0
+	s.n, s.looked, s.checked = 0, 0, maxCandidates
 	if g.len() == 0 {
 		return Candidate{}
 	}
-	if prefill && len(s.r.Blocks) > 0 {
+	// Requests go to another data centre for want of capacity, not for its caches.
+	if prefill && !s.remote && len(s.r.Blocks) > 0 {
 		s.addByPrefix(g)
 	}
 	s.addSamples(g, prefill)
@@ -247,6 +245,7 @@
 		start = s.rnd.IntN(g.len())
 	}
 	if g.len() <= maxCandidates {
+		s.checked = s.n
 		for i := range g.len() {
 			s.add(g.targets[(start+i)%g.len()], 0, prefill)
 		}
@@ -263,7 +262,7 @@
 // add scores a target unless it is a candidate already or a filter drops it.
 func (s *search) add(t *Target, expected int, prefill bool) {
 	s.looked++
-	for i := range s.n {
+	for i := range min(s.n, s.checked) {
 		if s.buf[i].Target == t {
 			return
 		}
