routing: weigh the tighter deadline and split onto mixed engines

A trace showed three faults: prefill engines were idle while no decode engine existed, because a split needed one; the sum of both times hid that a mixed engine's streams were near their interval; work that would miss the time between tokens was not refused. Change: a split may take its tokens from mixed engines; the cost is the part of the tighter deadline that is used; a request whose stated time between tokens cannot be met is refused as not run; a prompt counts for the time between tokens only where it delays other streams. The measurement now places all role policies with the shipped router.

--- a/measure/engine.go
+++ b/measure/engine.go
@@ -33,6 +33,7 @@
 	reports []types.LoadReport
 	// counters is the load that the entry daemon puts on the engine.
 	counters *routing.Counters
+	history  routing.History
 }
 
 func newEngineState(i int, role types.Role) *engineState {
--- a/measure/policy.go
+++ b/measure/policy.go
@@ -57,7 +57,7 @@
 func (f fixed) Plan(View) []Order        { return nil }
 
 func static(name string, n planning.Counts) Policy {
-	return fixed{name, n, newByRole}
+	return fixed{name, n, newShipped}
 }
 
 func random(n planning.Counts) Policy      { return fixed{PolicyRandom, n, newRandom} }
@@ -71,7 +71,7 @@
 
 func (a adaptive) Name() string             { return a.name }
 func (a adaptive) Initial() planning.Counts { return a.roles }
-func (a adaptive) Placement() placement     { return newByRole() }
+func (a adaptive) Placement() placement     { return newShipped() }
 
 // reactive moves one engine whenever one phase is above its threshold and the
 // other is not. It is the usual rule without a cost of change.
--- a/measure/sim.go
+++ b/measure/sim.go
@@ -160,10 +160,12 @@
 func (s *sim) publish() {
 	targets := make([]*routing.Target, len(s.engines))
 	for i, e := range s.engines {
+		e.history.Record(s.time(), e.counters.Load())
+		r := e.report()
 		targets[i] = &routing.Target{
 			ID: e.id, Kind: types.KindEngine, DataCentre: group.DataCentre, Model: model,
 			Role: e.role, Changing: !e.available(), Rates: params().Rates,
-			Report: e.report(), HasReport: true, Counters: e.counters,
+			Report: r, HasReport: !r.At.IsZero(), OwnAtReport: e.history.At(r.At), Counters: e.counters,
 		}
 	}
 	s.fleet = routing.NewFleet(1, group.DataCentre, targets)
@@ -261,11 +263,15 @@
 func (s *sim) holdPrefill(c *call, e *engineState) {
 	c.uncached = c.req.Prompt - e.cachedTokens(c.req)
 	e.counters.QueuedPrefill.Add(int64(c.uncached))
+	if c.prefilling {
+		e.counters.InFlight.Add(1)
+	}
 }
 
 func (s *sim) holdDecode(c *call, e *engineState) {
 	c.decode = e
 	e.counters.Decoding.Add(1)
+	e.counters.InFlight.Add(1)
 }
 
 func (s *sim) leavePrefill(c *call) {
@@ -273,6 +279,9 @@
 		return
 	}
 	c.prefill.counters.QueuedPrefill.Add(-int64(c.uncached))
+	if c.prefilling {
+		c.prefill.counters.InFlight.Add(-1)
+	}
 	c.prefill = nil
 }
 
@@ -281,6 +290,7 @@
 		return
 	}
 	c.decode.counters.Decoding.Add(-1)
+	c.decode.counters.InFlight.Add(-1)
 	c.decode = nil
 }
 
--- a/routing/router.go
+++ b/routing/router.go
@@ -139,7 +139,7 @@
 		return Decision{Reason: types.RefusedTargetLimit}
 	case best.Target == nil:
 		return Decision{Reason: types.RefusedNoTarget}
-	case s.late(best):
+	case !s.meets(best):
 		return Decision{Prediction: best.Prediction, Reason: types.RefusedDeadline}
 	}
 	return best
@@ -169,15 +169,18 @@
 		return s.whole(&g.all)
 	}
 	d := s.whole(&g.role[types.RoleMixed])
-	splits := !s.r.Whole && g.role[types.RolePrefill].len() > 0 && g.role[types.RoleDecode].len() > 0
-	if splits {
+	if !s.r.Whole && g.role[types.RolePrefill].len() > 0 {
 		if split := s.split(g); better(split, d) {
 			d = split
 		}
 	}
-	// A prefill or a decode engine serves whole requests only where it must.
-	if !splits && !s.meets(d) && g.role[types.RoleMixed].len() < g.all.len() {
-		if other := s.whole(&g.all); better(other, d) {
+	if s.meets(d) {
+		return d
+	}
+	// A decode engine prefills in small chunks, and a prefill engine generates
+	// beside large ones, so that they serve whole requests only where they must.
+	for _, role := range []types.Role{types.RoleDecode, types.RolePrefill} {
+		if other := s.whole(&g.role[role]); better(other, d) {
 			d = other
 		}
 	}
@@ -189,10 +192,27 @@
 	return Decision{Target: c.Target, Prediction: c.Prediction}
 }
 
+// split chooses an engine for the prefill and one for the tokens. Mixed engines
+// take the tokens where the decode engines have no room.
 func (s *search) split(g *group) Decision {
 	s.prefill = s.choose(&g.role[types.RolePrefill], true)
-	s.decode = s.choose(&g.role[types.RoleDecode], false)
-	if s.prefill.Target == nil || s.decode.Target == nil {
+	if s.prefill.Target == nil {
+		return Decision{}
+	}
+	d := s.join(&g.role[types.RoleDecode])
+	if s.meets(d) {
+		return d
+	}
+	if mixed := s.join(&g.role[types.RoleMixed]); better(mixed, d) {
+		return mixed
+	}
+	return d
+}
+
+// join adds the best engine of a ring for the tokens after a prefill elsewhere.
+func (s *search) join(g *ring) Decision {
+	s.decode = s.choose(g, false)
+	if s.decode.Target == nil {
 		return Decision{}
 	}
 	p := s.router.Scorer.Join(s.r, &s.prefill, &s.decode, s.now)
--- a/routing/score.go
+++ b/routing/score.go
@@ -48,6 +48,9 @@
 	// does not state. They are the targets of the design page, section 1.5.
 	defaultBudget   = 310 * time.Millisecond
 	defaultInterval = 26 * time.Millisecond
+	// tieWeight orders candidates that are equally close to their tighter
+	// deadline.
+	tieWeight = 0.05
 	// missCost is the cost of each missed deadline. It exceeds what two met
 	// deadlines can cost, so that a target that meets both always wins.
 	missCost = 4
@@ -71,7 +74,13 @@
 		// The batch is full; the request waits for about one stream to end.
 		first += float64(r.MaxTokens) * perChunk / float64(t.Rates.MaxStreams)
 	}
-	interval := iteration + t.Rates.DecodeCost + seconds(min(float64(load.QueuedPrefill), chunk)/rate)
+	// Streams share their iterations with the chunks of waiting prompts. This
+	// prompt counts where it delays other streams; its own come after it.
+	waiting := float64(load.QueuedPrefill)
+	if load.Decoding > 0 {
+		waiting = tokens
+	}
+	interval := iteration + t.Rates.DecodeCost + seconds(min(waiting, chunk)/rate)
 	p := Prediction{FirstToken: seconds(first), TokenInterval: interval, Prefill: uncached}
 	p.Cost = cost(r, p, now)
 	if t.HasReport && t.Report.KVFreeTokens < r.PromptTokens {
@@ -104,7 +113,8 @@
 	if interval == 0 {
 		interval = defaultInterval
 	}
-	return part(p.FirstToken, budget) + part(p.TokenInterval, interval)
+	a, b := part(p.FirstToken, budget), part(p.TokenInterval, interval)
+	return max(a, b) + tieWeight*min(a, b)
 }
 
 func part(predicted, allowed time.Duration) float64 {
--- a/server/entry/exchange.go
+++ b/server/entry/exchange.go
@@ -112,7 +112,7 @@
 	if x.tokens > 0 {
 		// The first token is out, so that only the end matters now. The KV cache
 		// of the tokens that the caller has is not on any prefill engine.
-		x.route.Deadline, x.route.Whole = time.Time{}, true
+		x.route.Deadline, x.route.TokenInterval, x.route.Whole = time.Time{}, 0, true
 	}
 	dec := x.daemon.router.Route(v.Fleet, &x.route, time.Now(), seed())
 	if dec.Target == nil {
