planning: leave more room for prefill queues

Two other attempts, 5 s out of service and a third of the group in change at a time, broke the bound on changes or had no effect. Change: prefill may use 0.8 instead of 0.85 of its capacity.

--- a/planning/planner.go
+++ b/planning/planner.go
@@ -80,7 +80,7 @@
 		Weight:             weight,
 		OutOfService:       7 * time.Second, // 4 s for the order and about 3 s of draining
 		Horizon:            time.Minute,     // the mix changes within minutes
-		PrefillUtilisation: 0.85,
+		PrefillUtilisation: 0.8,
 		DecodeUtilisation:  0.95,
 		SevereLoss:         0.1,
 		SevereShare:        0.25,
