--- a/cmd/internal/load/demo.go
+++ b/cmd/internal/load/demo.go
@@ -28,6 +28,7 @@
 	Out      string        `default:"out/demo" help:"Directory for the settings and logs of the processes."`
 	Phase    time.Duration `default:"18s" help:"Length of each phase of the load."`
 	Seed     uint64        `default:"1" help:"Seed of the load."`
+	Calls    float64       `default:"4" help:"Keyed calls a second in each deployment."`
 }
 
 // minRequests is the least number of requests of a valid demo.
@@ -93,7 +94,7 @@
 	if r.idle, err = d.appendRate(ctx, func() { pause(ctx, idleWindow) }); err != nil {
 		return err
 	}
-	d.spec.Seed, d.spec.Phases = c.Seed, demoPhases(c.Phase)
+	d.spec.Seed, d.spec.Phases = c.Seed, demoPhases(c.Phase, c.Calls)
 	disturbed := make(chan error, 1)
 	r.busy, err = d.appendRate(ctx, func() {
 		go func() { disturbed <- d.disturb(ctx, c.Phase, r) }()
@@ -113,9 +114,9 @@
 }
 
 // demoPhases shifts the mix from long prompts to long outputs and back.
-func demoPhases(length time.Duration) []Phase {
-	prompts := Phase{Name: "long prompts", Length: length, PerSecond: 24, PromptTokens: 2500, OutputTokens: 20, CallsPerSecond: 4}
-	outputs := Phase{Name: "long outputs", Length: length, PerSecond: 24, PromptTokens: 300, OutputTokens: 150, CallsPerSecond: 4}
+func demoPhases(length time.Duration, calls float64) []Phase {
+	prompts := Phase{Name: "long prompts", Length: length, PerSecond: 24, PromptTokens: 2500, OutputTokens: 20, CallsPerSecond: calls}
+	outputs := Phase{Name: "long outputs", Length: length, PerSecond: 24, PromptTokens: 300, OutputTokens: 150, CallsPerSecond: calls}
 	again := prompts
 	again.Name = "long prompts again"
 	return []Phase{prompts, outputs, again}
@@ -208,7 +209,7 @@
 	fmt.Fprintf(w, "\n%s: engine %s drained and activated again, entry daemon of %s stopped gracefully\n", name, r.drained, r.stopped)
 	fmt.Fprintf(w, "  configuration change in force on all daemons after %s\n", describe(r.inForce))
 	fmt.Fprintf(w, "  log appends per second and data centre: %.2f idle, %.2f busy\n", r.idle, r.busy)
-	for i, p := range demoPhases(0) {
+	for i, p := range demoPhases(0, 0) {
 		printTotals(w, p.Name, r.phases[i])
 	}
 	total := sum(r.phases)
--- a/cmd/internal/load/scenarios.go
+++ b/cmd/internal/load/scenarios.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strings"
 	"syscall"
 	"time"
 
@@ -58,23 +59,23 @@
 	return time.Since(start), err
 }
 
-// engineIn returns an engine of a data centre. Addresses of the examples have
-// the data centre in their third byte, as those of its VMs.
-func (b *bench) engineIn(v vm) (*standins.Engine, error) {
-	var a, x, c, n int
-	if _, err := fmt.Sscanf(v.Callers, "%d.%d.%d.%d", &a, &x, &c, &n); err != nil {
-		return nil, err
-	}
+// enginesIn returns the engines of a VM's data centre, at least two. Addresses
+// of the examples have the data centre in their third byte.
+func (b *bench) enginesIn(v vm) ([]*standins.Engine, error) {
+	network := func(address string) string {
+		parts := strings.Split(address, ".")
+		return strings.Join(parts[:min(3, len(parts))], ".")
+	}
+	var out []*standins.Engine
 	for i := range b.d.engines {
-		var ea, ex, ec, en int
-		if _, err := fmt.Sscanf(b.d.engines[i].Listen, "%d.%d.%d.%d", &ea, &ex, &ec, &en); err != nil {
-			return nil, err
-		}
-		if c == ec {
-			return &b.d.engines[i], nil
+		if network(b.d.engines[i].Listen) == network(v.Callers) {
+			out = append(out, &b.d.engines[i])
 		}
 	}
-	return nil, merry.Appendf(ErrProcess, "no engine in %s", v.DataCentre)
+	if len(out) < 2 {
+		return nil, merry.Appendf(ErrProcess, "%d engines in %s, at least 2 are needed", len(out), v.DataCentre)
+	}
+	return out, nil
 }
 
 // holder returns the lease holder of the first data centre, and another VM of
@@ -247,10 +248,11 @@
 // checkOrder changes an engine's adapters and checks that the holder with the
 // fencing number sends the order.
 func (b *bench) checkOrder(ctx context.Context, v vm, fence uint64) error {
-	e, err := b.engineIn(v)
+	engines, err := b.enginesIn(v)
 	if err != nil {
 		return err
 	}
+	e := engines[0]
 	if _, err := setAdapters(ctx, v, e, "rates"); err != nil {
 		return err
 	}
@@ -270,10 +272,14 @@
 	if err != nil {
 		return err
 	}
-	e, err := b.engineIn(holder)
+	engines, err := b.enginesIn(holder)
 	if err != nil {
 		return err
 	}
+	e, unchecked := engines[0], engines[1]
+	if err := b.ignoreFencing(ctx, other, unchecked); err != nil {
+		return err
+	}
 	name := "control-" + holder.Name
 	if _, err := setAdapters(ctx, other, e, "rosters"); err != nil {
 		return err
@@ -291,19 +297,47 @@
 	if err := b.checkOrder(ctx, other, next); err != nil {
 		return err
 	}
+	if _, err := setAdapters(ctx, other, unchecked, "rates"); err != nil {
+		return err
+	}
+	pause(ctx, leaseDuration+leaseMargin+claimTime-time.Since(start))
 	if err := b.d.procs.signal(name, syscall.SIGCONT); err != nil {
 		return err
 	}
+	paused := time.Since(start)
 	pause(ctx, orderLimit)
 	s, err := stateOf(e)
 	if err != nil {
 		return err
 	}
+	stats, err := b.d.stats()
+	if err != nil {
+		return err
+	}
+	b.measured("pause", paused)
 	b.expect(s.HighestFence == next && slices.Equal(s.Adapters, []string{"rates"}),
-		"the continued holder's orders have no effect", "fencing number %d, adapters %v", s.HighestFence, s.Adapters)
+		"the continued holder's orders have no effect", "paused %s, fencing number %d, adapters %v, %d stale orders refused by the engine",
+		describe(paused), s.HighestFence, s.Adapters, stats.Engines[e.ID].OrdersStale)
+	u, err := stateOf(unchecked)
+	if err != nil {
+		return err
+	}
+	b.expect(len(u.Adapters) == len(unchecked.Adapters), "an engine that ignores fencing numbers gets no order in its quarantine",
+		"fencing number %d, adapters %v", u.HighestFence, u.Adapters)
 	return b.checkForce(ctx, holder, b.d.vms, "after-pause", forceLimit)
 }
 
+// ignoreFencing makes an engine ignore fencing numbers and says so in its
+// configuration.
+func (b *bench) ignoreFencing(ctx context.Context, v vm, e *standins.Engine) error {
+	checks := false
+	if err := fault(b.d.targets, "engine/"+e.ID, standins.EngineFaults{ChecksFencing: &checks}); err != nil {
+		return err
+	}
+	_, err := newOperator(v).changeTarget(ctx, e.ID, func(t *adminv1.Target) { t.ChecksFencing = false })
+	return err
+}
+
 type logFault struct {
 	Outage  bool `json:"outage"`
 	DelayMs int  `json:"delay_ms"`
@@ -429,6 +463,8 @@
 	if err != nil {
 		return err
 	}
+	during, err := revisionOf(victim.Peers)
+	b.expect(err == nil && during < want, "the daemon is cut off", "revision %d, the others %d", during, want)
 	b.relays.setCut(false)
 	start := time.Now()
 	ready, cancel := context.WithTimeout(ctx, 10*time.Second)
