Keep key records through an outage and let a refused request go elsewhere

A batch of key records was given up after 3 s of outage, so that the end of an answered call was lost and its key stayed in progress. A target's refusal (503, draining or changing) was charged to the retry budget, which is empty on a new daemon, and the caller got an unknown outcome. Each has a test that fails without the change.

--- a/server/control/keys.go
+++ b/server/control/keys.go
@@ -28,6 +28,8 @@
 	// maxForwards bounds the batches that are on their way to the writer.
 	maxForwards    = 4
 	forwardTimeout = time.Second
+	// rewritePause is the time between two tries to append a batch.
+	rewritePause = time.Second
 	// repeatWait is how long a repeat waits for the end of the first attempt. An
 	// end takes up to two batch periods and one read to arrive.
 	repeatWait = 2 * time.Second
@@ -321,7 +323,7 @@
 			batch := k.take(r)
 			go func() {
 				defer func() { <-k.forwards }()
-				k.write(batch)
+				k.write(ctx, batch)
 			}()
 		}
 	}
@@ -329,7 +331,7 @@
 		k.forwards <- struct{}{}
 	}
 	for len(k.queue) > 0 {
-		k.write(k.take(<-k.queue))
+		k.write(ctx, k.take(<-k.queue))
 	}
 	stop()
 	<-k.own.ended
@@ -348,27 +350,39 @@
 	return batch
 }
 
-// write appends a batch through the writer of the data centre, or through this
-// daemon's own writer when that one does not answer. A batch that both append
-// counts once.
-func (k *keyLog) write(batch []idempotency.Record) {
+// write appends a batch, again and again until it is in the log or the context
+// ends: the end of a call that was answered must outlast an outage of the log.
+// While the log is down the queue fills and further records are refused.
+func (k *keyLog) write(ctx context.Context, batch []idempotency.Record) {
 	data, err := records.EncodeKeys(batch)
 	if err != nil {
 		k.entry.WithError(err).Error("key records do not encode")
 		return
 	}
-	batches := [][]byte{data}
+	for !k.writeOnce([][]byte{data}) {
+		if !daemon.Sleep(ctx, rewritePause) {
+			k.entry.WithField("records", len(batch)).Error("key records were dropped at the end of the daemon")
+			return
+		}
+	}
+}
+
+// writeOnce appends through the writer of the data centre, or through this
+// daemon's own writer when that one does not answer. A batch that both append
+// counts once.
+func (k *keyLog) writeOnce(batches [][]byte) bool {
 	if w := k.deps.writer(); w != nil {
 		ctx, cancel := context.WithTimeout(context.Background(), forwardTimeout)
 		defer cancel()
-		if _, err = w.AppendKeys(ctx, connect.NewRequest(&peerv1.AppendKeysRequest{Batches: batches})); err == nil {
-			return
+		_, err := w.AppendKeys(ctx, connect.NewRequest(&peerv1.AppendKeysRequest{Batches: batches}))
+		if err == nil {
+			return true
 		}
 		k.entry.WithError(err).Debug("the writer of the data centre did not append; appending directly")
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), 2*appendTimeout)
 	defer cancel()
-	_ = k.own.Append(ctx, batches) // the writer has logged the error
+	return k.own.Append(ctx, batches) == nil // the writer has logged the error
 }
 
 func signal(c chan struct{}) {
--- a/server/control/keys_test.go
+++ b/server/control/keys_test.go
@@ -258,3 +258,23 @@
 		assert.Equal(t, v, idempotency.VerdictRun)
 	})
 }
+
+// Guards against the end of an answered call that is lost because the log was
+// down for longer than one append is tried.
+func TestEndOutlastsOutage(t *testing.T) {
+	run(t, func(ctx context.Context, l *memoryLog) {
+		k := startKeys(ctx, t, l, nil)
+		key := claimFor("s", "k")
+		_, _, err := k.Claim(ctx, key, "a", 1)
+		assert.NilError(t, err)
+		l.setDown(true)
+		assert.NilError(t, k.Finish(idempotency.Record{Kind: idempotency.KindCompleted, Key: key, Attempt: "a", Answer: &idempotency.Answer{Status: 201}}))
+		time.Sleep(time.Minute)
+		l.setDown(false)
+		time.Sleep(10 * time.Second)
+		v, answer, err := k.Claim(ctx, key, "b", 1)
+		assert.NilError(t, err)
+		assert.Equal(t, v, idempotency.VerdictCompleted)
+		assert.Equal(t, answer.Status, 201)
+	})
+}
--- a/server/entry/call.go
+++ b/server/entry/call.go
@@ -71,7 +71,7 @@
 		if retries == d.settings.MaxRetries || (c.Class != types.ClassIdempotent && a.Sent()) {
 			return nil, a.Refuse(f.refusal)
 		}
-		if !budget.Spend() {
+		if !f.mayRetry(budget) {
 			return nil, a.Refuse(types.RefusedRetryBudget)
 		}
 		d.counters.retried(f.retry)
--- a/server/entry/exchange.go
+++ b/server/entry/exchange.go
@@ -99,7 +99,7 @@
 		if retries == x.daemon.settings.MaxRetries {
 			return x.attempt.Refuse(f.refusal)
 		}
-		if !x.budget.Spend() {
+		if !f.mayRetry(x.budget) {
 			return x.attempt.Refuse(types.RefusedRetryBudget)
 		}
 		x.daemon.counters.retried(f.retry)
--- a/server/entry/failure.go
+++ b/server/entry/failure.go
@@ -6,6 +6,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/lentilpick/lentilpick/admission"
 	"github.com/lentilpick/lentilpick/daemon"
 	"github.com/lentilpick/lentilpick/engine"
 	"github.com/lentilpick/lentilpick/routing"
@@ -33,6 +34,13 @@
 	return failure{types.RetryTargetFailed, types.RefusedTargetFailed}
 }
 
+// mayRetry reports whether a failed dispatch may be tried again. A target that
+// refused has done no work, so that sending the request elsewhere does not
+// multiply load and costs no budget.
+func (f failure) mayRetry(b *admission.RetryBudget) bool {
+	return f.retry == types.RetryTargetRefused || b.Spend()
+}
+
 // failed takes a target out of use for the failure back-off.
 func (d *Daemon) failed(t *routing.Target, id types.RequestID, err error) {
 	d.markFailed(t, time.Now())
--- /dev/null
+++ b/server/entry/failure_test.go
@@ -0,0 +1,20 @@
+package entry
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lentilpick/lentilpick/admission"
+	"github.com/lentilpick/lentilpick/engine"
+)
+
+// Guards against a request that is given up because a draining target refused
+// it while the retry budget was used up.
+func TestRefusalByTargetCostsNoBudget(t *testing.T) {
+	var b admission.RetryBudget
+	for b.Spend() {
+	}
+	assert.Assert(t, classify(&engine.StatusError{Status: 503}).mayRetry(&b))
+	assert.Assert(t, !classify(engine.ErrSilent).mayRetry(&b))
+}
