admin: operators with their own tokens, validation and history

Cause: the administration API knew one token for everybody, did not say who made a change, could not check a change without publishing it, and kept no trace of refused changes.

Change: the control daemon's settings take a list of operators, each with a token and, if wanted, the workspaces that the operator may change. Tokens are kept as digests and compared in constant time, with all credentials. The operator's name goes into the change record and into the remembered result. Changes that are not accepted are logged with operator, object and reason and counted in lentilpick_admin_refusals_total. Two calls are new: Validate judges changes on a copy of the fold, GetHistory returns the remembered results. Validate is a method of its own because a daemon that does not know a field for it would ignore the field and publish.

Conclusion: a change can be attributed, limited to workspaces and checked beforehand.

--- a/api/admin/v1/adminv1connect/admin.connect.go
+++ b/api/admin/v1/adminv1connect/admin.connect.go
@@ -43,6 +43,10 @@
 	AdminServiceGetConfigurationProcedure = "/lentilpick.admin.v1.AdminService/GetConfiguration"
 	// AdminServiceGetStatusProcedure is the fully-qualified name of the AdminService's GetStatus RPC.
 	AdminServiceGetStatusProcedure = "/lentilpick.admin.v1.AdminService/GetStatus"
+	// AdminServiceValidateProcedure is the fully-qualified name of the AdminService's Validate RPC.
+	AdminServiceValidateProcedure = "/lentilpick.admin.v1.AdminService/Validate"
+	// AdminServiceGetHistoryProcedure is the fully-qualified name of the AdminService's GetHistory RPC.
+	AdminServiceGetHistoryProcedure = "/lentilpick.admin.v1.AdminService/GetHistory"
 )
 
 // AdminServiceClient is a client for the lentilpick.admin.v1.AdminService service.
@@ -56,6 +60,12 @@
 	GetConfiguration(context.Context, *connect.Request[v1.GetConfigurationRequest]) (*connect.Response[v1.GetConfigurationResponse], error)
 	// GetStatus returns the state of this data centre as this daemon sees it.
 	GetStatus(context.Context, *connect.Request[v1.GetStatusRequest]) (*connect.Response[v1.GetStatusResponse], error)
+	// Validate judges changes, in order, against the configuration in force on
+	// this daemon, without publishing them. It is a method of its own so that a
+	// daemon that does not know it fails instead of publishing.
+	Validate(context.Context, *connect.Request[v1.ValidateRequest]) (*connect.Response[v1.ValidateResponse], error)
+	// GetHistory returns the remembered results of changes.
+	GetHistory(context.Context, *connect.Request[v1.GetHistoryRequest]) (*connect.Response[v1.GetHistoryResponse], error)
 }
 
 // NewAdminServiceClient constructs a client for the lentilpick.admin.v1.AdminService service. By
@@ -87,6 +97,18 @@
 			connect.WithSchema(adminServiceMethods.ByName("GetStatus")),
 			connect.WithClientOptions(opts...),
 		),
+		validate: connect.NewClient[v1.ValidateRequest, v1.ValidateResponse](
+			httpClient,
+			baseURL+AdminServiceValidateProcedure,
+			connect.WithSchema(adminServiceMethods.ByName("Validate")),
+			connect.WithClientOptions(opts...),
+		),
+		getHistory: connect.NewClient[v1.GetHistoryRequest, v1.GetHistoryResponse](
+			httpClient,
+			baseURL+AdminServiceGetHistoryProcedure,
+			connect.WithSchema(adminServiceMethods.ByName("GetHistory")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -95,6 +117,8 @@
 	apply            *connect.Client[v1.ApplyRequest, v1.ApplyResponse]
 	getConfiguration *connect.Client[v1.GetConfigurationRequest, v1.GetConfigurationResponse]
 	getStatus        *connect.Client[v1.GetStatusRequest, v1.GetStatusResponse]
+	validate         *connect.Client[v1.ValidateRequest, v1.ValidateResponse]
+	getHistory       *connect.Client[v1.GetHistoryRequest, v1.GetHistoryResponse]
 }
 
 // Apply calls lentilpick.admin.v1.AdminService.Apply.
@@ -112,6 +136,16 @@
 	return c.getStatus.CallUnary(ctx, req)
 }
 
+// Validate calls lentilpick.admin.v1.AdminService.Validate.
+func (c *adminServiceClient) Validate(ctx context.Context, req *connect.Request[v1.ValidateRequest]) (*connect.Response[v1.ValidateResponse], error) {
+	return c.validate.CallUnary(ctx, req)
+}
+
+// GetHistory calls lentilpick.admin.v1.AdminService.GetHistory.
+func (c *adminServiceClient) GetHistory(ctx context.Context, req *connect.Request[v1.GetHistoryRequest]) (*connect.Response[v1.GetHistoryResponse], error) {
+	return c.getHistory.CallUnary(ctx, req)
+}
+
 // AdminServiceHandler is an implementation of the lentilpick.admin.v1.AdminService service.
 type AdminServiceHandler interface {
 	// Apply publishes one change. It answers when the change is accepted or
@@ -123,6 +157,12 @@
 	GetConfiguration(context.Context, *connect.Request[v1.GetConfigurationRequest]) (*connect.Response[v1.GetConfigurationResponse], error)
 	// GetStatus returns the state of this data centre as this daemon sees it.
 	GetStatus(context.Context, *connect.Request[v1.GetStatusRequest]) (*connect.Response[v1.GetStatusResponse], error)
+	// Validate judges changes, in order, against the configuration in force on
+	// this daemon, without publishing them. It is a method of its own so that a
+	// daemon that does not know it fails instead of publishing.
+	Validate(context.Context, *connect.Request[v1.ValidateRequest]) (*connect.Response[v1.ValidateResponse], error)
+	// GetHistory returns the remembered results of changes.
+	GetHistory(context.Context, *connect.Request[v1.GetHistoryRequest]) (*connect.Response[v1.GetHistoryResponse], error)
 }
 
 // NewAdminServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -150,6 +190,18 @@
 		connect.WithSchema(adminServiceMethods.ByName("GetStatus")),
 		connect.WithHandlerOptions(opts...),
 	)
+	adminServiceValidateHandler := connect.NewUnaryHandler(
+		AdminServiceValidateProcedure,
+		svc.Validate,
+		connect.WithSchema(adminServiceMethods.ByName("Validate")),
+		connect.WithHandlerOptions(opts...),
+	)
+	adminServiceGetHistoryHandler := connect.NewUnaryHandler(
+		AdminServiceGetHistoryProcedure,
+		svc.GetHistory,
+		connect.WithSchema(adminServiceMethods.ByName("GetHistory")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/lentilpick.admin.v1.AdminService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case AdminServiceApplyProcedure:
@@ -158,6 +210,10 @@
 			adminServiceGetConfigurationHandler.ServeHTTP(w, r)
 		case AdminServiceGetStatusProcedure:
 			adminServiceGetStatusHandler.ServeHTTP(w, r)
+		case AdminServiceValidateProcedure:
+			adminServiceValidateHandler.ServeHTTP(w, r)
+		case AdminServiceGetHistoryProcedure:
+			adminServiceGetHistoryHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -178,3 +234,11 @@
 func (UnimplementedAdminServiceHandler) GetStatus(context.Context, *connect.Request[v1.GetStatusRequest]) (*connect.Response[v1.GetStatusResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("lentilpick.admin.v1.AdminService.GetStatus is not implemented"))
 }
+
+func (UnimplementedAdminServiceHandler) Validate(context.Context, *connect.Request[v1.ValidateRequest]) (*connect.Response[v1.ValidateResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("lentilpick.admin.v1.AdminService.Validate is not implemented"))
+}
+
+func (UnimplementedAdminServiceHandler) GetHistory(context.Context, *connect.Request[v1.GetHistoryRequest]) (*connect.Response[v1.GetHistoryResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("lentilpick.admin.v1.AdminService.GetHistory is not implemented"))
+}
--- a/cmd/lentilpick-control/main.go
+++ b/cmd/lentilpick-control/main.go
@@ -29,6 +29,8 @@
 	defer cancel()
 	d, err := control.New(s, log)
 	k.FatalIfErrorf(err)
-	d.SetAdmin(admin.NewHandler(d, s.AdminToken))
+	h, err := admin.NewHandler(d, s, log)
+	k.FatalIfErrorf(err)
+	d.SetAdmin(h)
 	k.FatalIfErrorf(d.Run(ctx))
 }
--- a/configuration/fold.go
+++ b/configuration/fold.go
@@ -38,7 +38,9 @@
 
 // Result is the verdict on one change.
 type Result struct {
-	ChangeID string       `json:"change_id"`
+	ChangeID string `json:"change_id"`
+	// Operator names who made the change; it is empty without credentials.
+	Operator string       `json:"operator,omitempty"`
 	Offset   types.Offset `json:"offset"`
 	Kind     ObjectKind   `json:"kind"`
 	ObjectID string       `json:"object_id"`
@@ -146,11 +148,24 @@
 	return &Snapshot{Next: f.next, Config: f.config, Recent: slices.Clip(f.recent)}
 }
 
+// Judge returns the verdicts that changes, one after the other, would get if
+// they followed the snapshot in the stream. The snapshot stays as it is.
+func (s *Snapshot) Judge(changes []*Change) []Result {
+	f := NewFold()
+	f.Load(s)
+	out := make([]Result, 0, len(changes))
+	for _, ch := range changes {
+		f.applyChange(f.next, ch)
+		out = append(out, f.byID[ch.ID])
+	}
+	return out
+}
+
 func (f *Fold) applyChange(o types.Offset, ch *Change) {
 	if _, seen := f.byID[ch.ID]; seen {
 		return // a duplicate append of one change counts once
 	}
-	res := Result{ChangeID: ch.ID, Offset: o, Kind: ch.Kind, ObjectID: ch.ObjectID}
+	res := Result{ChangeID: ch.ID, Operator: ch.Operator, Offset: o, Kind: ch.Kind, ObjectID: ch.ObjectID}
 	current := f.objectRevision(ch.Kind, ch.ObjectID)
 	if err := Validate(f.config, ch); err != nil {
 		res.Refusal = err.Error()
--- a/configuration/fold_test.go
+++ b/configuration/fold_test.go
@@ -123,3 +123,21 @@
 	assert.Assert(t, !r.Accepted())
 	assert.Equal(t, f.Config().Revision, types.Revision(0))
 }
+
+// Guards against a dry run that changes the snapshot, and against one that
+// refuses a change because it needs an earlier one of the same run.
+func TestJudgeLeavesSnapshotAlone(t *testing.T) {
+	f := NewFold()
+	assert.NilError(t, f.Apply(0, putService("a", "c1", 0)))
+	snap := f.Snapshot()
+	target := &Change{ID: "c3", Kind: ObjectTarget, ObjectID: "t", Target: &Target{
+		ID: "t", Service: "b", Address: "127.0.0.1:1", DataCentre: "d",
+		Model: "m", Version: "1", Rates: Rates{PrefillTokensPerSecond: 1, MaxStreams: 1},
+	}}
+	got := snap.Judge([]*Change{putService("b", "c2", 0).Change, target, putService("a", "c4", 0).Change})
+	assert.Assert(t, got[0].Accepted())
+	assert.Equal(t, got[1].Refusal, "")
+	assert.Assert(t, got[2].Conflict)
+	assert.Equal(t, len(snap.Recent), 1)
+	assert.Equal(t, len(snap.Config.Services), 1)
+}
--- a/server/admin/admin.go
+++ b/server/admin/admin.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"crypto/subtle"
 	"errors"
 	"fmt"
 	"net/http"
@@ -12,11 +11,13 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/sirupsen/logrus"
 
 	adminv1 "github.com/lentilpick/lentilpick/api/admin/v1"
 	"github.com/lentilpick/lentilpick/api/admin/v1/adminv1connect"
 
 	"github.com/lentilpick/lentilpick/configuration"
+	"github.com/lentilpick/lentilpick/daemon"
 	"github.com/lentilpick/lentilpick/server/control"
 	"github.com/lentilpick/lentilpick/types"
 )
@@ -25,6 +26,7 @@
 type Backend interface {
 	Config() *control.ConfigLog
 	Status(now time.Time) control.Status
+	Metrics() *daemon.Metrics
 }
 
 const (
@@ -33,46 +35,60 @@
 )
 
 // Service implements the AdminService.
-type Service struct{ backend Backend }
+type Service struct {
+	backend Backend
+	audit   *audit
+}
 
-// NewHandler returns the HTTP handler of the API. With a token every call
-// needs it as a bearer token.
-func NewHandler(b Backend, token string) http.Handler {
+// NewHandler returns the HTTP handler of the API. If the settings have
+// credentials, every call needs one of them as a bearer token.
+func NewHandler(b Backend, s *control.Settings, log *logrus.Entry) (http.Handler, error) {
+	a, err := newAudit(b.Metrics(), log)
+	if err != nil {
+		return nil, err
+	}
 	mux := http.NewServeMux()
-	mux.Handle(adminv1connect.NewAdminServiceHandler(&Service{b}, connect.WithReadMaxBytes(maxRequest)))
-	if token == "" {
-		return mux
-	}
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		got, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
-		if subtle.ConstantTimeCompare([]byte(got), []byte(token)) != 1 {
-			http.Error(w, "a bearer token is required", http.StatusUnauthorized)
-			return
-		}
-		mux.ServeHTTP(w, r)
-	})
+	mux.Handle(adminv1connect.NewAdminServiceHandler(&Service{b, a}, connect.WithReadMaxBytes(maxRequest)))
+	return authenticate(credentials(s), a, mux), nil
 }
 
 // Apply implements the API.
 func (s *Service) Apply(ctx context.Context, req *connect.Request[adminv1.ApplyRequest]) (*connect.Response[adminv1.ApplyResponse], error) {
+	op := operatorOf(ctx)
 	ch, err := toChange(req.Msg)
 	if err != nil {
-		return nil, connect.NewError(connect.CodeInvalidArgument, err)
+		err = connect.NewError(connect.CodeInvalidArgument, err)
+		kind, id := objectOf(req.Msg)
+		s.audit.notAccepted(op, &configuration.Change{ID: req.Msg.GetChangeId(), Kind: kind, ObjectID: id}, err)
+		return nil, err
+	}
+	ch.Operator = op.name
+	rev, err := s.apply(ctx, op, ch)
+	if err != nil {
+		s.audit.notAccepted(op, ch, err)
+		return nil, err
+	}
+	return connect.NewResponse(&adminv1.ApplyResponse{Revision: uint64(rev)}), nil
+}
+
+func (s *Service) apply(ctx context.Context, op operator, ch *configuration.Change) (types.Revision, error) {
+	if err := op.mayChange(ch); err != nil {
+		return 0, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, applyTimeout)
 	defer cancel()
 	res, err := s.backend.Config().Apply(ctx, ch)
 	if err != nil {
-		return nil, applyError(err)
+		return 0, applyError(err)
 	}
 	if res.Conflict {
-		return nil, connect.NewError(connect.CodeAborted,
+		return 0, connect.NewError(connect.CodeAborted,
 			fmt.Errorf("%s; read the object, then send the change again with base revision %d", res.Refusal, res.Current))
 	}
 	if !res.Accepted() {
-		return nil, connect.NewError(connect.CodeInvalidArgument, errors.New(res.Refusal))
+		return 0, connect.NewError(connect.CodeInvalidArgument, errors.New(res.Refusal))
 	}
-	return connect.NewResponse(&adminv1.ApplyResponse{Revision: uint64(res.Revision)}), nil
+	return res.Revision, nil
 }
 
 func applyError(err error) error {
@@ -141,6 +157,17 @@
 	return out
 }
 
+// objectOf returns the object of a change that may not be valid.
+func objectOf(r *adminv1.ApplyRequest) (configuration.ObjectKind, string) {
+	switch o := r.GetObject().(type) {
+	case *adminv1.ApplyRequest_Service:
+		return configuration.ObjectService, o.Service.GetId()
+	case *adminv1.ApplyRequest_Target:
+		return configuration.ObjectTarget, o.Target.GetId()
+	}
+	return "", ""
+}
+
 func toChange(r *adminv1.ApplyRequest) (*configuration.Change, error) {
 	ch := &configuration.Change{ID: r.GetChangeId(), Base: types.Revision(r.GetBaseRevision())}
 	switch o := r.GetObject().(type) {
--- a/server/control/daemon.go
+++ b/server/control/daemon.go
@@ -155,6 +155,9 @@
 // before Run.
 func (d *Daemon) SetAdmin(h http.Handler) { d.admin = h }
 
+// Metrics returns the daemon's metrics, for the administration API's counters.
+func (d *Daemon) Metrics() *daemon.Metrics { return d.metrics }
+
 // Config returns the configuration log.
 func (d *Daemon) Config() *ConfigLog { return d.config }
 
--- a/server/control/settings.go
+++ b/server/control/settings.go
@@ -19,10 +19,12 @@
 	LogLevel   string `toml:"log_level"`
 	// Listen is the address for entry daemons and peers; it also serves the metrics.
 	Listen string `toml:"listen"`
-	// Admin is the address of the administration API. Without AdminToken it
+	// Admin is the address of the administration API. Without a credential it
 	// has to be a loopback address.
 	Admin      string `toml:"admin"`
 	AdminToken string `toml:"admin_token"`
+	// Operators have their own tokens, next to AdminToken.
+	Operators []Operator `toml:"operator"`
 	// Platform is the address of the log service and the VM list.
 	Platform string `toml:"platform"`
 	// Peers are the other control daemons of the deployment.
@@ -59,6 +61,18 @@
 	MemoryLimitMB int64 `toml:"memory_limit_mb"`
 }
 
+// Operator is a caller of the administration API.
+type Operator struct {
+	Name  string `toml:"name"`
+	Token string `toml:"token"`
+	// Workspaces are those that the operator may change; empty means that the
+	// operator may change everything, also services and targets.
+	Workspaces []string `toml:"workspaces"`
+}
+
+// AdminOperator is the operator's name for changes with AdminToken.
+const AdminOperator = "admin"
+
 // Peer is another control daemon.
 type Peer struct {
 	VM         string `toml:"vm"`
@@ -84,7 +98,8 @@
 	c.OneOf("log_level", s.LogLevel, "debug", "info", "warning", "error")
 	c.Address("listen", s.Listen)
 	c.Address("platform", s.Platform)
-	if s.AdminToken == "" {
+	s.checkOperators(c)
+	if s.AdminToken == "" && len(s.Operators) == 0 {
 		c.Loopback("admin", s.Admin)
 	} else {
 		c.Address("admin", s.Admin)
@@ -109,6 +124,25 @@
 	c.Duration("stop_timeout", s.StopTimeout, time.Second, 10*time.Minute)
 }
 
+// checkOperators checks names and tokens. A problem names the operator and
+// never prints a token.
+func (s *Settings) checkOperators(c *daemon.Checker) {
+	names, tokens := map[string]bool{AdminOperator: true}, map[string]bool{s.AdminToken: true, "": true}
+	for _, o := range s.Operators {
+		c.Name("operator.name", o.Name)
+		if names[o.Name] {
+			c.OneOf("operator.name", o.Name, "a name of its own for each operator, other than "+AdminOperator)
+		}
+		if tokens[o.Token] {
+			c.OneOf("operator.token", "of operator "+o.Name, "a token of its own for each operator")
+		}
+		for _, w := range o.Workspaces {
+			c.Name("operator.workspaces", w)
+		}
+		names[o.Name], tokens[o.Token] = true, true
+	}
+}
+
 func (s *Settings) lease(incarnation string) authority.Settings {
 	return authority.Settings{
 		DataCentre: types.DataCentreID(s.DataCentre),
