ctl: complete the operators' command and make it scriptable

Cause: lentilpickctl had six commands and one exit code for all failures, so that a script could not tell a conflict from a change that may be in force. It did not check a change beforehand or wait until one was in force.

The API logs and counts a validation outside an operator's workspaces like a change.

Conclusion: scripts can rely on exit codes and JSON output.

--- a/cmd/internal/ctl/objects.go
+++ b/cmd/internal/ctl/objects.go
@@ -1,26 +1,12 @@
 package ctl
 
 import (
-	"context"
-	"crypto/rand"
-	"fmt"
-
-	"connectrpc.com/connect"
 	"github.com/BurntSushi/toml"
-	"github.com/ansel1/merry/v2"
+	"google.golang.org/protobuf/proto"
 
 	adminv1 "github.com/lentilpick/lentilpick/api/admin/v1"
-	"github.com/lentilpick/lentilpick/api/admin/v1/adminv1connect"
 )
 
-// ErrFile reports a file of objects that cannot be used.
-var ErrFile = merry.New("file of objects is not valid")
-
-// ApplyCmd applies a file of objects.
-type ApplyCmd struct {
-	File string `short:"f" required:"" type:"existingfile" help:"File of objects (TOML)."`
-}
-
 type objects struct {
 	Service   []serviceObject   `toml:"service"`
 	Target    []targetObject    `toml:"target"`
@@ -61,51 +47,31 @@
 	Services []string `toml:"services"`
 }
 
-// Run implements the command.
-func (c ApplyCmd) Run(g *Globals) error {
-	changes, err := readObjects(c.File)
-	if err != nil {
-		return err
-	}
-	ctx, cancel := g.context()
-	defer cancel()
-	client := g.client()
-	base, err := revisions(ctx, client)
-	if err != nil {
-		return err
-	}
-	for _, r := range changes {
-		kind, id := objectID(r)
-		fmt.Printf("%s %s: ", kind, id)
-		if err := g.apply(ctx, client, base[kind+" "+id], r); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-func readObjects(path string) ([]*adminv1.ApplyRequest, error) {
+func readObjects(path string) ([]proto.Message, error) {
 	var o objects
 	md, err := toml.DecodeFile(path, &o)
 	if err != nil {
-		return nil, merry.Prependf(merry.Wrap(ErrFile, merry.WithCause(err)), "%s: %v", path, err)
+		return nil, failf(ErrRefused, "file of objects %s: %v", path, err)
 	}
 	if keys := md.Undecoded(); len(keys) > 0 {
-		return nil, merry.Appendf(ErrFile, "%s: unknown key %q", path, keys[0].String())
+		return nil, failf(ErrRefused, "file of objects %s: unknown key %q; remove it", path, keys[0].String())
 	}
-	var out []*adminv1.ApplyRequest
+	return o.messages(), nil
+}
+
+// messages returns services first, because the others refer to them.
+func (o objects) messages() []proto.Message {
+	var out []proto.Message
 	for _, s := range o.Service {
-		out = append(out, &adminv1.ApplyRequest{Object: &adminv1.ApplyRequest_Service{Service: s.message()}})
+		out = append(out, s.message())
 	}
 	for _, t := range o.Target {
-		out = append(out, &adminv1.ApplyRequest{Object: &adminv1.ApplyRequest_Target{Target: t.message()}})
+		out = append(out, t.message())
 	}
 	for _, w := range o.Workspace {
-		out = append(out, &adminv1.ApplyRequest{Object: &adminv1.ApplyRequest_Workspace{
-			Workspace: &adminv1.Workspace{Id: w.ID, Share: w.Share, Services: w.Services},
-		}})
+		out = append(out, &adminv1.Workspace{Id: w.ID, Share: w.Share, Services: w.Services})
 	}
-	return out, nil
+	return out
 }
 
 func (s serviceObject) message() *adminv1.Service {
@@ -141,35 +107,3 @@
 	"active": adminv1.TargetState_TARGET_STATE_ACTIVE, "draining": adminv1.TargetState_TARGET_STATE_DRAINING,
 	"withdrawn": adminv1.TargetState_TARGET_STATE_WITHDRAWN,
 }
-
-func revisions(ctx context.Context, client adminv1connect.AdminServiceClient) (map[string]uint64, error) {
-	r, err := client.GetConfiguration(ctx, connect.NewRequest(&adminv1.GetConfigurationRequest{}))
-	if err != nil {
-		return nil, err
-	}
-	out := map[string]uint64{}
-	for _, e := range r.Msg.GetServices() {
-		out["service "+e.GetService().GetId()] = e.GetRevision()
-	}
-	for _, e := range r.Msg.GetTargets() {
-		out["target "+e.GetTarget().GetId()] = e.GetRevision()
-	}
-	for _, e := range r.Msg.GetWorkspaces() {
-		out["workspace "+e.GetWorkspace().GetId()] = e.GetRevision()
-	}
-	return out, nil
-}
-
-func objectID(r *adminv1.ApplyRequest) (kind, id string) {
-	switch o := r.GetObject().(type) {
-	case *adminv1.ApplyRequest_Service:
-		return "service", o.Service.GetId()
-	case *adminv1.ApplyRequest_Target:
-		return "target", o.Target.GetId()
-	case *adminv1.ApplyRequest_Workspace:
-		return "workspace", o.Workspace.GetId()
-	}
-	return "", ""
-}
-
-func newChangeID() string { return rand.Text() }
--- a/cmd/lentilpickctl/main.go
+++ b/cmd/lentilpickctl/main.go
@@ -2,13 +2,9 @@
 package main
 
 import (
-	"github.com/alecthomas/kong"
+	"os"
 
 	"github.com/lentilpick/lentilpick/cmd/internal/ctl"
 )
 
-func main() {
-	var cli ctl.CLI
-	k := kong.Parse(&cli, kong.Description("Reads and changes the configuration of lentilpick."))
-	k.FatalIfErrorf(k.Run(&cli.Globals))
-}
+func main() { os.Exit(ctl.Main(os.Args[1:], os.Stdout, os.Stderr)) }
--- a/server/admin/admin_test.go
+++ b/server/admin/admin_test.go
@@ -108,6 +108,7 @@
 	}
 	_, err := kirk.Validate(context.Background(), connect.NewRequest(&adminv1.ValidateRequest{Changes: []*adminv1.ApplyRequest{foreign}}))
 	assert.Equal(t, connect.CodeOf(err), connect.CodePermissionDenied)
+	assert.Equal(t, strings.Count(s.lines.String(), "reason=not_permitted"), 4, "a probe is logged like a change")
 	assert.Equal(t, len(s.appended), 0)
 	assert.NilError(t, apply(kirk, workspace("c5", "trial", 0)))
 	assert.NilError(t, apply(s.client("secret-asha"), service("c6", "chat")))
--- a/server/admin/history.go
+++ b/server/admin/history.go
@@ -21,6 +21,7 @@
 			return nil, connect.NewError(connect.CodeInvalidArgument, fmt.Errorf("change %d: %w", i+1, err))
 		}
 		if err := op.mayChange(ch); err != nil {
+			s.audit.notAccepted(op, ch, err)
 			return nil, err
 		}
 		ch.Operator = op.name
