ctl: refuse misspelt names in files of objects

Cause: a role that is not known, such as "decoder", was sent as no role, which the daemon takes for mixed; the command printed "accepted". An unknown kind or state was refused by the daemon, without the value in the file.

Change: the command refuses unknown kinds, states and roles before it calls the daemon, and names the field, the value and what is allowed. The help of activate, withdraw and status has examples too.

Before: the new test ends with exit code 0 instead of 1. After: it passes, and 20 runs of the package's tests pass; make test passes.

Conclusion: a misspelt role can no longer change how a target is used.

--- a/cmd/internal/ctl/ctl_test.go
+++ b/cmd/internal/ctl/ctl_test.go
@@ -201,6 +201,19 @@
 	}
 }
 
+// Guards against a misspelt role that is published as mixed.
+func TestMisspeltNameIsRefused(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "objects.toml")
+	for _, line := range []string{`role = "decoder"`, `state = "drained"`} {
+		assert.NilError(t, os.WriteFile(path, []byte("[[target]]\nid = \"t1\"\n"+line+"\n"), 0o600))
+		f := newFake()
+		code, _, errOut := f.run(t, "apply", "-f", path)
+		assert.Equal(t, code, 1)
+		assert.Assert(t, strings.Contains(errOut, "is not one of"), errOut)
+		assert.Equal(t, len(f.applied), 0)
+	}
+}
+
 // Guards against a token in the output, and against one that is not sent.
 func TestTokenIsSentAndNotPrinted(t *testing.T) {
 	f := newFake()
--- a/cmd/internal/ctl/objects.go
+++ b/cmd/internal/ctl/objects.go
@@ -1,6 +1,11 @@
 package ctl
 
 import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
 	"github.com/BurntSushi/toml"
 	"google.golang.org/protobuf/proto"
 
@@ -56,9 +61,39 @@
 	if keys := md.Undecoded(); len(keys) > 0 {
 		return nil, failf(ErrRefused, "file of objects %s: unknown key %q; remove it", path, keys[0].String())
 	}
+	if err := o.checkNames(); err != nil {
+		return nil, failf(ErrRefused, "file of objects %s: %v", path, err)
+	}
 	return o.messages(), nil
 }
 
+// checkNames refuses values that no message can carry. Without it a role that
+// is misspelt would be sent as none, which means mixed.
+func (o objects) checkNames() error {
+	for _, s := range o.Service {
+		if err := checkName("kind of service "+s.ID, s.Kind, kinds); err != nil {
+			return err
+		}
+	}
+	for _, t := range o.Target {
+		if err := checkName("state of target "+t.ID, t.State, states); err != nil {
+			return err
+		}
+		if err := checkName("role of target "+t.ID, t.Role, roles); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func checkName[V any](what, name string, allowed map[string]V) error {
+	if _, ok := allowed[name]; ok {
+		return nil
+	}
+	names := slices.DeleteFunc(slices.Sorted(maps.Keys(allowed)), func(n string) bool { return n == "" })
+	return fmt.Errorf("%s: %q is not one of %s", what, name, strings.Join(names, ", "))
+}
+
 // messages returns services first, because the others refer to them.
 func (o objects) messages() []proto.Message {
 	var out []proto.Message
@@ -82,12 +117,8 @@
 }
 
 func (t targetObject) message() *adminv1.Target {
-	state := adminv1.TargetState_TARGET_STATE_ACTIVE
-	if t.State != "" {
-		state = states[t.State]
-	}
 	return &adminv1.Target{
-		Id: t.ID, Service: t.Service, Address: t.Address, DataCentre: t.DataCentre, State: state, ChecksFencing: t.ChecksFencing,
+		Id: t.ID, Service: t.Service, Address: t.Address, DataCentre: t.DataCentre, State: states[t.State], ChecksFencing: t.ChecksFencing,
 		Role: roles[t.Role], Model: t.Model, Version: t.Version, Adapters: t.Adapters,
 		Rates: &adminv1.Rates{
 			PrefillTokensPerSecond: t.PrefillTokensPerSecond, KvTransferTokensPerSecond: t.KVTransferTokensPerSecond,
@@ -104,6 +135,6 @@
 }
 
 var states = map[string]adminv1.TargetState{
-	"active": adminv1.TargetState_TARGET_STATE_ACTIVE, "draining": adminv1.TargetState_TARGET_STATE_DRAINING,
+	"": adminv1.TargetState_TARGET_STATE_ACTIVE, "active": adminv1.TargetState_TARGET_STATE_ACTIVE, "draining": adminv1.TargetState_TARGET_STATE_DRAINING,
 	"withdrawn": adminv1.TargetState_TARGET_STATE_WITHDRAWN,
 }
--- a/cmd/internal/ctl/status.go
+++ b/cmd/internal/ctl/status.go
@@ -12,6 +12,14 @@
 // StatusCmd prints the state of the data centre.
 type StatusCmd struct{}
 
+// Help implements kong.HelpProvider.
+func (StatusCmd) Help() string {
+	return `Examples:
+
+	lentilpickctl status
+	lentilpickctl --json status`
+}
+
 // Run implements the command.
 func (StatusCmd) Run(g *Globals) error {
 	ctx, cancel := g.context()
--- a/cmd/internal/ctl/target.go
+++ b/cmd/internal/ctl/target.go
@@ -34,6 +34,13 @@
 	ChangeFlags
 }
 
+// Help implements kong.HelpProvider.
+func (ActivateCmd) Help() string {
+	return `Example:
+
+	lentilpickctl activate assistant-1 --wait`
+}
+
 // Run implements the command.
 func (c ActivateCmd) Run(g *Globals) error {
 	return g.setState(c.Target, adminv1.TargetState_TARGET_STATE_ACTIVE, c.ChangeFlags)
@@ -45,6 +52,15 @@
 	ChangeFlags
 }
 
+// Help implements kong.HelpProvider.
+func (WithdrawCmd) Help() string {
+	return `A withdrawn target gets neither work nor orders.
+
+Example:
+
+	lentilpickctl withdraw assistant-1 --wait`
+}
+
 // Run implements the command.
 func (c WithdrawCmd) Run(g *Globals) error {
 	return g.setState(c.Target, adminv1.TargetState_TARGET_STATE_WITHDRAWN, c.ChangeFlags)
