--- a/membership/assign.go
+++ b/membership/assign.go
@@ -1,6 +1,8 @@
 package membership
 
 import (
+	"time"
+
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/lentilpick/lentilpick/types"
@@ -36,3 +38,10 @@
 func Reads(self types.VMID, live []types.VMID, target types.TargetID) bool {
 	return Best(live, string(target)) == self
 }
+
+// Share returns a part of d that depends on the member only, so that members
+// which act after a delay do not all act at one moment.
+func Share[M ~string](m M, d time.Duration) time.Duration {
+	const steps = 1000
+	return d / steps * time.Duration(weight(string(m), "")%steps)
+}
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -55,3 +55,13 @@
 	_, ok = c.At(3)
 	assert.Assert(t, !ok)
 }
+
+// Guards against a table that grows with every VM that was ever replaced.
+func TestForgetDropsPeersThatAreLongGone(t *testing.T) {
+	now := time.Unix(1000, 0)
+	tb := NewTable("a", 3*time.Second)
+	tb.Heard(Peer{VM: "b", LastSeen: now.Add(-time.Hour)})
+	tb.Heard(Peer{VM: "c", LastSeen: now})
+	assert.DeepEqual(t, tb.Forget(now.Add(-time.Minute)), []types.VMID{"b"})
+	assert.Equal(t, len(tb.Peers()), 1)
+}
--- a/membership/peers.go
+++ b/membership/peers.go
@@ -38,6 +38,18 @@
 	t.peers[p.VM] = &p
 }
 
+// Forget drops the peers that were not heard of since before and returns them.
+func (t *Table) Forget(before time.Time) []types.VMID {
+	var out []types.VMID
+	for vm, p := range t.peers {
+		if p.LastSeen.Before(before) {
+			delete(t.peers, vm)
+			out = append(out, vm)
+		}
+	}
+	return out
+}
+
 // Peers returns all peers, sorted by VM.
 func (t *Table) Peers() []Peer {
 	out := make([]Peer, 0, len(t.peers))
--- a/server/control/daemon.go
+++ b/server/control/daemon.go
@@ -66,24 +66,6 @@
 	lastRevision types.Revision
 }
 
-// traffic counts the bytes of the daemon's connections. Entry holds those of
-// the entry daemon on the same VM, which do not leave the VM.
-type traffic struct{ peers, platform, targets, entry, admin daemon.Traffic }
-
-func (t *traffic) groups() map[string]*daemon.Traffic {
-	return map[string]*daemon.Traffic{
-		"peers": &t.peers, "platform": &t.platform, "targets": &t.targets, "entry": &t.entry, "admin": &t.admin,
-	}
-}
-
-// accepted returns the group of a connection to the peer API.
-func (t *traffic) accepted(c net.Conn) *daemon.Traffic {
-	if daemon.SameHost(c) {
-		return &t.entry
-	}
-	return &t.peers
-}
-
 // New returns a daemon that is not yet serving. admin serves the
 // administration API; it may be nil until SetAdmin.
 func New(s *Settings, log *logrus.Entry) (*Daemon, error) {
@@ -314,10 +296,11 @@
 }
 
 // appendSnapshot appends a snapshot at a third of the log's retention if this
-// daemon holds the lease of the first data centre by name, and at half of it
-// otherwise.
+// daemon holds the lease of the first data centre by name. Otherwise it does so
+// from half of it on, each daemon at its own time, so that the first snapshot
+// spares the others theirs.
 func (d *Daemon) appendSnapshot(ctx context.Context) {
-	every := d.settings.LogRetention / 2
+	every := d.settings.LogRetention/2 + membership.Share(vmID(d.settings.VM), d.settings.LogRetention/6)
 	if _, err := d.gate.Check(time.Now(), true, true); err == nil && d.firstDataCentre() {
 		every = d.settings.LogRetention / 3
 	}
@@ -365,54 +348,3 @@
 	mux.Handle("/metrics", d.metrics.Handler)
 	return mux
 }
-
-// Status is the state of the data centre as this daemon sees it.
-type Status struct {
-	VM         types.VMID
-	DataCentre types.DataCentreID
-	Revision   types.Revision
-	Lease      LeaseStatus
-	LeaseHeld  bool
-	Undecoded  int
-	Daemons    []DaemonStatus
-	Targets    []TargetStatus
-}
-
-// DaemonStatus is the state of one daemon.
-type DaemonStatus struct {
-	VM         types.VMID
-	DataCentre types.DataCentreID
-	Revision   types.Revision
-	Age        time.Duration
-	Kind       string
-}
-
-// TargetStatus is the state of one target.
-type TargetStatus struct {
-	ID     types.TargetID
-	Report types.LoadReport
-	Known  bool
-	Age    time.Duration
-	Order  string
-}
-
-// Status returns the state of the data centre.
-func (d *Daemon) Status(now time.Time) Status {
-	c := d.config.Config()
-	_, err := d.gate.Check(now, true, true)
-	s := Status{
-		VM: vmID(d.settings.VM), DataCentre: d.dc, Revision: c.Revision, Lease: *d.lease.status.Load(),
-		LeaseHeld: err == nil, Undecoded: d.config.Undecoded(),
-	}
-	s.Daemons = d.localDaemons(now)
-	for _, r := range d.fleet.daemons(now) {
-		if r.DataCentre != d.dc {
-			s.Daemons = append(s.Daemons, r)
-		}
-	}
-	for id := range c.Targets {
-		r, ok := d.fleet.report(id)
-		s.Targets = append(s.Targets, TargetStatus{id, r, ok, now.Sub(r.At), d.orders.status(id)})
-	}
-	return s
-}
--- /dev/null
+++ b/server/control/status.go
@@ -0,0 +1,58 @@
+package control
+
+import (
+	"time"
+
+	"github.com/lentilpick/lentilpick/types"
+)
+
+// Status is the state of the data centre as this daemon sees it.
+type Status struct {
+	VM         types.VMID
+	DataCentre types.DataCentreID
+	Revision   types.Revision
+	Lease      LeaseStatus
+	LeaseHeld  bool
+	Undecoded  int
+	Daemons    []DaemonStatus
+	Targets    []TargetStatus
+}
+
+// DaemonStatus is the state of one daemon.
+type DaemonStatus struct {
+	VM         types.VMID
+	DataCentre types.DataCentreID
+	Revision   types.Revision
+	Age        time.Duration
+	Kind       string
+}
+
+// TargetStatus is the state of one target.
+type TargetStatus struct {
+	ID     types.TargetID
+	Report types.LoadReport
+	Known  bool
+	Age    time.Duration
+	Order  string
+}
+
+// Status returns the state of the data centre.
+func (d *Daemon) Status(now time.Time) Status {
+	c := d.config.Config()
+	_, err := d.gate.Check(now, true, true)
+	s := Status{
+		VM: vmID(d.settings.VM), DataCentre: d.dc, Revision: c.Revision, Lease: *d.lease.status.Load(),
+		LeaseHeld: err == nil, Undecoded: d.config.Undecoded(),
+	}
+	s.Daemons = d.localDaemons(now)
+	for _, r := range d.fleet.daemons(now) {
+		if r.DataCentre != d.dc {
+			s.Daemons = append(s.Daemons, r)
+		}
+	}
+	for id := range c.Targets {
+		r, ok := d.fleet.report(id)
+		s.Targets = append(s.Targets, TargetStatus{id, r, ok, now.Sub(r.At), d.orders.status(id)})
+	}
+	return s
+}
