entry: bound the fleet of a daemon by the data centres in its reach

Change: the setting reach names the data centres whose targets a daemon uses; empty means all, as before.

--- a/server/entry/daemon.go
+++ b/server/entry/daemon.go
@@ -80,7 +80,7 @@
 	d := &Daemon{
 		settings: s, log: log, metrics: m, pool: pool,
 		incarnation: strconv.FormatUint(rand.Uint64(), 36),
-		views:       localview.NewStore(types.DataCentreID(s.DataCentre)),
+		views:       localview.NewStore(types.DataCentreID(s.DataCentre), reachOf(s)),
 		router:      newRouter(s),
 		admission: admission.NewController(admission.Limits{
 			MaxInFlight: int64(s.MaxInFlight), WorkspaceInFlight: int64(s.WorkspaceInFlight),
@@ -99,6 +99,14 @@
 	return d, err
 }
 
+func reachOf(s *Settings) []types.DataCentreID {
+	out := make([]types.DataCentreID, len(s.Reach))
+	for i, dc := range s.Reach {
+		out[i] = types.DataCentreID(dc)
+	}
+	return out
+}
+
 func (d *Daemon) registerGauges() error {
 	if err := d.metrics.Gauge("lentilpick_in_flight", "Requests in progress.", d.admission.InFlight); err != nil {
 		return err
--- a/server/entry/settings.go
+++ b/server/entry/settings.go
@@ -18,6 +18,9 @@
 	Metrics string `toml:"metrics"`
 	// Control lists the view addresses of control daemons, the local one first.
 	Control []string `toml:"control"`
+	// Reach lists the data centres whose targets the daemon uses, its own among
+	// them; empty means all.
+	Reach []string `toml:"reach"`
 	// MaxBodyBytes bounds a caller's request body.
 	MaxBodyBytes int `toml:"max_body_bytes"`
 	// MaxInFlight bounds the requests in progress.
@@ -62,6 +65,9 @@
 	for _, a := range s.Control {
 		c.Address("control", a)
 	}
+	if len(s.Reach) > 0 {
+		c.OneOf("data_centre (not in reach)", s.DataCentre, s.Reach...)
+	}
 	c.Int("max_body_bytes", int64(s.MaxBodyBytes), 1<<10, 64<<20)
 	c.Int("max_in_flight", int64(s.MaxInFlight), 1, 1<<16)
 	c.Int("workspace_in_flight", int64(s.WorkspaceInFlight), 1, 1<<16)
--- a/server/localview/bench_test.go
+++ b/server/localview/bench_test.go
@@ -48,7 +48,7 @@
 			runtime.GC()
 			runtime.ReadMemStats(&before)
 			for b.Loop() {
-				s = NewStore("dc-00")
+				s = NewStore("dc-00", nil)
 				if err := s.Update(&peerv1.View{Configuration: data}, time.Unix(1, 0)); err != nil {
 					b.Fatal(err)
 				}
@@ -69,7 +69,7 @@
 			c := targetSize(n)
 			now := time.Unix(1000, 0)
 			data, _ := records.EncodeSnapshot(&configuration.Snapshot{Next: 1, Config: c})
-			s := NewStore("dc-00")
+			s := NewStore("dc-00", nil)
 			_ = s.Update(&peerv1.View{Configuration: data}, now)
 			reports := map[types.TargetID]types.LoadReport{}
 			for id, t := range c.Targets {
--- a/server/localview/view.go
+++ b/server/localview/view.go
@@ -35,7 +35,9 @@
 // Store holds the current view. Load is safe for concurrent use; the other
 // methods are called by one goroutine.
 type Store struct {
-	local      types.DataCentreID
+	local types.DataCentreID
+	// reach holds the data centres whose targets are used; empty means all.
+	reach      map[types.DataCentreID]bool
 	current    atomic.Pointer[View]
 	config     *configuration.Config
 	lists      map[types.DataCentreID]*membership.TargetList
@@ -51,10 +53,12 @@
 	byService   map[types.ServiceID]*admission.RetryBudget
 }
 
-// NewStore returns a store with the empty configuration.
-func NewStore(local types.DataCentreID) *Store {
+// NewStore returns a store with the empty configuration. Its fleet holds the
+// targets of the data centres in reach, or of all when reach is empty: building
+// a snapshot takes time for each target in it.
+func NewStore(local types.DataCentreID, reach []types.DataCentreID) *Store {
 	s := &Store{
-		local: local, config: configuration.New(),
+		local: local, reach: map[types.DataCentreID]bool{}, config: configuration.New(),
 		counters:   map[types.TargetID]*routing.Counters{},
 		histories:  map[types.TargetID]*routing.History{},
 		reports:    map[types.TargetID]types.LoadReport{},
@@ -62,6 +66,9 @@
 		workspaces: map[types.WorkspaceID]*admission.Workspace{},
 		budgets:    map[types.ServiceID]*admission.RetryBudget{},
 	}
+	for _, dc := range reach {
+		s.reach[dc] = true
+	}
 	s.configured()
 	s.publish(time.Time{})
 	return s
@@ -79,7 +86,7 @@
 		err = s.updateConfig(b)
 	}
 	for _, d := range v.GetLoads() {
-		if l := s.lists[types.DataCentreID(d.GetDataCentre())]; l != nil {
+		if l := s.lists[types.DataCentreID(d.GetDataCentre())]; l != nil && s.reaches(l.DataCentre) {
 			wire.FromDigest(d, l, s.config, now, func(id types.TargetID, r types.LoadReport) { s.reports[id] = r })
 		}
 	}
@@ -148,7 +155,7 @@
 func (s *Store) fleet(now time.Time) *routing.Fleet {
 	targets := make([]*routing.Target, 0, len(s.config.Targets))
 	for id, e := range s.config.Targets {
-		if e.Value.State == configuration.TargetWithdrawn {
+		if e.Value.State == configuration.TargetWithdrawn || !s.reaches(e.Value.DataCentre) {
 			continue
 		}
 		targets = append(targets, s.target(id, e.Value, now))
@@ -156,6 +163,10 @@
 	return routing.NewFleet(s.config.Revision, s.local, targets)
 }
 
+func (s *Store) reaches(dc types.DataCentreID) bool {
+	return len(s.reach) == 0 || s.reach[dc]
+}
+
 func (s *Store) target(id types.TargetID, c configuration.Target, now time.Time) *routing.Target {
 	t := &routing.Target{
 		ID: id, Service: c.Service, Kind: s.config.Services[c.Service].Value.Kind,
