Replace fixed sleeps in tests of the engine client and a second Sleep

Cause: two tests waited a fixed 50 and 200 ms for a connection to become idle or closed, which a loaded machine can outlast; the load generator had a copy of daemon.Sleep. Change: the tests set the idle time or wait for the state itself; the load generator uses daemon.Sleep. No check is loosened.

--- a/cmd/internal/load/demo.go
+++ b/cmd/internal/load/demo.go
@@ -91,7 +91,7 @@
 	if err := d.start(ctx); err != nil {
 		return err
 	}
-	if r.idle, err = d.appendRate(ctx, func() { pause(ctx, idleWindow) }); err != nil {
+	if r.idle, err = d.appendRate(ctx, func() { daemon.Sleep(ctx, idleWindow) }); err != nil {
 		return err
 	}
 	d.spec.Seed, d.spec.Phases = c.Seed, demoPhases(c.Phase, c.Calls)
@@ -155,7 +155,7 @@
 		{phase / 4, func() error { return d.ctl(ctx, d.vms[3], "activate", r.drained) }},
 	}
 	for _, s := range steps {
-		if !pause(ctx, s.after) {
+		if !daemon.Sleep(ctx, s.after) {
 			return context.Cause(ctx)
 		}
 		if err := s.do(); err != nil {
--- a/cmd/internal/load/generator.go
+++ b/cmd/internal/load/generator.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/lentilpick/lentilpick/daemon"
 	"github.com/lentilpick/lentilpick/types"
 )
 
@@ -81,7 +82,7 @@
 	at := start
 	for {
 		at = at.Add(time.Duration(rnd.ExpFloat64() / total * float64(time.Second)))
-		if at.Sub(start) > p.Length || !pause(ctx, time.Until(at)) {
+		if at.Sub(start) > p.Length || !daemon.Sleep(ctx, time.Until(at)) {
 			return
 		}
 		if rnd.Float64()*total < p.CallsPerSecond {
@@ -93,18 +94,6 @@
 	}
 }
 
-// pause waits for d and reports whether the context is still live.
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 func (g *Generator) start(f func()) {
 	g.wg.Add(1)
 	go func() {
@@ -201,7 +190,7 @@
 func (g *Generator) result(c *Call) (vm string, s Sample, status int, body string) {
 	for range keyTries {
 		vm, s, status, body = g.call(c)
-		if s.Reason != "key_in_progress" || !pause(context.Background(), keyPause) {
+		if s.Reason != "key_in_progress" || !daemon.Sleep(context.Background(), keyPause) {
 			break
 		}
 	}
--- a/cmd/internal/load/latency.go
+++ b/cmd/internal/load/latency.go
@@ -222,7 +222,7 @@
 			defer wg.Done()
 			for n := i; ; n++ {
 				// A random pause keeps arrivals independent of the engine's iterations.
-				if !pause(ctx, rand.N(2*latencyIteration)) {
+				if !daemon.Sleep(ctx, rand.N(2*latencyIteration)) {
 					return
 				}
 				id := types.RequestID(fmt.Sprintf("latency-%d", count.Add(1)))
--- a/cmd/internal/load/operator.go
+++ b/cmd/internal/load/operator.go
@@ -15,6 +15,7 @@
 
 	adminv1 "github.com/lentilpick/lentilpick/api/admin/v1"
 	"github.com/lentilpick/lentilpick/api/admin/v1/adminv1connect"
+	"github.com/lentilpick/lentilpick/daemon"
 )
 
 // operator calls the administration API of one control daemon.
@@ -76,7 +77,7 @@
 		}
 		code := connect.CodeOf(err)
 		again := code == connect.CodeUnknown || code == connect.CodeUnavailable
-		if !again || !pause(ctx, applyPause) {
+		if !again || !daemon.Sleep(ctx, applyPause) {
 			return 0, err
 		}
 	}
@@ -142,7 +143,7 @@
 		if err == nil && got >= revision {
 			return nil
 		}
-		if !pause(ctx, revisionPause) {
+		if !daemon.Sleep(ctx, revisionPause) {
 			return merry.Appendf(ErrProcess, "%s is at revision %d, not %d", d.name, got, revision)
 		}
 	}
--- a/cmd/internal/load/process.go
+++ b/cmd/internal/load/process.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
+
+	"github.com/lentilpick/lentilpick/daemon"
 )
 
 // ErrProcess reports that a program did not run as it should.
@@ -203,7 +205,7 @@
 		if time.Now().After(end) {
 			return merry.Appendf(ErrProcess, "%s is not ready after %s", what, timeout)
 		}
-		if !pause(ctx, readyPause) {
+		if !daemon.Sleep(ctx, readyPause) {
 			return ctx.Err()
 		}
 	}
--- a/cmd/internal/load/scenarios.go
+++ b/cmd/internal/load/scenarios.go
@@ -13,6 +13,7 @@
 
 	adminv1 "github.com/lentilpick/lentilpick/api/admin/v1"
 	"github.com/lentilpick/lentilpick/cmd/internal/standins"
+	"github.com/lentilpick/lentilpick/daemon"
 )
 
 const (
@@ -200,7 +201,7 @@
 }
 
 func entryKilled(ctx context.Context, b *bench) error {
-	pause(ctx, warmUp)
+	daemon.Sleep(ctx, warmUp)
 	victim := b.d.vms[1]
 	b.cutAllowed = []string{victim.Callers}
 	before, err := newOperator(b.d.vms[0]).revision(ctx)
@@ -208,7 +209,7 @@
 		return err
 	}
 	bookings := b.startBookings(victim.Callers)
-	pause(ctx, burstTime)
+	daemon.Sleep(ctx, burstTime)
 	if err := b.d.procs.kill("entry-" + victim.Name); err != nil {
 		return err
 	}
@@ -225,7 +226,7 @@
 }
 
 func holderKilled(ctx context.Context, b *bench) error {
-	pause(ctx, warmUp)
+	daemon.Sleep(ctx, warmUp)
 	holder, other, fence, err := b.holder(ctx)
 	if err != nil {
 		return err
@@ -266,7 +267,7 @@
 // holderPaused stops a holder for longer than its lease while it has an order
 // to send, and lets it go on after another holder ordered the same engine.
 func holderPaused(ctx context.Context, b *bench) error {
-	pause(ctx, warmUp)
+	daemon.Sleep(ctx, warmUp)
 	holder, other, fence, err := b.holder(ctx)
 	if err != nil {
 		return err
@@ -299,12 +300,12 @@
 	if _, err := setAdapters(ctx, other, unchecked, "rates"); err != nil {
 		return err
 	}
-	pause(ctx, leaseDuration+leaseMargin+claimTime-time.Since(start))
+	daemon.Sleep(ctx, leaseDuration+leaseMargin+claimTime-time.Since(start))
 	if err := b.d.procs.signal(name, syscall.SIGCONT); err != nil {
 		return err
 	}
 	paused := time.Since(start)
-	pause(ctx, orderLimit)
+	daemon.Sleep(ctx, orderLimit)
 	s, err := stateOf(e)
 	if err != nil {
 		return err
--- a/cmd/internal/load/scenarios_platform.go
+++ b/cmd/internal/load/scenarios_platform.go
@@ -7,6 +7,7 @@
 
 	adminv1 "github.com/lentilpick/lentilpick/api/admin/v1"
 	"github.com/lentilpick/lentilpick/cmd/internal/standins"
+	"github.com/lentilpick/lentilpick/daemon"
 )
 
 type logFault struct {
@@ -16,7 +17,7 @@
 
 // logOutage restarts a control daemon while the log is down.
 func logOutage(ctx context.Context, b *bench) error {
-	pause(ctx, warmUp)
+	daemon.Sleep(ctx, warmUp)
 	v := b.d.vms[5]
 	before, err := newOperator(v).revision(ctx)
 	if err != nil {
@@ -25,7 +26,7 @@
 	if err := fault(b.d.platform, "log", logFault{Outage: true}); err != nil {
 		return err
 	}
-	pause(ctx, time.Second)
+	daemon.Sleep(ctx, time.Second)
 	if err := b.d.procs.kill("control-" + v.Name); err != nil {
 		return err
 	}
@@ -39,7 +40,7 @@
 	got, _ := revisionOf(v.Peers)
 	b.measured("start from a peer", time.Since(start))
 	b.expect(err == nil && got == before, "a daemon starts from a peer at the same revision", "%s, revision %d of %d", describe(time.Since(start)), got, before)
-	pause(ctx, leaseDuration)
+	daemon.Sleep(ctx, leaseDuration)
 	if err := fault(b.d.platform, "log", logFault{}); err != nil {
 		return err
 	}
@@ -50,7 +51,7 @@
 const slowLog = 500
 
 func logSlow(ctx context.Context, b *bench) error {
-	pause(ctx, warmUp)
+	daemon.Sleep(ctx, warmUp)
 	if err := b.checkForce(ctx, b.d.vms[0], b.d.vms, "fast-log", forceLimit); err != nil {
 		return err
 	}
@@ -62,7 +63,7 @@
 		return err
 	}
 	for i := range 3 {
-		pause(ctx, 2*time.Second)
+		daemon.Sleep(ctx, 2*time.Second)
 		if err := b.checkForce(ctx, b.d.vms[i], b.d.vms, fmt.Sprintf("slow-log-%d", i+1), forceLimit); err != nil {
 			return err
 		}
@@ -122,11 +123,11 @@
 }
 
 func daemonCutOff(ctx context.Context, b *bench) error {
-	pause(ctx, warmUp)
+	daemon.Sleep(ctx, warmUp)
 	victim := b.d.vms[cutOff]
 	rest := b.d.without(victim.Name)
 	b.relays.setCut(true)
-	pause(ctx, 2*leaseDuration-2*time.Second)
+	daemon.Sleep(ctx, 2*leaseDuration-2*time.Second)
 	if err := b.checkForce(ctx, rest[0], rest, "while-cut-off", forceLimit); err != nil {
 		return err
 	}
@@ -151,7 +152,7 @@
 
 // engineCrash crashes an engine while it changes its version.
 func engineCrash(ctx context.Context, b *bench) error {
-	pause(ctx, warmUp)
+	daemon.Sleep(ctx, warmUp)
 	e := &b.d.engines[0]
 	_, err := newOperator(b.d.vms[0]).changeTarget(ctx, e.ID, func(t *adminv1.Target) { t.Version = "2" })
 	if err != nil {
--- a/engine/client_test.go
+++ b/engine/client_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 )
 
 // fakeTarget accepts connections on loopback. For each request it calls serve
@@ -271,6 +272,14 @@
 	}
 }
 
+// idleConn returns the only idle connection to a target.
+func idleConn(c *Client, f *fakeTarget) *conn {
+	h := c.host(f.address)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.idle[0]
+}
+
 // Guards against a request that must run once and goes out on a connection
 // that died while it was idle, so that its result is lost.
 func TestIdleConnectionIsProbed(t *testing.T) {
@@ -287,7 +296,8 @@
 	c := testClient()
 	_, err := post(c, f, "1")
 	assert.NilError(t, err)
-	time.Sleep(2 * probeAfter)
+	idle := idleConn(c, f)
+	idle.idle = idle.idle.Add(-2 * probeAfter)
 	_, err = post(c, f, "2")
 	assert.NilError(t, err)
 	assert.Equal(t, writes.Load(), int64(2))
@@ -311,7 +321,13 @@
 			c := testClient()
 			_, err := post(c, f, "1")
 			assert.NilError(t, err)
-			time.Sleep(probeAfter / 2)
+			idle := idleConn(c, f)
+			poll.WaitOn(t, func(poll.LogT) poll.Result {
+				if idle.quiet() {
+					return poll.Continue("the connection looks unused")
+				}
+				return poll.Success()
+			}, poll.WithDelay(time.Millisecond))
 			r, err := post(c, f, "2")
 			assert.NilError(t, err)
 			assert.Equal(t, string(r.Body), "second")
