Move the log client to logclient and target connections to transport

The library of that name was the client of the log service; it is now logclient. The connections to targets leave the engine client, so that a second target client can share them.

--- a/engine/client.go
+++ b/engine/client.go
@@ -9,11 +9,11 @@
 	"errors"
 	"fmt"
 	"net"
-	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/lentilpick/lentilpick/transport"
 )
 
 // Settings of a client.
@@ -32,66 +32,47 @@
 	Wrap func(net.Conn) net.Conn
 }
 
-// Client calls targets. It is safe for concurrent use: the table of hosts is
-// read without locks and copied when a host is added.
+// Client calls targets. It is safe for concurrent use.
 type Client struct {
 	settings Settings
-	hosts    atomic.Pointer[map[string]*host]
-	mu       sync.Mutex
+	pool     *transport.Pool
+	// probeAfter is probeIdle, shorter in tests.
+	probeAfter time.Duration
 }
 
 // NewClient returns a client with the given settings.
 func NewClient(s Settings) *Client {
-	c := &Client{settings: s}
-	c.hosts.Store(&map[string]*host{})
-	return c
-}
-
-func (c *Client) host(address string) *host {
-	if h, ok := (*c.hosts.Load())[address]; ok {
-		return h
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	old := *c.hosts.Load()
-	if h, ok := old[address]; ok {
-		return h
-	}
-	hosts := make(map[string]*host, len(old)+1)
-	for k, v := range old {
-		hosts[k] = v
-	}
-	h := &host{address: address}
-	hosts[address] = h
-	c.hosts.Store(&hosts)
-	return h
-}
+	return &Client{settings: s, probeAfter: probeIdle, pool: transport.NewPool(transport.Settings{
+		DialTimeout: s.DialTimeout, MaxIdle: s.MaxIdle, MaxAge: s.MaxAge, MaxConns: s.MaxConns, Wrap: s.Wrap,
+	})}
+}
+
+const (
+	// probeIdle is how long a connection may be idle before it is probed for a
+	// request that must not run twice. Such a request cannot be sent again, so
+	// that a connection that died unnoticed would cost its result.
+	probeIdle = 100 * time.Millisecond
+	probePath = "/v1/state"
+	// maxProbeAnswer bounds the answer to a probe.
+	maxProbeAnswer = 64 << 10
+)
 
 // connect returns a connection that is fit for a request: one that is neither
 // old nor closed by the target nor idle for long, or a new one. For a request
 // that must run at most once an idle connection is probed first. The error
 // wraps ErrNotSent.
-func (c *Client) connect(h *host, once bool, bound time.Time) (*conn, error) {
-	for cn := h.take(); cn != nil; cn = h.take() {
-		if c.fit(cn, once, bound) {
-			return cn, nil
-		}
-		h.close(cn)
-	}
-	return c.dial(h, bound)
-}
-
-func (c *Client) fit(cn *conn, once bool, bound time.Time) bool {
-	now := time.Now()
-	idle := now.Sub(cn.idle)
-	if now.Sub(cn.opened) > c.settings.MaxAge || idle > c.settings.MaxIdle || !cn.quiet() {
-		return false
+func (c *Client) connect(address string, once bool, bound time.Time) (*transport.Conn, error) {
+	cn := c.pool.Take(address, func(cn *transport.Conn, now time.Time) bool {
+		return !once || cn.Idle(now) <= c.probeAfter || c.probe(cn, bound)
+	})
+	if cn != nil {
+		return cn, nil
 	}
-	return !once || idle <= probeAfter || c.probe(cn, bound)
+	return c.pool.Dial(address, bound)
 }
 
 // probe reports whether the target answers on the connection.
-func (c *Client) probe(cn *conn, bound time.Time) bool {
+func (c *Client) probe(cn *transport.Conn, bound time.Time) bool {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
@@ -100,40 +81,20 @@
 	if bound.Before(end) {
 		end = bound
 	}
-	if cn.roundTrip(req, resp, c.settings.DialTimeout, end) != nil {
+	if cn.RoundTrip(req, resp, c.settings.DialTimeout, end) != nil {
 		return false
 	}
 	_, err := readBody(resp, maxProbeAnswer)
 	return err == nil && !resp.ConnectionClose()
 }
 
-func (c *Client) dial(h *host, bound time.Time) (*conn, error) {
-	if !h.reserve(c.settings.MaxConns) {
-		return nil, fmt.Errorf("%d connections to %s are open: %w", c.settings.MaxConns, h.address, ErrNotSent)
-	}
-	timeout := min(c.settings.DialTimeout, time.Until(bound))
-	if timeout <= 0 {
-		h.unreserve()
-		return nil, fmt.Errorf("the deadline has passed: %w", ErrNotSent)
-	}
-	raw, err := net.DialTimeout("tcp", h.address, timeout)
-	if err != nil {
-		h.unreserve()
-		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
-	}
-	if c.settings.Wrap != nil {
-		raw = c.settings.Wrap(raw)
-	}
-	return newConn(raw), nil
-}
-
 // exchange is a request and its answer on one connection.
 type exchange struct {
-	host    *host
-	conn    *conn
+	pool    *transport.Pool
+	address string
+	conn    *transport.Conn
 	req     *fasthttp.Request
 	resp    *fasthttp.Response
-	maxIdle time.Duration
 }
 
 // call describes how a request may be sent.
@@ -146,8 +107,7 @@
 // newExchange returns an exchange that is not yet sent.
 func (c *Client) newExchange(address, method, path string) *exchange {
 	x := &exchange{
-		host: c.host(address), req: fasthttp.AcquireRequest(), resp: fasthttp.AcquireResponse(),
-		maxIdle: c.settings.MaxIdle,
+		pool: c.pool, address: address, req: fasthttp.AcquireRequest(), resp: fasthttp.AcquireResponse(),
 	}
 	x.req.SetRequestURI("http://" + address + path)
 	x.req.Header.SetMethod(method)
@@ -157,17 +117,20 @@
 // send writes the request and reads the header of its answer. After an error
 // the exchange is closed.
 func (c *Client) send(x *exchange, how call) error {
-	cn, err := c.connect(x.host, how.once, how.bound)
+	cn, err := c.connect(x.address, how.once, how.bound)
 	if err != nil {
 		x.close()
 		return err
 	}
 	x.conn = cn
-	if err := cn.roundTrip(x.req, x.resp, how.progress, how.bound); err != nil {
+	if err := cn.RoundTrip(x.req, x.resp, how.progress, how.bound); err != nil {
 		x.close()
-		return err
+		if errors.Is(err, ErrNotSent) {
+			return err
+		}
+		return convert(err)
 	}
-	cn.progress = c.settings.Progress
+	cn.SetProgress(c.settings.Progress)
 	return nil
 }
 
@@ -182,7 +145,7 @@
 	}
 	x.close()
 	if keep != nil {
-		x.host.put(keep, x.maxIdle)
+		x.pool.Put(x.address, keep, 0)
 	}
 }
 
@@ -190,7 +153,7 @@
 // engine takes that as a cancellation.
 func (x *exchange) close() {
 	if x.conn != nil {
-		x.host.close(x.conn)
+		x.pool.Discard(x.address, x.conn)
 		x.conn = nil
 	}
 	_ = x.resp.CloseBodyStream()
--- a/engine/client_test.go
+++ b/engine/client_test.go
@@ -272,14 +272,6 @@
 	}
 }
 
-// idleConn returns the only idle connection to a target.
-func idleConn(c *Client, f *fakeTarget) *conn {
-	h := c.host(f.address)
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.idle[0]
-}
-
 // Guards against a request that must run once and goes out on a connection
 // that died while it was idle, so that its result is lost.
 func TestIdleConnectionIsProbed(t *testing.T) {
@@ -296,8 +288,7 @@
 	c := testClient()
 	_, err := post(c, f, "1")
 	assert.NilError(t, err)
-	idle := idleConn(c, f)
-	idle.idle = idle.idle.Add(-2 * probeAfter)
+	c.probeAfter = 0
 	_, err = post(c, f, "2")
 	assert.NilError(t, err)
 	assert.Equal(t, writes.Load(), int64(2))
@@ -321,9 +312,9 @@
 			c := testClient()
 			_, err := post(c, f, "1")
 			assert.NilError(t, err)
-			idle := idleConn(c, f)
+			idle := c.pool.Status(f.address).Idle[0]
 			poll.WaitOn(t, func(poll.LogT) poll.Result {
-				if idle.quiet() {
+				if idle.Quiet() {
 					return poll.Continue("the connection looks unused")
 				}
 				return poll.Success()
@@ -339,17 +330,22 @@
 // that is opened for every request, and against a leak of closed ones.
 func TestConnectionsAreReusedUntilMaxAge(t *testing.T) {
 	f := newFakeTarget(t, func(*http.Request, int, int) answer { return reply("r", "done") })
-	c := testClient()
+	settings := testClient().settings
+	c := NewClient(settings)
 	for range 8 {
 		_, err := post(c, f, "1")
 		assert.NilError(t, err)
 	}
 	assert.Equal(t, f.conns.Load(), int64(1))
-	c.settings.MaxAge = 0
-	_, err := post(c, f, "1")
-	assert.NilError(t, err)
-	assert.Equal(t, f.conns.Load(), int64(2))
-	assert.Equal(t, c.host(f.address).open, 1)
+	assert.Equal(t, c.pool.Status(f.address).Open, 1)
+	settings.MaxAge = time.Nanosecond
+	c = NewClient(settings)
+	for range 2 {
+		_, err := post(c, f, "1")
+		assert.NilError(t, err)
+	}
+	assert.Equal(t, f.conns.Load(), int64(3))
+	assert.Equal(t, c.pool.Status(f.address).Open, 1)
 }
 
 // Guards against a refusal as unknown when nothing was sent.
@@ -363,9 +359,9 @@
 	f = newFakeTarget(t, func(*http.Request, int, int) answer { return answer{silent: true} })
 	_, err = testClient().Call(f.address, &Call{Method: "POST", Path: "/"}, time.Now())
 	assert.Assert(t, errors.Is(err, ErrNotSent), "%v", err)
-	c := testClient()
-	c.settings.MaxConns = 0
-	_, err = post(c, f, "1")
+	settings := testClient().settings
+	settings.MaxConns = 0
+	_, err = post(NewClient(settings), f, "1")
 	assert.Assert(t, errors.Is(err, ErrNotSent), "%v", err)
 	assert.Equal(t, f.requests.Load(), int64(0))
 }
--- a/engine/errors.go
+++ b/engine/errors.go
@@ -8,12 +8,14 @@
 	"net"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/lentilpick/lentilpick/transport"
 )
 
 // Errors of this package. Every error wraps one of them.
 var (
 	// ErrNotSent reports a failure before the first byte of the request was written.
-	ErrNotSent = errors.New("request was not sent")
+	ErrNotSent = transport.ErrNotSent
 	// ErrSilent reports that the target made no progress within the progress deadline.
 	ErrSilent = errors.New("target made no progress")
 	// ErrTruncated reports an answer without its end marker.
--- a/platform/dial.go
+++ b/logclient/dial.go
@@ -1,4 +1,4 @@
-package platform
+package logclient
 
 import (
 	"errors"
--- a/platform/log.go
+++ b/logclient/log.go
@@ -1,7 +1,7 @@
-// Package platform is the client of the platform's services: the append-only
+// Package logclient is the client of the log service and its companions: the append-only
 // log, the VM list and the weight store. It turns their failures into errors
 // that say whether an operation can have taken effect.
-package platform
+package logclient
 
 import (
 	"context"
--- a/proof/authority_world_test.go
+++ b/proof/authority_world_test.go
@@ -11,7 +11,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/lentilpick/lentilpick/authority"
-	"github.com/lentilpick/lentilpick/platform"
+	"github.com/lentilpick/lentilpick/logclient"
 	"github.com/lentilpick/lentilpick/records"
 	"github.com/lentilpick/lentilpick/standin/logservice"
 	"github.com/lentilpick/lentilpick/standin/modelengine"
@@ -26,7 +26,7 @@
 	quarantine = 30 * time.Second
 )
 
-var leaseStream = platform.LeaseStream(dataCentre)
+var leaseStream = logclient.LeaseStream(dataCentre)
 
 // stage is how far a daemon has come with one target.
 type stage int
--- a/proof/configuration_test.go
+++ b/proof/configuration_test.go
@@ -14,7 +14,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/lentilpick/lentilpick/configuration"
-	"github.com/lentilpick/lentilpick/platform"
+	"github.com/lentilpick/lentilpick/logclient"
 	"github.com/lentilpick/lentilpick/records"
 	"github.com/lentilpick/lentilpick/server/control"
 	"github.com/lentilpick/lentilpick/standin/logservice"
@@ -78,10 +78,10 @@
 
 // append stores a record and lets the oracle judge what the log stored.
 func (w *configWorld) append(data []byte) {
-	if _, _, err := w.log.Append(platform.StreamConfig, [][]byte{data}); err != nil {
+	if _, _, err := w.log.Append(logclient.StreamConfig, [][]byte{data}); err != nil {
 		return
 	}
-	page, err := w.log.Read(context.Background(), platform.StreamConfig, int64(len(w.points)-1), 64, 0)
+	page, err := w.log.Read(context.Background(), logclient.StreamConfig, int64(len(w.points)-1), 64, 0)
 	if err != nil {
 		w.t.Fatalf("oracle cannot read: %v", err)
 	}
@@ -113,10 +113,10 @@
 	return p
 }
 
-// follow reads up to limit records, as platform.Follow does.
+// follow reads up to limit records, as logclient.Follow does.
 func (w *configWorld) follow(r *reader, limit int) {
 	for ; !r.cut && limit > 0; limit-- {
-		page, err := w.log.Read(context.Background(), platform.StreamConfig, int64(r.Next()), 1, 0)
+		page, err := w.log.Read(context.Background(), logclient.StreamConfig, int64(r.Next()), 1, 0)
 		if errors.Is(err, logservice.ErrExpired) {
 			r.Expired(types.Offset(page.Oldest))
 			continue
@@ -130,8 +130,8 @@
 	}
 }
 
-func batch(r logservice.Record) platform.Batch {
-	return platform.Batch{Records: []platform.Record{{Offset: types.Offset(r.Offset), At: r.At, Data: r.Data}}}
+func batch(r logservice.Record) logclient.Batch {
+	return logclient.Batch{Records: []logclient.Record{{Offset: types.Offset(r.Offset), At: r.At, Data: r.Data}}}
 }
 
 // check compares what each daemon has in force with the oracle at its offset.
@@ -273,7 +273,7 @@
 			"read some": func(t *rapid.T) { w.follow(w.pick(t), rapid.IntRange(1, 5).Draw(t, "records")) },
 			"miss one": func(t *rapid.T) {
 				r := w.pick(t)
-				page, err := w.log.Read(context.Background(), platform.StreamConfig, int64(r.Next()+1), 1, 0)
+				page, err := w.log.Read(context.Background(), logclient.StreamConfig, int64(r.Next()+1), 1, 0)
 				if err == nil && len(page.Records) > 0 {
 					_ = r.Records(batch(page.Records[0])) // refused, or passed over while looking for a snapshot
 				}
--- a/server/admin/admin_test.go
+++ b/server/admin/admin_test.go
@@ -17,7 +17,7 @@
 	"github.com/lentilpick/lentilpick/api/admin/v1/adminv1connect"
 
 	"github.com/lentilpick/lentilpick/daemon"
-	"github.com/lentilpick/lentilpick/platform"
+	"github.com/lentilpick/lentilpick/logclient"
 	"github.com/lentilpick/lentilpick/server/control"
 	"github.com/lentilpick/lentilpick/types"
 )
@@ -25,7 +25,7 @@
 // stub is a backend whose log hands each append back as a record at once. It
 // is also the log and the client's transport.
 type stub struct {
-	platform.Log
+	logclient.Log
 	config   *control.ConfigLog
 	metrics  *daemon.Metrics
 	handler  http.Handler
@@ -40,7 +40,7 @@
 func (s *stub) Append(_ context.Context, _ string, data [][]byte) (types.Offset, error) {
 	s.appended = append(s.appended, data...)
 	o := s.config.Next()
-	return o, s.config.Records(platform.Batch{Records: []platform.Record{{Offset: o, At: time.Now(), Data: data[0]}}})
+	return o, s.config.Records(logclient.Batch{Records: []logclient.Record{{Offset: o, At: time.Now(), Data: data[0]}}})
 }
 
 func (s *stub) Do(r *http.Request) (*http.Response, error) {
--- a/server/control/configlog.go
+++ b/server/control/configlog.go
@@ -12,7 +12,7 @@
 
 	"github.com/lentilpick/lentilpick/configuration"
 	"github.com/lentilpick/lentilpick/daemon"
-	"github.com/lentilpick/lentilpick/platform"
+	"github.com/lentilpick/lentilpick/logclient"
 	"github.com/lentilpick/lentilpick/records"
 	"github.com/lentilpick/lentilpick/types"
 )
@@ -28,7 +28,7 @@
 // ConfigLog follows the configuration stream and publishes changes to it. The
 // fold is owned by the follower's goroutine; readers load the newest snapshot.
 type ConfigLog struct {
-	log     platform.Log
+	log     logclient.Log
 	entry   *logrus.Entry
 	current atomic.Pointer[configuration.Snapshot]
 
@@ -46,9 +46,9 @@
 }
 
 // NewConfigLog returns a log at the empty configuration.
-func NewConfigLog(log platform.Log, entry *logrus.Entry) *ConfigLog {
+func NewConfigLog(log logclient.Log, entry *logrus.Entry) *ConfigLog {
 	c := &ConfigLog{
-		log: log, entry: entry.WithField(daemon.FieldStream, platform.StreamConfig),
+		log: log, entry: entry.WithField(daemon.FieldStream, logclient.StreamConfig),
 		fold: configuration.NewFold(), waiters: map[string][]chan configuration.Result{}, changed: make(chan struct{}),
 	}
 	c.current.Store(c.fold.Snapshot())
@@ -109,7 +109,7 @@
 	}
 }
 
-// Next implements platform.Reader.
+// Next implements logclient.Reader.
 func (c *ConfigLog) Next() types.Offset {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -119,8 +119,8 @@
 	return c.fold.Next()
 }
 
-// Records implements platform.Reader.
-func (c *ConfigLog) Records(b platform.Batch) error {
+// Records implements logclient.Reader.
+func (c *ConfigLog) Records(b logclient.Batch) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	before := c.fold.Next()
@@ -137,7 +137,7 @@
 	return nil
 }
 
-func (c *ConfigLog) record(r platform.Record) error {
+func (c *ConfigLog) record(r logclient.Record) error {
 	rec, err := records.DecodeConfiguration(r.Data)
 	if err != nil {
 		c.entry.WithError(err).WithField(daemon.FieldOffset, r.Offset).Error("record does not decode; it is passed over")
@@ -171,7 +171,7 @@
 	}
 }
 
-// Expired implements platform.Reader.
+// Expired implements logclient.Reader.
 func (c *ConfigLog) Expired(oldest types.Offset) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -179,7 +179,7 @@
 	c.scanning, c.scan = true, oldest
 }
 
-// Failed implements platform.Reader.
+// Failed implements logclient.Reader.
 func (c *ConfigLog) Failed(err error) { c.entry.WithError(err).Debug("read failed") }
 
 // Apply publishes a change and waits for its verdict until the context ends.
@@ -196,8 +196,8 @@
 	verdict, known := c.await(ch.ID)
 	if !known {
 		defer c.forget(ch.ID, verdict)
-		_, err = c.log.Append(ctx, platform.StreamConfig, [][]byte{data})
-		if err != nil && !errors.Is(err, platform.ErrAmbiguous) {
+		_, err = c.log.Append(ctx, logclient.StreamConfig, [][]byte{data})
+		if err != nil && !errors.Is(err, logclient.ErrAmbiguous) {
 			return configuration.Result{}, merry.Wrap(ErrNotPublished, merry.WithCause(err))
 		}
 	}
@@ -265,6 +265,6 @@
 	if err != nil {
 		return err
 	}
-	_, err = c.log.Append(ctx, platform.StreamConfig, [][]byte{data})
+	_, err = c.log.Append(ctx, logclient.StreamConfig, [][]byte{data})
 	return err
 }
--- a/server/control/configlog_test.go
+++ b/server/control/configlog_test.go
@@ -11,14 +11,14 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/lentilpick/lentilpick/configuration"
-	"github.com/lentilpick/lentilpick/platform"
+	"github.com/lentilpick/lentilpick/logclient"
 	"github.com/lentilpick/lentilpick/records"
 	"github.com/lentilpick/lentilpick/types"
 )
 
 // appendLog is a log whose appends call a function; it is never read.
 type appendLog struct {
-	platform.Log
+	logclient.Log
 	append func(data []byte) error
 }
 
@@ -40,10 +40,10 @@
 	return ch
 }
 
-func batch(o types.Offset, at time.Time, data ...[]byte) platform.Batch {
-	b := platform.Batch{}
+func batch(o types.Offset, at time.Time, data ...[]byte) logclient.Batch {
+	b := logclient.Batch{}
 	for i, d := range data {
-		b.Records = append(b.Records, platform.Record{Offset: o + types.Offset(i), At: at, Data: d})
+		b.Records = append(b.Records, logclient.Record{Offset: o + types.Offset(i), At: at, Data: d})
 	}
 	return b
 }
@@ -60,7 +60,7 @@
 	var c *ConfigLog
 	c = newTestLog(func(data []byte) error {
 		assert.NilError(t, c.Records(batch(c.Next(), time.Now(), data)))
-		return platform.ErrAmbiguous
+		return logclient.ErrAmbiguous
 	})
 	_, err := c.Apply(t.Context(), change("put", 0, false))
 	assert.NilError(t, err)
@@ -79,8 +79,8 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
 	for _, tc := range []struct{ cause, want error }{
-		{platform.ErrUnavailable, ErrNotPublished},
-		{platform.ErrAmbiguous, ErrResultUnknown},
+		{logclient.ErrUnavailable, ErrNotPublished},
+		{logclient.ErrAmbiguous, ErrResultUnknown},
 		{nil, ErrResultUnknown},
 	} {
 		c := newTestLog(func([]byte) error { return tc.cause })
--- a/server/control/daemon.go
+++ b/server/control/daemon.go
@@ -19,8 +19,8 @@
 	"github.com/lentilpick/lentilpick/authority"
 	"github.com/lentilpick/lentilpick/daemon"
 	"github.com/lentilpick/lentilpick/engine"
+	"github.com/lentilpick/lentilpick/logclient"
 	"github.com/lentilpick/lentilpick/membership"
-	"github.com/lentilpick/lentilpick/platform"
 	"github.com/lentilpick/lentilpick/types"
 )
 
@@ -47,7 +47,7 @@
 	metrics     *daemon.Metrics
 	dc          types.DataCentreID
 	incarnation string
-	platform    *platform.Client
+	platform    *logclient.Client
 	config      *ConfigLog
 	gate        *authority.Gate
 	lease       *leaseRunner
@@ -82,7 +82,7 @@
 		incarnation: strconv.FormatUint(rand.Uint64(), 36),
 		gate:        &authority.Gate{}, fleet: newFleetState(vmID(s.VM)), entries: newEntries(), stopping: make(chan struct{}),
 	}
-	d.platform = platform.NewClient(s.Platform, d.traffic.platform.Conn)
+	d.platform = logclient.NewClient(s.Platform, d.traffic.platform.Conn)
 	d.config = NewConfigLog(d.platform, log)
 	d.lease = newLeaseRunner(d.platform, log, d.dc, s.lease(d.incarnation), d.gate)
 	counters, err := newKeyCounters(m)
@@ -246,9 +246,9 @@
 // start runs the goroutines of the daemon. The returned channel is closed when
 // all queued key records were appended.
 func (d *Daemon) start(ctx context.Context) <-chan struct{} {
-	go platform.Follow(ctx, d.platform, platform.StreamConfig, d.config)
-	go platform.Follow(ctx, d.platform, d.lease.stream, d.lease)
-	go platform.Follow(ctx, d.platform, d.keys.stream, d.keys)
+	go logclient.Follow(ctx, d.platform, logclient.StreamConfig, d.config)
+	go logclient.Follow(ctx, d.platform, d.lease.stream, d.lease)
+	go logclient.Follow(ctx, d.platform, d.keys.stream, d.keys)
 	go d.lease.run(ctx)
 	go d.reports.run(ctx)
 	go d.orders.run(ctx)
--- a/server/control/fleet.go
+++ b/server/control/fleet.go
@@ -8,8 +8,8 @@
 	peerv1 "github.com/lentilpick/lentilpick/api/peer/v1"
 
 	"github.com/lentilpick/lentilpick/configuration"
+	"github.com/lentilpick/lentilpick/logclient"
 	"github.com/lentilpick/lentilpick/membership"
-	"github.com/lentilpick/lentilpick/platform"
 	"github.com/lentilpick/lentilpick/server/wire"
 	"github.com/lentilpick/lentilpick/types"
 )
@@ -250,7 +250,7 @@
 	return out
 }
 
-func (f *fleetState) setVMs(vms []platform.VM) {
+func (f *fleetState) setVMs(vms []logclient.VM) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	l := vmList{names: f.vms.names, leaving: map[netip.Addr]bool{}}
--- a/server/control/keyhomes.go
+++ b/server/control/keyhomes.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"github.com/lentilpick/lentilpick/idempotency"
+	"github.com/lentilpick/lentilpick/logclient"
 	"github.com/lentilpick/lentilpick/membership"
-	"github.com/lentilpick/lentilpick/platform"
 	"github.com/lentilpick/lentilpick/records"
 	"github.com/lentilpick/lentilpick/types"
 )
@@ -79,7 +79,7 @@
 		if dc == k.dc {
 			continue
 		}
-		other, err := k.lastHomes(ctx, platform.KeyStream(dc))
+		other, err := k.lastHomes(ctx, logclient.KeyStream(dc))
 		if err != nil {
 			return nil, err
 		}
@@ -100,7 +100,7 @@
 	table := idempotency.NewTable(idempotency.Settings{Window: k.window})
 	for {
 		b, err := k.log.Read(ctx, stream, table.Next(), homesReadLimit, 0)
-		var expired *platform.ExpiredError
+		var expired *logclient.ExpiredError
 		if errors.As(err, &expired) {
 			table.Restart(expired.Oldest)
 			continue
--- a/server/control/keys.go
+++ b/server/control/keys.go
@@ -14,7 +14,7 @@
 
 	"github.com/lentilpick/lentilpick/daemon"
 	"github.com/lentilpick/lentilpick/idempotency"
-	"github.com/lentilpick/lentilpick/platform"
+	"github.com/lentilpick/lentilpick/logclient"
 	"github.com/lentilpick/lentilpick/records"
 	"github.com/lentilpick/lentilpick/types"
 )
@@ -60,7 +60,7 @@
 // keyLog folds the key stream of the data centre and appends records to it in
 // batches. The decisions are those of idempotency.Claims.
 type keyLog struct {
-	log       platform.Log
+	log       logclient.Log
 	entry     *logrus.Entry
 	dc        types.DataCentreID
 	stream    string
@@ -83,10 +83,10 @@
 	homesAt    time.Time // log's time of the newest record of KindHomes
 }
 
-func newKeyLog(log platform.Log, entry *logrus.Entry, s *Settings, deps keyDeps, c keyCounters) *keyLog {
+func newKeyLog(log logclient.Log, entry *logrus.Entry, s *Settings, deps keyDeps, c keyCounters) *keyLog {
 	dc := types.DataCentreID(s.DataCentre)
 	k := &keyLog{
-		log: log, dc: dc, stream: platform.KeyStream(dc), window: s.KeyWindow, retention: s.LogRetention, deps: deps,
+		log: log, dc: dc, stream: logclient.KeyStream(dc), window: s.KeyWindow, retention: s.LogRetention, deps: deps,
 		queue: make(chan idempotency.Record, maxKeyQueue), forwards: make(chan struct{}, maxForwards),
 		wantHomes: make(chan struct{}, 1),
 		claims: idempotency.NewClaims(idempotency.Settings{
@@ -100,15 +100,15 @@
 	return k
 }
 
-// Next implements platform.Reader.
+// Next implements logclient.Reader.
 func (k *keyLog) Next() types.Offset {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	return k.claims.Next()
 }
 
-// Records implements platform.Reader.
-func (k *keyLog) Records(b platform.Batch) error {
+// Records implements logclient.Reader.
+func (k *keyLog) Records(b logclient.Batch) error {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	for _, r := range b.Records {
@@ -134,7 +134,7 @@
 	return nil
 }
 
-func (k *keyLog) apply(r platform.Record) error {
+func (k *keyLog) apply(r logclient.Record) error {
 	recs, err := records.DecodeKeys(r.Data)
 	if err != nil {
 		k.own.counters.undecoded.Add(context.Background(), 1)
@@ -169,14 +169,14 @@
 	}
 }
 
-// Expired implements platform.Reader.
+// Expired implements logclient.Reader.
 func (k *keyLog) Expired(oldest types.Offset) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.claims.Restart(oldest)
 }
 
-// Failed implements platform.Reader.
+// Failed implements logclient.Reader.
 func (k *keyLog) Failed(err error) {
 	k.mu.Lock()
 	if k.failures == 0 {
--- a/server/control/keys_test.go
+++ b/server/control/keys_test.go
@@ -19,14 +19,14 @@
 
 	"github.com/lentilpick/lentilpick/daemon"
 	"github.com/lentilpick/lentilpick/idempotency"
-	"github.com/lentilpick/lentilpick/platform"
+	"github.com/lentilpick/lentilpick/logclient"
 	"github.com/lentilpick/lentilpick/types"
 )
 
 // memoryLog is a log without a retention limit.
 type memoryLog struct {
 	mu      sync.Mutex
-	streams map[string][]platform.Record
+	streams map[string][]logclient.Record
 	appends int
 	down    bool
 	changed chan struct{}
@@ -34,20 +34,20 @@
 }
 
 func newMemoryLog() *memoryLog {
-	return &memoryLog{streams: map[string][]platform.Record{}, changed: make(chan struct{})}
+	return &memoryLog{streams: map[string][]logclient.Record{}, changed: make(chan struct{})}
 }
 
 func (l *memoryLog) Append(_ context.Context, stream string, data [][]byte) (types.Offset, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.down {
-		return 0, platform.ErrUnavailable
+		return 0, logclient.ErrUnavailable
 	}
 	l.appends++
 	recs := l.streams[stream]
 	first := types.Offset(len(recs))
 	for _, d := range data {
-		recs = append(recs, platform.Record{Offset: types.Offset(len(recs)), At: time.Now(), Data: d})
+		recs = append(recs, logclient.Record{Offset: types.Offset(len(recs)), At: time.Now(), Data: d})
 	}
 	l.streams[stream] = recs
 	close(l.changed)
@@ -55,7 +55,7 @@
 	return first, nil
 }
 
-func (l *memoryLog) Read(ctx context.Context, stream string, from types.Offset, _ int, wait time.Duration) (platform.Batch, error) {
+func (l *memoryLog) Read(ctx context.Context, stream string, from types.Offset, _ int, wait time.Duration) (logclient.Batch, error) {
 	b, changed, err := l.read(stream, from)
 	if err != nil || len(b.Records) > 0 || wait == 0 {
 		return b, err
@@ -70,14 +70,14 @@
 	return b, err
 }
 
-func (l *memoryLog) read(stream string, from types.Offset) (platform.Batch, chan struct{}, error) {
+func (l *memoryLog) read(stream string, from types.Offset) (logclient.Batch, chan struct{}, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.down {
-		return platform.Batch{}, nil, platform.ErrUnavailable
+		return logclient.Batch{}, nil, logclient.ErrUnavailable
 	}
 	recs := l.streams[stream]
-	return platform.Batch{Next: types.Offset(len(recs)), Records: recs[from:]}, l.changed, nil
+	return logclient.Batch{Next: types.Offset(len(recs)), Records: recs[from:]}, l.changed, nil
 }
 
 func (l *memoryLog) setDown(v bool) {
@@ -119,7 +119,7 @@
 			return s == "allowed"
 		},
 	}, c)
-	l.running.Go(func() { platform.Follow(ctx, l, k.stream, k) })
+	l.running.Go(func() { logclient.Follow(ctx, l, k.stream, k) })
 	l.running.Go(func() { k.run(ctx) })
 	return k
 }
--- a/server/control/keywriter.go
+++ b/server/control/keywriter.go
@@ -10,7 +10,7 @@
 	"go.opentelemetry.io/otel/metric"
 
 	"github.com/lentilpick/lentilpick/daemon"
-	"github.com/lentilpick/lentilpick/platform"
+	"github.com/lentilpick/lentilpick/logclient"
 )
 
 const (
@@ -57,7 +57,7 @@
 // chose it, once per period, so that the number of appends does not grow with
 // the number of daemons.
 type keyWriter struct {
-	log      platform.Log
+	log      logclient.Log
 	entry    *logrus.Entry
 	stream   string
 	every    time.Duration
@@ -66,7 +66,7 @@
 	ended    chan struct{} // closed when run returns
 }
 
-func newKeyWriter(log platform.Log, entry *logrus.Entry, stream string, every time.Duration, c keyCounters) *keyWriter {
+func newKeyWriter(log logclient.Log, entry *logrus.Entry, stream string, every time.Duration, c keyCounters) *keyWriter {
 	return &keyWriter{
 		log: log, entry: entry, stream: stream, every: every, counters: c,
 		queue: make(chan *keyAppend, maxKeyAppends), ended: make(chan struct{}),
@@ -152,7 +152,7 @@
 			return nil
 		}
 		w.counters.failed.Add(ctx, 1)
-		if errors.Is(err, platform.ErrMalformed) || !daemon.Sleep(ctx, w.every) {
+		if errors.Is(err, logclient.ErrMalformed) || !daemon.Sleep(ctx, w.every) {
 			w.entry.WithError(err).Warn("key records were not appended")
 			return merry.Wrap(ErrKeyUnavailable, merry.WithCause(err))
 		}
--- a/server/control/lease.go
+++ b/server/control/lease.go
@@ -9,7 +9,7 @@
 
 	"github.com/lentilpick/lentilpick/authority"
 	"github.com/lentilpick/lentilpick/daemon"
-	"github.com/lentilpick/lentilpick/platform"
+	"github.com/lentilpick/lentilpick/logclient"
 	"github.com/lentilpick/lentilpick/records"
 	"github.com/lentilpick/lentilpick/types"
 )
@@ -32,7 +32,7 @@
 // leaseRunner owns the lease state machine. The follower hands batches to its
 // goroutine, which also appends claims and renewals.
 type leaseRunner struct {
-	log    platform.Log
+	log    logclient.Log
 	entry  *logrus.Entry
 	stream string
 	gate   *authority.Gate
@@ -40,7 +40,7 @@
 	status atomic.Pointer[LeaseStatus]
 
 	next     atomic.Int64
-	batches  chan platform.Batch
+	batches  chan logclient.Batch
 	expired  chan types.Offset
 	appended chan error
 	release  chan leaseRelease
@@ -49,10 +49,10 @@
 	pending  bool
 }
 
-func newLeaseRunner(log platform.Log, entry *logrus.Entry, dc types.DataCentreID, s authority.Settings, gate *authority.Gate) *leaseRunner {
+func newLeaseRunner(log logclient.Log, entry *logrus.Entry, dc types.DataCentreID, s authority.Settings, gate *authority.Gate) *leaseRunner {
 	r := &leaseRunner{
-		log: log, stream: platform.LeaseStream(dc), gate: gate, lease: authority.NewLease(s, time.Now()),
-		batches: make(chan platform.Batch), expired: make(chan types.Offset),
+		log: log, stream: logclient.LeaseStream(dc), gate: gate, lease: authority.NewLease(s, time.Now()),
+		batches: make(chan logclient.Batch), expired: make(chan types.Offset),
 		appended: make(chan error, 1), release: make(chan leaseRelease),
 		ended: make(chan struct{}),
 	}
@@ -61,11 +61,11 @@
 	return r
 }
 
-// Next implements platform.Reader.
+// Next implements logclient.Reader.
 func (r *leaseRunner) Next() types.Offset { return types.Offset(r.next.Load()) }
 
-// Records implements platform.Reader.
-func (r *leaseRunner) Records(b platform.Batch) error {
+// Records implements logclient.Reader.
+func (r *leaseRunner) Records(b logclient.Batch) error {
 	if n := len(b.Records); n > 0 {
 		r.next.Store(int64(b.Records[n-1].Offset) + 1)
 	}
@@ -76,7 +76,7 @@
 	return nil
 }
 
-// Expired implements platform.Reader.
+// Expired implements logclient.Reader.
 func (r *leaseRunner) Expired(oldest types.Offset) {
 	r.next.Store(int64(oldest))
 	select {
@@ -85,7 +85,7 @@
 	}
 }
 
-// Failed implements platform.Reader.
+// Failed implements logclient.Reader.
 func (r *leaseRunner) Failed(err error) { r.entry.WithError(err).Debug("read failed") }
 
 // run drives the state machine until the context ends.
@@ -118,7 +118,7 @@
 	}
 }
 
-func (r *leaseRunner) observe(b platform.Batch) {
+func (r *leaseRunner) observe(b logclient.Batch) {
 	now := time.Now()
 	for _, rec := range b.Records {
 		lr, err := records.DecodeLease(rec.Data)
