--- a/admission/retry.go
+++ b/admission/retry.go
@@ -8,6 +8,31 @@
 type RetryBudget struct {
 	// millis is what was earned less what was spent, in 1/1000 retries.
 	millis atomic.Int64
+	limits atomic.Pointer[RetryLimits]
+}
+
+// RetryLimits are the limits of a RetryBudget.
+type RetryLimits struct {
+	// Ratio is the part of a retry that a request earns.
+	Ratio float64
+	// Saved is the largest number of retries that can be saved up. No more than
+	// this, plus what was earned meanwhile, is spent in any span of time.
+	Saved float64
+}
+
+// SetLimits replaces the limits, such as when the daemons that share a budget
+// become more or fewer.
+func (b *RetryBudget) SetLimits(l RetryLimits) { b.limits.Store(&l) }
+
+// millisOf returns the limits in 1/1000 retries: earned by a request, saved at
+// most, and the budget of a new daemon.
+func (b *RetryBudget) millisOf() (earn, saved, first int64) {
+	l := b.limits.Load()
+	if l == nil {
+		return retryEarnMillis, retryCapMillis, retryFirstMillis
+	}
+	saved = int64(l.Saved * retryCostMillis)
+	return int64(l.Ratio * retryCostMillis), saved, saved
 }
 
 const (
@@ -20,16 +45,18 @@
 
 // Earn adds one request to the budget.
 func (b *RetryBudget) Earn() {
-	if b.millis.Load() < retryCapMillis-retryFirstMillis {
-		b.millis.Add(retryEarnMillis)
+	earn, saved, first := b.millisOf()
+	if v := b.millis.Load(); v+first < saved {
+		b.millis.Add(min(earn, saved-first-v))
 	}
 }
 
 // Spend takes one retry from the budget and reports whether there was one.
 func (b *RetryBudget) Spend() bool {
+	_, _, first := b.millisOf()
 	for {
 		v := b.millis.Load()
-		if v+retryFirstMillis < retryCostMillis {
+		if v+first < retryCostMillis {
 			return false
 		}
 		if b.millis.CompareAndSwap(v, v-retryCostMillis) {
--- /dev/null
+++ b/cmd/lentilpick-node/main.go
@@ -0,0 +1,33 @@
+// Command lentilpick-node serves callers on one VM of the users' platform.
+package main
+
+import (
+	"os"
+
+	"github.com/alecthomas/kong"
+
+	"github.com/lentilpick/lentilpick/daemon"
+	"github.com/lentilpick/lentilpick/platform"
+	"github.com/lentilpick/lentilpick/server/node"
+)
+
+var cli struct {
+	Settings string `required:"" type:"path" help:"Settings file (TOML)."`
+	Check    bool   `help:"Validate the settings and exit."`
+}
+
+func main() {
+	k := kong.Parse(&cli, kong.Description("Accepts callers' requests on a VM of the platform and routes them to targets."))
+	s := node.DefaultSettings()
+	k.FatalIfErrorf(daemon.LoadSettings(cli.Settings, s))
+	if cli.Check {
+		return
+	}
+	m, err := platform.LoadSettings()
+	k.FatalIfErrorf(err)
+	log := daemon.NewLogger(node.NewLineWriter(os.Stdout), s.LogLevel, "node").
+		WithField(daemon.FieldVM, m.VM).WithField(daemon.FieldDataCentre, m.DataCentre)
+	n, err := node.New(s, m, log)
+	k.FatalIfErrorf(err)
+	k.FatalIfErrorf(n.Run())
+}
--- /dev/null
+++ b/directory/load.go
@@ -0,0 +1,131 @@
+package directory
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+// Work is an amount of work on one target.
+type Work struct {
+	// Requests counts requests in progress, of any kind.
+	Requests int64
+	// Prefill counts prompt tokens that were sent and are not read yet, less
+	// those expected in the prefix cache.
+	Prefill int64
+	// Prefills counts the prompts that Prefill is the sum of.
+	Prefills int64
+	// Streams counts streams that generate tokens.
+	Streams int64
+	// StreamTokens counts the KV cache of these streams in tokens.
+	StreamTokens int64
+}
+
+// Counters holds a Work that several goroutines change.
+type Counters struct {
+	requests, prefill, prefills, streams, streamTokens atomic.Int64
+}
+
+// Add adds w.
+func (c *Counters) Add(w Work) {
+	addTo(&c.requests, w.Requests)
+	addTo(&c.prefill, w.Prefill)
+	addTo(&c.prefills, w.Prefills)
+	addTo(&c.streams, w.Streams)
+	addTo(&c.streamTokens, w.StreamTokens)
+}
+
+func addTo(a *atomic.Int64, n int64) {
+	if n != 0 {
+		a.Add(n)
+	}
+}
+
+// Load returns the sum.
+func (c *Counters) Load() Work {
+	return Work{c.requests.Load(), c.prefill.Load(), c.prefills.Load(), c.streams.Load(), c.streamTokens.Load()}
+}
+
+// Minus returns w less v.
+func (w Work) Minus(v Work) Work {
+	return Work{w.Requests - v.Requests, w.Prefill - v.Prefill, w.Prefills - v.Prefills, w.Streams - v.Streams, w.StreamTokens - v.StreamTokens}
+}
+
+// Plus returns the sum of w and v.
+func (w Work) Plus(v Work) Work {
+	return Work{w.Requests + v.Requests, w.Prefill + v.Prefill, w.Prefills + v.Prefills, w.Streams + v.Streams, w.StreamTokens + v.StreamTokens}
+}
+
+// Load is what this daemon knows of the load and the health of one start of a
+// target. All fields are safe for concurrent use.
+type Load struct {
+	// Own is the work that this daemon has on the target, Peers that of the
+	// other daemons as far as they have told.
+	Own, Peers Counters
+	// Leaving is set by the first sign that the target takes no new work.
+	Leaving atomic.Bool
+	// RetryAfter is the time in Unix nanoseconds before which the target gets
+	// no new work after failures.
+	RetryAfter atomic.Int64
+	// Cache is the prefix cache of an engine as far as this daemon knows.
+	Cache PrefixTable
+
+	failures atomic.Int64 // consecutive
+	failed   atomic.Int64 // failed share of recent requests, in 1/shareUnit
+	delay    atomic.Int64 // smoothed excess over predictions, in nanoseconds
+}
+
+// NewLoad returns the state of a target that has just been seen.
+func NewLoad() *Load { return &Load{} }
+
+// Total returns the work of all daemons on the target.
+func (l *Load) Total() Work { return l.Own.Load().Plus(l.Peers.Load()) }
+
+const (
+	shareUnit = 1 << 20
+	// smoothing is the weight of one observation, as a power of two: the last 8
+	// requests make up two thirds of the average.
+	smoothing = 3
+	// backOff is the pause after the second failure in a row; it doubles with
+	// each further one up to maxBackOff. A single failure is common on sound
+	// targets and causes none.
+	backOff    = 200 * time.Millisecond
+	maxBackOff = 2 * time.Second
+)
+
+func (l *Load) average(a *atomic.Int64, v int64) {
+	old := a.Load()
+	a.Store(old + (v-old)>>smoothing)
+}
+
+// Succeeded records an answer.
+func (l *Load) Succeeded() {
+	l.failures.Store(0)
+	l.average(&l.failed, 0)
+}
+
+// Failed records a failure at now. A target that fails again and again gets no
+// work for a while.
+func (l *Load) Failed(now time.Time) {
+	l.average(&l.failed, shareUnit)
+	n := l.failures.Add(1)
+	if n < 2 {
+		return
+	}
+	pause := min(backOff<<min(n-2, 8), maxBackOff)
+	l.RetryAfter.Store(now.Add(pause).UnixNano())
+}
+
+// Unreachable records that no connection could be opened at now.
+func (l *Load) Unreachable(now time.Time) {
+	l.failures.Add(1)
+	l.Failed(now)
+}
+
+// FailureShare returns the failed share of recent requests, 0 to 1.
+func (l *Load) FailureShare() float64 { return float64(l.failed.Load()) / shareUnit }
+
+// Delayed records by how much an answer was later than predicted.
+func (l *Load) Delayed(d time.Duration) { l.average(&l.delay, int64(d)) }
+
+// Delay returns the smoothed excess over predictions.
+func (l *Load) Delay() time.Duration { return time.Duration(l.delay.Load()) }
--- /dev/null
+++ b/directory/prefix.go
@@ -0,0 +1,85 @@
+package directory
+
+import "sync/atomic"
+
+const (
+	// prefixBuckets and prefixWays size the table for about 2,000 prompt parts,
+	// several times what the KV cache of one engine holds at some hundred tokens
+	// a part.
+	prefixBuckets = 256
+	prefixWays    = 8
+)
+
+// Part is a part of a prompt that other prompts may share. Key covers the part
+// and all parts before it.
+type Part struct {
+	Key    uint64
+	Tokens int
+}
+
+// PrefixTable remembers which prompt parts an engine has read recently. It has
+// a fixed size and no locks: a lost update costs a wrong prediction at most.
+type PrefixTable struct {
+	buckets [prefixBuckets][prefixWays]prefixSlot
+}
+
+type prefixSlot struct {
+	key  atomic.Uint64
+	used atomic.Int64 // Unix nanoseconds
+}
+
+// Cached returns the number of leading tokens of a prompt that the engine is
+// expected to hold. Parts that were last used before oldest do not count.
+func (p *PrefixTable) Cached(parts []Part, oldest int64) int {
+	tokens := 0
+	for _, part := range parts {
+		if p.used(part.Key) <= oldest {
+			break
+		}
+		tokens += part.Tokens
+	}
+	return tokens
+}
+
+func (p *PrefixTable) used(key uint64) int64 {
+	b := &p.buckets[key%prefixBuckets]
+	for i := range b {
+		if b[i].key.Load() == key {
+			return b[i].used.Load()
+		}
+	}
+	return 0
+}
+
+// Use records that the engine reads the parts at now, in Unix nanoseconds.
+func (p *PrefixTable) Use(parts []Part, now int64) {
+	for _, part := range parts {
+		p.use(part.Key, now)
+	}
+}
+
+func (p *PrefixTable) use(key uint64, now int64) {
+	b := &p.buckets[key%prefixBuckets]
+	oldest := 0
+	for i := range b {
+		if b[i].key.Load() == key {
+			b[i].used.Store(now)
+			return
+		}
+		if b[i].used.Load() < b[oldest].used.Load() {
+			oldest = i
+		}
+	}
+	b[oldest].key.Store(key)
+	b[oldest].used.Store(now)
+}
+
+// Clear forgets all parts.
+func (p *PrefixTable) Clear() {
+	for i := range p.buckets {
+		for j := range p.buckets[i] {
+			p.buckets[i][j].used.Store(0)
+			p.buckets[i][j].key.Store(0)
+		}
+	}
+}
--- /dev/null
+++ b/gateway/event.go
@@ -0,0 +1,45 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/lentilpick/lentilpick/types"
+)
+
+// Kind is a kind of decision.
+type Kind string
+
+// Kinds of decision.
+const (
+	KindSend    Kind = "send"
+	KindRetry   Kind = "retry"
+	KindNoRetry Kind = "no_retry"
+	KindResume  Kind = "resume"
+	KindRefuse  Kind = "refuse"
+	KindOutcome Kind = "outcome"
+)
+
+// Event is one decision about a request, or its outcome.
+type Event struct {
+	Kind    Kind
+	Request *Request
+	Route   string
+	Service types.ServiceID
+	// Config is the version of the configuration that decided.
+	Config uint64
+	Target types.TargetID
+	Stage  Stage
+	// Predicted is the predicted time to the first result, for KindSend.
+	Predicted time.Duration
+	Uncached  int
+	// Elapsed is the time since the request arrived.
+	Elapsed time.Duration
+	// First is the time to the first event or the whole answer, for KindOutcome.
+	First   time.Duration
+	Outcome types.Outcome
+	Retry   types.RetryReason
+	// Late says that the answer, or its first event, missed the objective.
+	Late  bool
+	Tries int
+	Err   error
+}
--- /dev/null
+++ b/gateway/stream.go
@@ -0,0 +1,314 @@
+package gateway
+
+import (
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/lentilpick/lentilpick/directory"
+	"github.com/lentilpick/lentilpick/placement"
+	"github.com/lentilpick/lentilpick/types"
+)
+
+const (
+	// patience is the shortest time after which callers leave a stream without
+	// an event; longer objectives and pauses extend it. Platform protocol.
+	patience          = 2 * time.Second
+	patienceObjective = 4
+	patienceGap       = 8
+	// lateShare is the part of the caller's patience up to which a late first
+	// event is still worth sending the request.
+	lateShare = 0.6
+	// resumeGaps is after how many of the route's pauses without an event a
+	// stream is taken to be stuck, if it can go on elsewhere.
+	resumeGaps = 4
+	// prefillSlack is how much longer than predicted a prefill may take before
+	// another engine is asked.
+	prefillSlack = time.Second
+	// minRetryAfter is the shortest time after which a refused caller is asked
+	// to come back.
+	minRetryAfter = 100 * time.Millisecond
+)
+
+// patience returns how long a caller waits for an event.
+func (x *exchange) patience() time.Duration {
+	return max(patience, patienceObjective*x.route.Objective, patienceGap*x.route.Gap)
+}
+
+// serveStream serves a request that is answered by a stream of events.
+func (x *exchange) serveStream() types.Outcome {
+	s := stream{exchange: x, lastEvent: x.r.ResumeAfter}
+	defer s.release()
+	for {
+		err := s.try()
+		if err == nil {
+			return types.Answered{}
+		}
+		var end *ended
+		if errors.As(err, &end) {
+			return end.outcome
+		}
+		if o := x.stopped(); o != nil {
+			return o
+		}
+		f := classify(err)
+		if s.prefillFailed {
+			f.notRun = true
+		}
+		if !x.mayRetry(f, s.prefillFailed) {
+			return x.refuse(f.refusal, x.route.Objective)
+		}
+		s.prefillFailed = false
+	}
+}
+
+// ended is an error that ends a request with an outcome.
+type ended struct{ outcome types.Outcome }
+
+// Error implements error.
+func (e *ended) Error() string { return "request ended" }
+
+// stream is the state of a streamed request over several tries.
+type stream struct {
+	*exchange
+	lastEvent string
+	events    int
+	handle    Handle
+	// prefillFailed says that the last error is that of a prefill.
+	prefillFailed bool
+}
+
+// release frees the KV cache of a prefill that no engine has taken.
+func (s *stream) release() {
+	if s.handle.ID != "" {
+		s.g.targets.Release(s.handle)
+		s.handle = Handle{}
+	}
+}
+
+// try sends the request once: split over two engines, or whole.
+func (s *stream) try() error {
+	if s.service == nil || s.service.Engine == nil || s.r.Prompt == nil {
+		return s.whole(placement.Available{}, placement.PlainScorer{Costs: s.g.settings.Costs, Work: plainWork})
+	}
+	if s.events > 0 {
+		return s.whole(placement.Role(types.RoleDecode), s.wholeScorer())
+	}
+	if s.handle.ID != "" {
+		return s.decode()
+	}
+	p := s.pick(placement.Role(types.RolePrefill), placement.PrefillScorer{Costs: s.g.settings.Costs, Speed: s.g.settings.Speed})
+	if p.Target == nil {
+		return s.whole(placement.Role(types.RoleDecode), s.wholeScorer())
+	}
+	if err := s.check(p); err != nil {
+		return err
+	}
+	if err := s.prefill(p); err != nil {
+		s.prefillFailed = true
+		return err
+	}
+	return s.decode()
+}
+
+func (s *stream) wholeScorer() placement.WholeScorer {
+	return placement.WholeScorer{Costs: s.g.settings.Costs, Speed: s.g.settings.Speed, Engine: *s.service.Engine}
+}
+
+// check refuses a request whose first event would come so late that it is
+// worth little, before any engine has worked on it.
+func (s *stream) check(p placement.Choice) error {
+	elapsed := s.now().Sub(s.r.Arrived)
+	limit := time.Duration(lateShare * float64(s.patience()))
+	over := elapsed + p.Predicted() - limit
+	if over <= 0 {
+		return nil
+	}
+	return &ended{s.refuse(types.RefusedOverload, max(over, minRetryAfter))}
+}
+
+// prefill has an engine read the prompt.
+func (s *stream) prefill(p placement.Choice) error {
+	t := p.Target
+	w := s.begin(t, directory.Work{Requests: 1, Prefills: 1, Prefill: int64(p.Uncached)})
+	defer w.end()
+	s.use(t)
+	s.sending(p, StagePrefill)
+	c := s.call(t, StagePrefill)
+	c.Priority = s.route.Priority
+	c.Progress = min(2*p.Predicted()+prefillSlack, c.Progress)
+	began := s.now()
+	h, err := s.g.targets.Prefill(s.ctx, c)
+	if err != nil {
+		if !classify(err).notSent {
+			s.prefills++
+		}
+		s.blame(t, err)
+		return err
+	}
+	s.prefills++
+	t.Load.Succeeded()
+	t.Load.Delayed(s.now().Sub(began) - p.Predicted())
+	s.handle = h
+	return nil
+}
+
+// use records that an engine holds the shared parts of the prompt.
+func (s *stream) use(t *directory.Target) {
+	parts := s.r.Prompt.Parts
+	t.Load.Cache.Use(parts, s.now().UnixNano())
+	s.g.share.Used(t, parts)
+}
+
+// decode runs the request from the KV cache of the prefill.
+func (s *stream) decode() error {
+	h := s.handle
+	d := s.pick(placement.Role(types.RoleDecode), placement.DecodeScorer{
+		Costs: s.g.settings.Costs, Speed: s.g.settings.Speed, Engine: *s.service.Engine, Source: h.Target.DataCentre,
+	})
+	if d.Target == nil {
+		return &ended{s.refuse(types.RefusedNoTarget, s.route.Objective)}
+	}
+	c := s.call(d.Target, StageDecode)
+	c.Source = h
+	err := s.run(d, c)
+	if !classify(err).notSent {
+		s.handle = Handle{}
+	}
+	return err
+}
+
+// whole runs the request on one target.
+func (s *stream) whole(f placement.Filter, sc placement.Scorer) error {
+	c := s.pick(f, sc)
+	if c.Target == nil {
+		return &ended{s.refuse(types.RefusedNoTarget, s.route.Objective)}
+	}
+	if s.r.Prompt != nil {
+		s.use(c.Target)
+	}
+	return s.run(c, s.call(c.Target, StageWhole))
+}
+
+// run sends the request and passes the events to the caller.
+func (s *stream) run(p placement.Choice, c *Call) error {
+	t := p.Target
+	load := directory.Work{Requests: 1}
+	if s.r.Prompt != nil {
+		load.StreamTokens = int64(s.r.Prompt.Tokens + s.r.Prompt.Output)
+	}
+	if c.Stage == StageWhole {
+		load.Prefill, load.Prefills = int64(p.Uncached), 1
+	}
+	w := s.begin(t, load)
+	defer w.end()
+	c.Priority = s.route.Priority
+	c.ResumeAfter = s.lastEvent
+	c.Progress = s.stall()
+	s.sending(p, c.Stage)
+	d := s.attempt.Begin()
+	began := s.now()
+	a, err := s.g.targets.Send(s.ctx, c)
+	s.sent(err, d)
+	if err != nil {
+		s.blame(t, err)
+		return err
+	}
+	defer a.Close()
+	if a.Status() != http.StatusOK {
+		return s.failed(a)
+	}
+	err = s.copy(a, func() {
+		t.Load.Delayed(s.now().Sub(began) - p.Predicted())
+		load.Prefill, load.Prefills, load.Streams = 0, 0, 1
+		w.change(load)
+	})
+	if err != nil {
+		s.blame(t, err)
+		return err
+	}
+	t.Load.Succeeded()
+	return nil
+}
+
+// stall returns how long a target may be silent.
+func (s *stream) stall() time.Duration {
+	if s.route.Resumable && s.runs+1 < s.route.Attempts && s.events > 0 {
+		return max(resumeGaps*s.route.Gap, minRetryAfter)
+	}
+	return s.patience() + s.route.Gap
+}
+
+// failed passes a target's own failure to the caller.
+func (s *stream) failed(a Answer) error {
+	body, err := readWhole(a)
+	if err != nil {
+		return err
+	}
+	if s.started {
+		return ErrBroken
+	}
+	return &ended{s.pass(a, body)}
+}
+
+// copy passes whole events to the caller until the end of the stream. The head
+// of the answer is passed with the first event, so that a stream without any
+// can still go elsewhere.
+func (s *stream) copy(a Answer, first func()) error {
+	b := newEventBuffer()
+	defer b.release()
+	for {
+		n, err := b.fill(a)
+		if n > 0 {
+			if events := b.complete(); len(events) > 0 {
+				if s.events == 0 {
+					s.first = s.now().Sub(s.r.Arrived)
+				}
+				if s.events == 0 || !s.started {
+					first()
+				}
+				if werr := s.forward(a, events); werr != nil {
+					return werr
+				}
+				s.events++
+				s.lastEvent = lastID(events, s.lastEvent)
+				b.drop(len(events))
+			}
+		}
+		if isEnd(err) {
+			return s.finish(a, b.rest())
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// forward passes events to the caller.
+func (s *stream) forward(a Answer, events []byte) error {
+	if !s.started {
+		s.started = true
+		if err := s.w.Begin(a); err != nil {
+			return s.gone()
+		}
+	}
+	if err := s.w.Data(events); err != nil {
+		return s.gone()
+	}
+	return nil
+}
+
+// finish passes the end of a whole stream.
+func (s *stream) finish(a Answer, rest []byte) error {
+	if !s.started || len(rest) > 0 {
+		if err := s.forward(a, rest); err != nil {
+			return err
+		}
+	}
+	if s.w.End() != nil {
+		return s.gone()
+	}
+	return nil
+}
+
+func (s *stream) gone() error { return &ended{s.attempt.Refuse(types.RefusedCallerGone)} }
--- /dev/null
+++ b/loadshare/message.go
@@ -0,0 +1,104 @@
+// Package loadshare tells the other daemons how much work this daemon has on
+// each target and which prompt parts the engines have read, so that all daemons
+// choose targets by the same load. Messages are datagrams: each states absolute
+// values, so that a lost one is made good by the next.
+package loadshare
+
+import (
+	"encoding/binary"
+	"errors"
+
+	"github.com/lentilpick/lentilpick/directory"
+)
+
+// ErrMalformed reports a datagram that does not decode.
+var ErrMalformed = errors.New("load message does not decode")
+
+const (
+	magic      = 0x6c
+	version    = 1
+	headerSize = 2 + 8 + 8 + 8
+	// maxMessage keeps a datagram within one Ethernet frame.
+	maxMessage = 1400
+	// maxParts bounds the prompt parts of one target in one message.
+	maxParts = 16
+)
+
+// message is the state of some targets as one daemon sees it.
+type message struct {
+	sender uint64 // hash of the daemon's name
+	start  uint64 // identifies the run of the daemon
+	seq    uint64
+	items  []item
+}
+
+// item is the work of the sender on one target.
+type item struct {
+	target uint64
+	work   directory.Work
+	parts  []uint64
+}
+
+func (m *message) appendHeader(b []byte) []byte {
+	b = append(b, magic, version)
+	b = binary.BigEndian.AppendUint64(b, m.sender)
+	b = binary.BigEndian.AppendUint64(b, m.start)
+	return binary.BigEndian.AppendUint64(b, m.seq)
+}
+
+func appendItem(b []byte, i *item) []byte {
+	b = binary.BigEndian.AppendUint64(b, i.target)
+	w := i.work
+	for _, v := range []int64{w.Requests, w.Prefill, w.Prefills, w.Streams, w.StreamTokens} {
+		b = binary.AppendUvarint(b, uint64(max(v, 0)))
+	}
+	b = append(b, byte(len(i.parts)))
+	for _, p := range i.parts {
+		b = binary.BigEndian.AppendUint64(b, p)
+	}
+	return b
+}
+
+// decode decodes a datagram. The error wraps ErrMalformed.
+func decode(b []byte) (*message, error) {
+	if len(b) < headerSize || b[0] != magic || b[1] != version {
+		return nil, ErrMalformed
+	}
+	m := &message{
+		sender: binary.BigEndian.Uint64(b[2:]), start: binary.BigEndian.Uint64(b[10:]), seq: binary.BigEndian.Uint64(b[18:]),
+	}
+	for b = b[headerSize:]; len(b) > 0; {
+		i, rest, ok := decodeItem(b)
+		if !ok {
+			return nil, ErrMalformed
+		}
+		m.items, b = append(m.items, i), rest
+	}
+	return m, nil
+}
+
+// maxValue bounds a value of an item; a larger one is an error of the sender.
+const maxValue = 1 << 40
+
+func decodeItem(b []byte) (item, []byte, bool) {
+	var i item
+	if len(b) < 8 {
+		return i, nil, false
+	}
+	i.target, b = binary.BigEndian.Uint64(b), b[8:]
+	for _, v := range []*int64{&i.work.Requests, &i.work.Prefill, &i.work.Prefills, &i.work.Streams, &i.work.StreamTokens} {
+		u, n := binary.Uvarint(b)
+		if n <= 0 || u > maxValue {
+			return i, nil, false
+		}
+		*v, b = int64(u), b[n:]
+	}
+	if len(b) < 1 || int(b[0]) > maxParts || len(b) < 1+8*int(b[0]) {
+		return i, nil, false
+	}
+	n := int(b[0])
+	for b = b[1:]; n > 0; n-- {
+		i.parts, b = append(i.parts, binary.BigEndian.Uint64(b)), b[8:]
+	}
+	return i, b, true
+}
--- /dev/null
+++ b/loadshare/share.go
@@ -0,0 +1,308 @@
+package loadshare
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/lentilpick/lentilpick/directory"
+)
+
+const (
+	// gather is how long changes are gathered into one message. It is short
+	// beside the time of a prefill, which the others are to see in time.
+	gather = 2 * time.Millisecond
+	// beat is the time between messages with the whole state.
+	beat = 500 * time.Millisecond
+	// silent is the time without a message after which the work of a daemon no
+	// longer counts: several beats.
+	silent = 2500 * time.Millisecond
+	// repeat is how long unchanged work is told again with each beat.
+	repeat = 4 * beat
+	// partsQueue bounds the prompt parts that wait to be told.
+	partsQueue = 256
+)
+
+// Share exchanges the load with the other daemons. It is safe for concurrent use.
+type Share struct {
+	self      uint64
+	start     uint64
+	directory *directory.Directory
+	conn      *net.UDPConn
+	peers     atomic.Pointer[[]netip.AddrPort]
+	wake      chan struct{}
+	used      chan usedParts
+	malformed atomic.Int64
+
+	mu    sync.Mutex // guards what follows; not taken on the path of a request
+	from  map[uint64]*peer
+	sent  map[uint64]sentWork // what the others were told last, by target
+	seq   uint64
+	parts map[uint64][]uint64
+}
+
+// sentWork is work that the others were told, and since when it holds.
+type sentWork struct {
+	work  directory.Work
+	since time.Time
+}
+
+type usedParts struct {
+	target uint64
+	parts  []directory.Part
+}
+
+// peer is what another daemon has told.
+type peer struct {
+	start, seq uint64
+	heard      time.Time
+	work       map[uint64]told
+}
+
+// told is work that was added to the load of one start of a target.
+type told struct {
+	load *directory.Load
+	work directory.Work
+}
+
+// New returns a share that listens on address. name is the daemon's name.
+func New(name, address string, d *directory.Directory) (*Share, error) {
+	a, err := net.ResolveUDPAddr("udp4", address)
+	if err != nil {
+		return nil, err
+	}
+	conn, err := net.ListenUDP("udp4", a)
+	if err != nil {
+		return nil, err
+	}
+	return &Share{
+		self: xxhash.Sum64String(name), start: rand.Uint64(), directory: d, conn: conn,
+		wake: make(chan struct{}, 1), used: make(chan usedParts, partsQueue),
+		from: map[uint64]*peer{}, sent: map[uint64]sentWork{}, parts: map[uint64][]uint64{},
+	}, nil
+}
+
+// SetPeers replaces the addresses of the other daemons.
+func (s *Share) SetPeers(all []netip.AddrPort) { s.peers.Store(&all) }
+
+// Live returns the number of other daemons that were heard lately.
+func (s *Share) Live() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.from)
+}
+
+// Malformed returns the number of datagrams that did not decode.
+func (s *Share) Malformed() int64 { return s.malformed.Load() }
+
+// Changed says that the own work on a target has changed.
+func (s *Share) Changed(*directory.Target) {
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Used says that an engine has read parts of a prompt. Parts are dropped when
+// too many wait.
+func (s *Share) Used(t *directory.Target, parts []directory.Part) {
+	if len(parts) == 0 {
+		return
+	}
+	select {
+	case s.used <- usedParts{t.Hash, parts}:
+	default:
+	}
+}
+
+// Run exchanges messages until the context ends.
+func (s *Share) Run(ctx context.Context) {
+	go s.receive()
+	defer s.conn.Close()
+	timer := time.NewTimer(beat)
+	defer timer.Stop()
+	last := time.Now()
+	for {
+		full := false
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.wake:
+			timer.Reset(gather)
+			select {
+			case <-ctx.Done():
+				return
+			case <-timer.C:
+			}
+		case <-timer.C:
+			full = true
+		}
+		now := time.Now()
+		full = full || now.Sub(last) >= beat
+		if full {
+			last = now
+			s.expire(now)
+		}
+		s.tell(full)
+		timer.Reset(last.Add(beat).Sub(now))
+	}
+}
+
+// tell sends the changes since the last message, or the whole state.
+func (s *Share) tell(full bool) {
+	peers := s.peers.Load()
+	for _, b := range s.messages(full) {
+		if peers == nil {
+			continue
+		}
+		for _, a := range *peers {
+			// A datagram that is not sent is like one that is lost.
+			_, _ = s.conn.WriteToUDPAddrPort(b, a)
+		}
+	}
+}
+
+// messages encodes what has changed.
+func (s *Share) messages(full bool) [][]byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.takeParts()
+	now := time.Now()
+	var items []item
+	s.directory.Load().All(func(t *directory.Target) {
+		w := t.Load.Own.Load()
+		parts := s.parts[t.Hash]
+		old := s.sent[t.Hash]
+		changed := w != old.work
+		if changed {
+			s.sent[t.Hash] = sentWork{w, now}
+		}
+		// The end of work is repeated, because the message that tells it can be lost.
+		if changed || len(parts) > 0 || full && (w != (directory.Work{}) || now.Sub(old.since) < repeat) {
+			items = append(items, item{t.Hash, w, parts})
+		}
+	})
+	clear(s.parts)
+	if len(items) == 0 && !full {
+		return nil
+	}
+	return s.encode(items)
+}
+
+func (s *Share) takeParts() {
+	for {
+		select {
+		case u := <-s.used:
+			for _, p := range u.parts {
+				if len(s.parts[u.target]) < maxParts {
+					s.parts[u.target] = append(s.parts[u.target], p.Key)
+				}
+			}
+		default:
+			return
+		}
+	}
+}
+
+func (s *Share) encode(items []item) [][]byte {
+	var out [][]byte
+	header := func() []byte {
+		s.seq++
+		m := message{sender: s.self, start: s.start, seq: s.seq}
+		return m.appendHeader(make([]byte, 0, 256))
+	}
+	b := header()
+	for i := range items {
+		if len(b) > maxMessage-8*(maxParts+7) {
+			out = append(out, b)
+			b = header()
+		}
+		b = appendItem(b, &items[i])
+	}
+	return append(out, b)
+}
+
+// receive folds messages until the socket is closed.
+func (s *Share) receive() {
+	buf := make([]byte, 64<<10)
+	for {
+		n, _, err := s.conn.ReadFromUDPAddrPort(buf)
+		if err != nil {
+			return
+		}
+		m, err := decode(buf[:n])
+		if err != nil {
+			s.malformed.Add(1)
+			continue
+		}
+		s.fold(m, time.Now())
+	}
+}
+
+// fold adds what a daemon has told to the load of the targets.
+func (s *Share) fold(m *message, now time.Time) {
+	if m.sender == s.self {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.from[m.sender]
+	if p == nil || p.start != m.start {
+		p.forget()
+		p = &peer{start: m.start, work: map[uint64]told{}}
+		s.from[m.sender] = p
+	}
+	p.heard = now
+	if m.seq <= p.seq {
+		return
+	}
+	p.seq = m.seq
+	snapshot := s.directory.Load()
+	for i := range m.items {
+		if t := snapshot.ByHash(m.items[i].target); t != nil {
+			p.take(t.Load, &m.items[i], now)
+		}
+	}
+}
+
+func (p *peer) take(l *directory.Load, i *item, now time.Time) {
+	old := p.work[i.target]
+	if old.load != l {
+		old = told{load: l}
+	}
+	l.Peers.Add(i.work.Minus(old.work))
+	p.work[i.target] = told{l, i.work}
+	parts := make([]directory.Part, len(i.parts))
+	for k, key := range i.parts {
+		parts[k].Key = key
+	}
+	l.Cache.Use(parts, now.UnixNano())
+}
+
+// forget takes back what the daemon has told.
+func (p *peer) forget() {
+	if p == nil {
+		return
+	}
+	for _, t := range p.work {
+		t.load.Peers.Add(directory.Work{}.Minus(t.work))
+	}
+}
+
+// expire forgets the daemons that have been silent.
+func (s *Share) expire(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, p := range s.from {
+		if now.Sub(p.heard) > silent {
+			p.forget()
+			delete(s.from, id)
+		}
+	}
+}
--- /dev/null
+++ b/placement/placement.go
@@ -0,0 +1,287 @@
+// Package placement chooses the targets of a request from a snapshot of the
+// directory: engines for the prefill and for the tokens of a prompt, or an
+// instance of a plain service. It performs no I/O and changes no counter.
+package placement
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/lentilpick/lentilpick/directory"
+	"github.com/lentilpick/lentilpick/routes"
+	"github.com/lentilpick/lentilpick/types"
+)
+
+// Prompt describes the prompt of a request.
+type Prompt struct {
+	// Tokens is the length of the whole prompt.
+	Tokens int
+	// Output is the largest number of tokens that are generated.
+	Output int
+	// Parts are the leading parts that other prompts may share.
+	Parts []directory.Part
+}
+
+// Request is what a choice depends on.
+type Request struct {
+	Prompt Prompt
+	// Bytes is the size of the request on the wire.
+	Bytes int
+	// Hash spreads requests for which all targets are alike.
+	Hash uint64
+	// Excluded targets are not used again for this request.
+	Excluded []types.TargetID
+	Now      time.Time
+}
+
+// Filter decides whether a target may serve a request at all.
+type Filter interface {
+	Keep(r *Request, t *directory.Target) bool
+}
+
+// Scorer predicts how a target would serve a request.
+type Scorer interface {
+	Score(r *Request, t *directory.Target) Choice
+}
+
+// Choice is a target with what is predicted for the request on it.
+type Choice struct {
+	// Target is nil when no target passed the filter.
+	Target *directory.Target
+	// Wait is the predicted time until the target begins with the request, Run
+	// the time that it then takes until its first result.
+	Wait, Run time.Duration
+	// Uncached is the number of prompt tokens that the target has to read.
+	Uncached int
+	// Cost orders the choices; the lowest is best. It has the unit of time, and
+	// includes what a choice costs others.
+	Cost time.Duration
+}
+
+// Predicted returns the predicted time until the first result.
+func (c Choice) Predicted() time.Duration { return c.Wait + c.Run }
+
+// Pick returns the choice with the lowest cost among the targets that the
+// filter keeps. Equal costs go to the target that the hash prefers, so that
+// daemons without common knowledge spread their requests.
+func Pick(targets []*directory.Target, r *Request, f Filter, s Scorer) Choice {
+	best := Choice{Cost: math.MaxInt64}
+	var bestRank uint64
+	for _, t := range targets {
+		if !f.Keep(r, t) {
+			continue
+		}
+		c := s.Score(r, t)
+		rank := mix(t.Hash ^ r.Hash)
+		if c.Cost < best.Cost || c.Cost == best.Cost && rank > bestRank {
+			best, bestRank = c, rank
+			best.Target = t
+		}
+	}
+	return best
+}
+
+// mix is the finalizer of MurmurHash3 (Appleby, public domain).
+func mix(h uint64) uint64 {
+	h ^= h >> 33
+	h *= 0xff51afd7ed558ccd
+	h ^= h >> 33
+	h *= 0xc4ceb9fe1a85ec53
+	return h ^ h>>33
+}
+
+// Available keeps targets that take new work and are not excluded.
+type Available struct{}
+
+// Keep implements Filter.
+func (Available) Keep(r *Request, t *directory.Target) bool {
+	return t.Usable(r.Now) && !slices.Contains(r.Excluded, t.ID)
+}
+
+// Role keeps the available engines of one role.
+type Role types.Role
+
+// Keep implements Filter.
+func (o Role) Keep(r *Request, t *directory.Target) bool {
+	return t.Role == types.Role(o) && Available{}.Keep(r, t)
+}
+
+// Costs holds what the choice of a target is weighed with.
+type Costs struct {
+	// Local is the data centre of this daemon.
+	Local types.DataCentreID
+	// RemoteByte is the cost of a byte that is sent to another data centre.
+	RemoteByte time.Duration
+	// CacheAge is how long a prompt part is expected to stay in a prefix cache.
+	CacheAge time.Duration
+	// Failure is the cost of a target that fails all requests.
+	Failure time.Duration
+}
+
+func (c Costs) remote(t *directory.Target, bytes int) time.Duration {
+	if t.DataCentre == c.Local {
+		return 0
+	}
+	return time.Duration(bytes) * c.RemoteByte
+}
+
+func (c Costs) health(t *directory.Target) time.Duration {
+	return time.Duration(t.Load.FailureShare() * float64(c.Failure))
+}
+
+func (c Costs) cached(r *Request, t *directory.Target) int {
+	oldest := r.Now.Add(-c.CacheAge).UnixNano()
+	return min(t.Load.Cache.Cached(r.Prompt.Parts, oldest), r.Prompt.Tokens)
+}
+
+// EngineSpeed is what is known of the speed of engines.
+type EngineSpeed struct {
+	// PrefillPerMs is the number of prompt tokens that a prefill engine reads in
+	// a millisecond.
+	PrefillPerMs float64
+	// Setup is the time that each prompt takes besides its tokens.
+	Setup time.Duration
+	// Step is the time of one batch iteration; each stream adds StreamStep.
+	Step, StreamStep time.Duration
+}
+
+func (s EngineSpeed) prefill(tokens int64) time.Duration {
+	return time.Duration(float64(tokens) / s.PrefillPerMs * float64(time.Millisecond))
+}
+
+// PrefillScorer scores engines that read the prompt.
+type PrefillScorer struct {
+	Costs
+	Speed EngineSpeed
+}
+
+// Score implements Scorer. A shared part that has to be read again counts
+// twice: it delays this request and takes the engine's time from others.
+func (s PrefillScorer) Score(r *Request, t *directory.Target) Choice {
+	load := t.Load.Total()
+	uncached := r.Prompt.Tokens - s.cached(r, t)
+	c := Choice{
+		Wait:     s.Speed.prefill(max(load.Prefill, 0)) + time.Duration(max(load.Prefills, 0))*s.Speed.Setup,
+		Run:      s.Speed.prefill(int64(uncached)) + s.Speed.Setup,
+		Uncached: uncached,
+	}
+	reread := max(uncached-s.private(r), 0)
+	c.Cost = c.Wait + c.Run + s.Speed.prefill(int64(reread)) + s.remote(t, r.Bytes) + s.health(t) + max(t.Load.Delay(), 0)
+	return c
+}
+
+// private returns the tokens of the prompt that no cache can hold.
+func (s PrefillScorer) private(r *Request) int {
+	n := r.Prompt.Tokens
+	for _, p := range r.Prompt.Parts {
+		n -= p.Tokens
+	}
+	return max(n, 0)
+}
+
+// DecodeScorer scores engines that take over the KV cache from another engine
+// and generate the tokens.
+type DecodeScorer struct {
+	Costs
+	Speed  EngineSpeed
+	Engine routes.Engine
+	// Source is the data centre of the engine that has read the prompt.
+	Source types.DataCentreID
+}
+
+// full is the share of the KV cache up to which an engine gets more streams.
+// Beyond it the engine may preempt streams.
+const full = 0.85
+
+// overloaded is the cost of an engine without room. It exceeds all other costs
+// but leaves the order among such engines.
+const overloaded = 10 * time.Second
+
+// Score implements Scorer.
+func (s DecodeScorer) Score(r *Request, t *directory.Target) Choice {
+	load := t.Load.Total()
+	moved := r.Prompt.Tokens - s.cached(r, t)
+	c := Choice{
+		Wait:     s.transfer(moved, t),
+		Run:      s.Speed.Step + time.Duration(load.Streams)*s.Speed.StreamStep,
+		Uncached: moved,
+	}
+	waiting := s.Speed.prefill(2*max(load.Prefill, 0)) / 4
+	c.Cost = c.Wait + c.Run + waiting + time.Duration(load.Streams)*s.Speed.Step + s.remote(t, r.Bytes) + s.health(t) + max(t.Load.Delay(), 0)
+	if !s.room(load, r) {
+		c.Cost += overloaded
+	}
+	return c
+}
+
+func (s DecodeScorer) room(load directory.Work, r *Request) bool {
+	if s.Engine.Slots > 0 && load.Requests >= int64(s.Engine.Slots) {
+		return false
+	}
+	need := load.StreamTokens + int64(r.Prompt.Tokens+r.Prompt.Output)
+	return s.Engine.KVTokens == 0 || float64(need) <= full*float64(s.Engine.KVTokens)
+}
+
+// transfer returns the time to move tokens of KV cache to t. Transfers between
+// data centres take twice as long.
+func (s DecodeScorer) transfer(tokens int, t *directory.Target) time.Duration {
+	if s.Engine.LinkMbps <= 0 {
+		return 0
+	}
+	bits := float64(tokens) * float64(s.Engine.KVTokenBytes) * 8
+	d := time.Duration(bits / (s.Engine.LinkMbps * 1e6) * float64(time.Second))
+	if t.DataCentre != s.Source {
+		d *= 2
+	}
+	return d
+}
+
+// WholeScorer scores engines that both read the prompt and generate the tokens.
+type WholeScorer struct {
+	Costs
+	Speed  EngineSpeed
+	Engine routes.Engine
+}
+
+// wholeSlowdown is by how much slower a decode engine reads prompts than a
+// prefill engine.
+const wholeSlowdown = 2
+
+// Score implements Scorer.
+func (s WholeScorer) Score(r *Request, t *directory.Target) Choice {
+	load := t.Load.Total()
+	uncached := r.Prompt.Tokens - s.cached(r, t)
+	c := Choice{
+		Wait:     wholeSlowdown * s.Speed.prefill(max(load.Prefill, 0)),
+		Run:      wholeSlowdown*s.Speed.prefill(int64(uncached)) + s.Speed.Setup,
+		Uncached: uncached,
+	}
+	c.Cost = c.Wait + c.Run + time.Duration(load.Streams)*s.Speed.Step + s.remote(t, r.Bytes) + s.health(t) + max(t.Load.Delay(), 0)
+	if !(DecodeScorer{Engine: s.Engine}).room(load, r) {
+		c.Cost += overloaded
+	}
+	return c
+}
+
+// PlainScorer scores instances of plain services.
+type PlainScorer struct {
+	Costs
+	// Work is the usual time of one request.
+	Work time.Duration
+}
+
+// queued is by how much a request that waits costs more than one that runs.
+const queued = 8
+
+// Score implements Scorer.
+func (s PlainScorer) Score(r *Request, t *directory.Target) Choice {
+	n := t.Load.Total().Requests
+	slots := int64(max(t.Slots, 1))
+	c := Choice{Run: s.Work}
+	if n >= slots {
+		c.Wait = time.Duration(n-slots+1) * s.Work / time.Duration(slots)
+	}
+	c.Cost = time.Duration(n)*s.Work/time.Duration(slots) + queued*c.Wait + s.remote(t, r.Bytes) + s.health(t) + max(t.Load.Delay(), 0)
+	return c
+}
--- /dev/null
+++ b/server/node/counters.go
@@ -0,0 +1,93 @@
+package node
+
+import (
+	"context"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+
+	"github.com/lentilpick/lentilpick/daemon"
+	"github.com/lentilpick/lentilpick/gateway"
+	"github.com/lentilpick/lentilpick/types"
+)
+
+// counters are the metrics of the path of a request.
+type counters struct {
+	refused  *daemon.ReasonCounter
+	unknown  *daemon.ReasonCounter
+	retried  *daemon.ReasonCounter
+	answered metric.Int64Counter
+	late     metric.Int64Counter
+	badInput metric.Int64Counter
+	first    metric.Float64Histogram
+	byStage  [3]metric.AddOption
+	sent     metric.Int64Counter
+}
+
+// firstBounds are the bounds of the histogram of times to the first event or
+// the whole answer, in seconds. They span the users' objectives of 0.1 to 0.6 s
+// and the patience of callers of some seconds.
+var firstBounds = []float64{0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.5, 0.6, 0.8, 1, 1.5, 2, 3, 5}
+
+func newCounters(m *daemon.Metrics) (*counters, error) {
+	c := &counters{}
+	var err error
+	refusals := make([]string, types.RefusalReasonCount)
+	for r := range types.RefusalReasonCount {
+		refusals[r] = r.String()
+	}
+	retries := make([]string, types.RetryReasonCount)
+	for r := range types.RetryReasonCount {
+		retries[r] = r.String()
+	}
+	if c.refused, err = m.NewReasonCounter("lentilpick_refused", "Requests that were refused and have not run.", refusals); err != nil {
+		return nil, err
+	}
+	if c.unknown, err = m.NewReasonCounter("lentilpick_unknown", "Requests that failed and may have run.", refusals); err != nil {
+		return nil, err
+	}
+	if c.retried, err = m.NewReasonCounter("lentilpick_retries", "Requests that were sent again.", retries); err != nil {
+		return nil, err
+	}
+	if c.answered, err = m.Meter.Int64Counter("lentilpick_answered", metric.WithDescription("Requests that were answered.")); err != nil {
+		return nil, err
+	}
+	if c.late, err = m.Meter.Int64Counter("lentilpick_late", metric.WithDescription("Answers that missed the objective of the route.")); err != nil {
+		return nil, err
+	}
+	if c.badInput, err = m.Meter.Int64Counter("lentilpick_bad_input", metric.WithDescription("Input that is not a valid request or record.")); err != nil {
+		return nil, err
+	}
+	if c.sent, err = m.Meter.Int64Counter("lentilpick_sent", metric.WithDescription("Requests that were sent to targets.")); err != nil {
+		return nil, err
+	}
+	for i, n := range stageNames {
+		c.byStage[i] = metric.WithAttributeSet(attribute.NewSet(attribute.String("stage", n)))
+	}
+	c.first, err = m.Meter.Float64Histogram("lentilpick_first", metric.WithUnit("s"),
+		metric.WithDescription("Time to the first event or the whole answer."), metric.WithExplicitBucketBoundaries(firstBounds...))
+	return c, err
+}
+
+func (c *counters) count(e *gateway.Event) {
+	ctx := context.Background()
+	switch e.Kind {
+	case gateway.KindSend:
+		c.sent.Add(ctx, 1, c.byStage[e.Stage])
+	case gateway.KindRetry:
+		c.retried.Add(int(e.Retry))
+	case gateway.KindOutcome:
+		switch o := e.Outcome.(type) {
+		case types.NotRun:
+			c.refused.Add(int(o.Reason()))
+		case types.Unknown:
+			c.unknown.Add(int(o.Reason()))
+		default:
+			c.answered.Add(ctx, 1)
+			c.first.Record(ctx, e.First.Seconds())
+			if e.Late {
+				c.late.Add(ctx, 1)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/server/node/feeds.go
@@ -0,0 +1,148 @@
+package node
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/lentilpick/lentilpick/daemon"
+	"github.com/lentilpick/lentilpick/directory"
+	"github.com/lentilpick/lentilpick/feed"
+	"github.com/lentilpick/lentilpick/gateway"
+	"github.com/lentilpick/lentilpick/routes"
+	"github.com/lentilpick/lentilpick/types"
+)
+
+// returnTime is how long after the return of the store a registration that
+// lapsed meanwhile may be missing. Targets register again within about two
+// seconds; the bound on work for targets that have gone leaves a little less.
+const returnTime = 1500 * time.Millisecond
+
+// outage logs once when a source is lost and once when it is back.
+type outage struct {
+	log  *logrus.Entry
+	away bool
+}
+
+func (o *outage) failed(err error, away time.Duration) {
+	if !o.away {
+		o.log.WithError(err).WithField(fieldAway, millis(away)).Warn("dependency lost")
+	}
+	o.away = true
+}
+
+func (o *outage) back() {
+	if o.away {
+		o.log.Info("dependency regained")
+	}
+	o.away = false
+}
+
+const (
+	fieldAway   = "away_ms"
+	fieldSource = "source"
+	fieldChange = "change"
+	fieldKey    = "key"
+)
+
+// configFeed puts configurations in force. It implements feed.Handler.
+type configFeed struct {
+	outage
+	gateway *gateway.Gateway
+	loaded  func()
+}
+
+// Listed implements feed.Handler.
+func (f *configFeed) Listed(items []feed.Item[*routes.Table], away time.Duration) {
+	f.Changed(items, away)
+}
+
+// Changed implements feed.Handler.
+func (f *configFeed) Changed(items []feed.Item[*routes.Table], _ time.Duration) {
+	f.back()
+	for _, i := range items {
+		switch {
+		case i.Err != nil:
+			f.log.WithError(i.Err).Error("configuration does not decode; it is passed over")
+		case i.Value == nil:
+		case f.gateway.SetTable(*i.Value):
+			f.log.WithFields(logrus.Fields{fieldConfig: (*i.Value).Version, "routes": (*i.Value).Routes()}).Info("configuration in force")
+			f.loaded()
+		}
+	}
+}
+
+// Failed implements feed.Handler.
+func (f *configFeed) Failed(err error, away time.Duration) { f.failed(err, away) }
+
+// registrationFeed folds registrations into the directory. It implements
+// feed.Handler.
+type registrationFeed struct {
+	outage
+	directory *directory.Directory
+	// graceUntil is the end of the time in which removals count as lapses.
+	graceUntil time.Time
+	loaded     func()
+}
+
+// Listed implements feed.Handler.
+func (f *registrationFeed) Listed(items []feed.Item[directory.Entry], away time.Duration) {
+	grace := f.grace(away)
+	var all []directory.Entry
+	for _, i := range items {
+		if i.Value != nil {
+			all = append(all, *i.Value)
+		}
+		f.malformed(i)
+	}
+	f.changed(f.directory.Replace(all, time.Now(), grace))
+	f.loaded()
+}
+
+// Changed implements feed.Handler.
+func (f *registrationFeed) Changed(items []feed.Item[directory.Entry], away time.Duration) {
+	grace := f.grace(away)
+	now := time.Now()
+	for _, i := range items {
+		switch {
+		case i.Err != nil:
+			f.malformed(i)
+		case i.Value != nil:
+			f.changed(f.directory.Put(*i.Value))
+		default:
+			f.changed(f.directory.Remove(types.TargetID(i.Key), now, grace))
+		}
+	}
+	f.changed(f.directory.Expire(now))
+}
+
+// grace returns how long removed targets stay in use. After an outage of the
+// store the removals of the first seconds tell of lapsed registrations.
+func (f *registrationFeed) grace(away time.Duration) time.Duration {
+	f.back()
+	now := time.Now()
+	if away > 0 {
+		f.graceUntil = now.Add(returnTime)
+	}
+	return max(f.graceUntil.Sub(now), 0)
+}
+
+func (f *registrationFeed) malformed(i feed.Item[directory.Entry]) {
+	if i.Err != nil {
+		f.log.WithError(i.Err).WithField(fieldKey, i.Key).Debug("registration is not usable; it is passed over")
+	}
+}
+
+// Failed implements feed.Handler.
+func (f *registrationFeed) Failed(err error, away time.Duration) {
+	f.failed(err, away)
+	f.changed(f.directory.Expire(time.Now()))
+}
+
+func (f *registrationFeed) changed(changes []directory.Change) {
+	for _, c := range changes {
+		f.log.WithFields(logrus.Fields{
+			daemon.FieldTarget: c.ID, daemon.FieldService: c.Service, fieldChange: c.What,
+		}).Info("target changed")
+	}
+}
--- /dev/null
+++ b/server/node/node.go
@@ -0,0 +1,296 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/sirupsen/logrus"
+	"github.com/valyala/fasthttp"
+
+	"github.com/lentilpick/lentilpick/admission"
+	"github.com/lentilpick/lentilpick/authority"
+	"github.com/lentilpick/lentilpick/daemon"
+	"github.com/lentilpick/lentilpick/directory"
+	"github.com/lentilpick/lentilpick/feed"
+	"github.com/lentilpick/lentilpick/gateway"
+	"github.com/lentilpick/lentilpick/loadshare"
+	"github.com/lentilpick/lentilpick/placement"
+	"github.com/lentilpick/lentilpick/platform"
+	"github.com/lentilpick/lentilpick/transport"
+)
+
+// ErrStart reports that the node could not start.
+var ErrStart = merry.New("node could not start")
+
+const (
+	// memoryShare is the share of the platform's memory limit at which the
+	// runtime collects garbage as hard as it can.
+	memoryShare = 0.8
+	// minPause and maxPause bound the pause after a failed read of the store.
+	minPause = 100 * time.Millisecond
+	maxPause = 500 * time.Millisecond
+	// memberInterval is the time between two reads of the list of nodes.
+	memberInterval = 3 * time.Second
+	// leaveTime is how long a node that stops takes new connections: the
+	// platform needs two missed readiness checks a second apart, and some more.
+	leaveTime = 2500 * time.Millisecond
+	// stopMargin is kept between the end of the node and the platform's SIGKILL.
+	stopMargin = 500 * time.Millisecond
+	// budgetShare is the part of the retry budget of all nodes that is used, so
+	// that requests in flight do not exceed it.
+	budgetShare = 0.8
+	// setupTime, stepTime and streamTime describe the users' engines, as far as
+	// predictions need them: the time of a prompt besides its tokens, of a batch
+	// iteration, and of one more stream in it.
+	setupTime  = 8 * time.Millisecond
+	stepTime   = 6 * time.Millisecond
+	streamTime = 40 * time.Microsecond
+	// failureCost is the cost of a target that fails every request.
+	failureCost = 400 * time.Millisecond
+)
+
+// Node is the process on one VM.
+type Node struct {
+	settings  *Settings
+	machine   *platform.Settings
+	log       *logrus.Entry
+	metrics   *daemon.Metrics
+	store     *platform.Store
+	directory *directory.Directory
+	share     *loadshare.Share
+	gateway   *gateway.Gateway
+	front     *platform.Front
+	targets   *platform.Targets
+	members   *members
+	peers     atomic.Pointer[[]Member]
+
+	configured, listed, stopping atomic.Bool
+}
+
+// New returns a node that is not yet serving.
+func New(s *Settings, m *platform.Settings, log *logrus.Entry) (*Node, error) {
+	debug.SetMemoryLimit(int64(memoryShare * float64(m.MemoryBytes)))
+	debug.SetGCPercent(s.GCPercent)
+	n := &Node{
+		settings: s, machine: m, log: log, store: platform.NewStore(m.Store),
+		directory: directory.New(), targets: platform.NewTargets(),
+	}
+	var err error
+	if n.metrics, err = daemon.NewMetrics("lentilpick-node"); err != nil {
+		return nil, err
+	}
+	c, err := newCounters(n.metrics)
+	if err != nil {
+		return nil, err
+	}
+	n.share, err = loadshare.New(string(m.VM), n.internal(m.InternalPort), n.directory)
+	if err != nil {
+		return nil, merry.Wrap(ErrStart, merry.WithCause(err))
+	}
+	o := &observer{log: log, counters: c, sample: uint64(s.SampleOne), rate: int64(s.LogRate)}
+	n.gateway = gateway.New(n.gatewaySettings(), n.directory, n.targets, n.share, o)
+	n.front, err = platform.NewFront(n.gateway, log, n.badInput(c))
+	if err != nil {
+		return nil, merry.Wrap(ErrStart, merry.WithCause(err))
+	}
+	n.members = &members{outage: outage{log: log.WithField(fieldSource, "members")}, self: m.VM, changed: n.setPeers}
+	n.setPeers(nil)
+	return n, n.registerGauges(o)
+}
+
+func (n *Node) internal(port int) string {
+	return net.JoinHostPort(n.machine.IP.String(), strconv.Itoa(port))
+}
+
+func (n *Node) gatewaySettings() gateway.Settings {
+	return gateway.Settings{
+		Costs: placement.Costs{
+			Local: n.machine.DataCentre, RemoteByte: n.settings.RemoteByte,
+			CacheAge: n.settings.CacheAge, Failure: failureCost,
+		},
+		Speed: placement.EngineSpeed{
+			PrefillPerMs: float64(n.settings.PrefillTokensPerMs), Setup: setupTime, Step: stepTime, StreamStep: streamTime,
+		},
+		Now: time.Now,
+	}
+}
+
+// badInput counts input that is not a request and logs it at a low level.
+func (n *Node) badInput(c *counters) platform.BadInput {
+	return func(remote net.Addr, status int, err error) {
+		if status == 0 {
+			return
+		}
+		c.badInput.Add(context.Background(), 1)
+		n.log.WithError(err).WithFields(logrus.Fields{daemon.FieldAddress: remote.String(), "status": status}).Debug("bad input")
+	}
+}
+
+func (n *Node) registerGauges(o *observer) error {
+	return errors.Join(
+		n.metrics.Gauge("lentilpick_in_flight", "Requests in progress.", func() int64 { return int64(n.front.InFlight()) }),
+		n.metrics.Gauge("lentilpick_peers", "Other nodes that were heard lately.", func() int64 { return int64(n.share.Live()) }),
+		n.metrics.Gauge("lentilpick_targets", "Known targets.", func() int64 { return int64(n.directory.Load().Len()) }),
+		n.metrics.Gauge("lentilpick_log_dropped", "Log lines that were dropped.", o.dropped.Load),
+		n.metrics.Gauge("lentilpick_configuration", "Version of the configuration in force.", func() int64 {
+			if t := n.gateway.Table(); t != nil {
+				return int64(t.Version)
+			}
+			return 0
+		}),
+	)
+}
+
+// setPeers takes a new list of the other nodes.
+func (n *Node) setPeers(all []Member) {
+	n.peers.Store(&all)
+	addresses := make([]netip.AddrPort, len(all))
+	for i, m := range all {
+		addresses[i] = m.Address
+	}
+	n.share.SetPeers(addresses)
+	nodes := float64(len(all) + 1)
+	n.gateway.SetRetryLimits(admission.RetryLimits{
+		Ratio: budgetShare * n.machine.RetryRatio, Saved: max(budgetShare*n.machine.RetryExtra/nodes, 1),
+	})
+}
+
+// place returns the node's place in line for orders: its position among the
+// nodes by name.
+func (n *Node) place() int {
+	i := 0
+	for _, m := range *n.peers.Load() {
+		if m.VM < n.machine.VM {
+			i++
+		}
+	}
+	return i
+}
+
+// Run serves until SIGTERM, then stops gracefully.
+func (n *Node) Run() error {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	config := net.ListenConfig{Control: transport.UserTimeoutControl(userTimeout)}
+	callers, err := config.Listen(context.Background(), "tcp4", n.machine.Callers)
+	if err != nil {
+		return merry.Wrap(ErrStart, merry.WithCause(err))
+	}
+	ready, err := net.Listen("tcp4", n.machine.Ready)
+	if err != nil {
+		return merry.Wrap(ErrStart, merry.WithCause(err))
+	}
+	metrics, err := net.Listen("tcp4", n.internal(n.machine.MetricsPort))
+	if err != nil {
+		return merry.Wrap(ErrStart, merry.WithCause(err))
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	failed := make(chan error, 3)
+	go func() { failed <- (&fasthttp.Server{Handler: n.handleReady, Name: "lentilpick"}).Serve(ready) }()
+	go func() { failed <- http.Serve(metrics, n.metrics.Handler) }()
+	go func() { failed <- n.front.Serve(callers) }()
+	n.start(ctx)
+	n.log.WithField(daemon.FieldAddress, n.machine.Callers).Info("started")
+	for {
+		select {
+		case err := <-failed:
+			return merry.Wrap(ErrStart, merry.WithCause(err))
+		case s := <-signals:
+			if s == syscall.SIGHUP {
+				n.reload()
+				continue
+			}
+			n.stop(callers)
+			return nil
+		}
+	}
+}
+
+// userTimeout bounds the time that data for callers may stay unacknowledged.
+const userTimeout = 5 * time.Second
+
+// start begins to follow the store and the other nodes.
+func (n *Node) start(ctx context.Context) {
+	source := func(name string) outage { return outage{log: n.log.WithField(fieldSource, name)} }
+	go n.share.Run(ctx)
+	go feed.Follow(ctx, n.store.Configurations(), &configFeed{
+		outage: source("configuration"), gateway: n.gateway, loaded: func() { n.configured.Store(true) },
+	}, feed.Schedule{Wait: n.settings.ConfigurationWait, MinPause: minPause, MaxPause: maxPause})
+	go feed.Follow(ctx, n.store.Registrations(), &registrationFeed{
+		outage: source("registrations"), directory: n.directory, loaded: func() { n.listed.Store(true) },
+	}, feed.Schedule{Every: n.settings.RegistrationInterval, MinPause: minPause, MaxPause: maxPause})
+	go func() {
+		join(ctx, n.store, n.self(), n.log)
+		feed.Follow(ctx, platform.Keyed(n.store, membersTopic, DecodeMember), n.members,
+			feed.Schedule{Every: memberInterval, MinPause: joinPause, MaxPause: memberInterval})
+	}()
+	if n.settings.PrefillShare > 0 {
+		holder := authority.Holder{VM: n.machine.VM, Incarnation: strconv.FormatUint(rand.Uint64(), 36)}
+		k := &roleKeeper{
+			log: n.log, gateway: n.gateway, directory: n.directory, targets: n.targets, self: n.machine.VM,
+			lease: newLeaseClaimer(n.store, holder, n.machine.LeaseTime),
+			share: float64(n.settings.PrefillShare) / 1000, place: n.place,
+		}
+		go k.run(ctx)
+	}
+}
+
+func (n *Node) self() Member {
+	return Member{
+		VM: n.machine.VM, DataCentre: n.machine.DataCentre,
+		Address: netip.AddrPortFrom(n.machine.IP, uint16(n.machine.InternalPort)),
+	}
+}
+
+// ready reports whether the node can serve requests.
+func (n *Node) ready() bool {
+	return n.configured.Load() && n.listed.Load() && !n.stopping.Load()
+}
+
+func (n *Node) handleReady(ctx *fasthttp.RequestCtx) {
+	if !n.ready() {
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+	}
+}
+
+// reload reads the platform's settings again. What a running process cannot
+// change is logged and kept.
+func (n *Node) reload() {
+	m, err := platform.LoadSettings()
+	if err != nil {
+		n.log.WithError(err).Error("settings were not reloaded")
+		return
+	}
+	n.log.WithField("store", m.Store).Info("settings reloaded")
+}
+
+// stop ends the node: first it gets no new connections, then the connections
+// without a request are closed, and the others after their answers.
+func (n *Node) stop(callers net.Listener) {
+	n.log.Info("stopping")
+	n.stopping.Store(true)
+	n.front.Leave()
+	ctx, cancel := context.WithTimeout(context.Background(), n.machine.StopTime-stopMargin)
+	defer cancel()
+	var left sync.WaitGroup
+	left.Go(func() { leave(n.store, n.self()) })
+	daemon.Sleep(ctx, leaveTime)
+	_ = callers.Close()
+	n.front.Stop(ctx)
+	left.Wait()
+	n.log.Info("stopped")
+}
--- a/types/outcome.go
+++ b/types/outcome.go
@@ -29,6 +29,9 @@
 	RefusedAnswerTruncated
 	RefusedCallerGone
 	RefusedTargetLimit
+	RefusedNoConfiguration
+	RefusedUnknownRoute
+	RefusedTimeout
 	// RefusalReasonCount is the number of reasons; it is not a reason.
 	RefusalReasonCount
 )
@@ -39,7 +42,7 @@
 	"stopping", "key_in_progress", "key_conflict", "key_unknown",
 	"key_unavailable", "retry_budget", "target_unreachable",
 	"target_failed", "target_silent", "answer_truncated", "caller_gone",
-	"target_limit",
+	"target_limit", "no_configuration", "unknown_route", "timeout",
 }
 
 // String returns the name used in answers, logs and metrics.
@@ -60,12 +63,14 @@
 	RetryTargetSilent
 	RetryTruncated
 	RetryTargetRefused
+	RetryAnswerFailed
+	RetryKVLost
 	// RetryReasonCount is the number of reasons; it is not a reason.
 	RetryReasonCount
 )
 
 var retryNames = [RetryReasonCount]string{
-	"unreachable", "target_failed", "target_silent", "truncated", "target_refused",
+	"unreachable", "target_failed", "target_silent", "truncated", "target_refused", "answer_failed", "kv_lost",
 }
 
 // String returns the name used in logs and metrics.
@@ -144,7 +149,8 @@
 func (a *Attempt) RefuseEarlier(reason RefusalReason) Outcome { return Unknown{reason} }
 
 // NotStarted records that the dispatch failed before its first byte, such as a
-// refused dial. An earlier dispatch that was sent keeps the attempt sent.
+// refused dial, or that the target has proved that it did not run the request.
+// An earlier dispatch that was sent keeps the attempt sent.
 func (d Dispatch) NotStarted() {
 	if d.first {
 		d.attempt.sent.Store(false)
