placement: count fetched parts as cached and attention as prefill work

Cause: decode engines keep the parts that they fetch, which the cache table did not record, and the predicted prefill left out attention (23 ms for a long prompt). A second claim within one lease is no longer refused to its holder.

--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -130,7 +130,7 @@
 // prefill has an engine read the prompt.
 func (s *stream) prefill(p placement.Choice) error {
 	t := p.Target
-	w := s.begin(t, directory.Work{Requests: 1, Prefills: 1, Prefill: int64(p.Uncached)})
+	w := s.begin(t, directory.Work{Requests: 1, Prefills: 1, Prefill: p.Work})
 	defer w.end()
 	s.use(t)
 	s.sending(p, StagePrefill)
@@ -172,9 +172,13 @@
 	c := s.call(d.Target, StageDecode)
 	c.Source = h
 	err := s.run(d, c)
-	if !classify(err).notSent {
+	if err == nil || !classify(err).notSent {
 		s.handle = Handle{}
 	}
+	if err == nil {
+		// The engine keeps the parts that it has fetched.
+		s.use(d.Target)
+	}
 	return err
 }
 
@@ -198,7 +202,7 @@
 		load.StreamTokens = int64(s.r.Prompt.Tokens + s.r.Prompt.Output)
 	}
 	if c.Stage == StageWhole {
-		load.Prefill, load.Prefills = int64(p.Uncached), 1
+		load.Prefill, load.Prefills = p.Work, 1
 	}
 	w := s.begin(t, load)
 	defer w.end()
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -52,8 +52,10 @@
 	// Wait is the predicted time until the target begins with the request, Run
 	// the time that it then takes until its first result.
 	Wait, Run time.Duration
-	// Uncached is the number of prompt tokens that the target has to read.
+	// Uncached is the number of prompt tokens that the target has to read, Work
+	// the same with attention in units of tokens.
 	Uncached int
+	Work     int64
 	// Cost orders the choices; the lowest is best. It has the unit of time, and
 	// includes what a choice costs others.
 	Cost time.Duration
@@ -138,14 +140,28 @@
 // EngineSpeed is what is known of the speed of engines.
 type EngineSpeed struct {
 	// PrefillPerMs is the number of prompt tokens that a prefill engine reads in
-	// a millisecond.
+	// a millisecond, without attention to the tokens before them.
 	PrefillPerMs float64
+	// PairsPerToken is the number of pairs of a token and an earlier one for which
+	// attention takes as long as reading one token.
+	PairsPerToken float64
 	// Setup is the time that each prompt takes besides its tokens.
 	Setup time.Duration
 	// Step is the time of one batch iteration; each stream adds StreamStep.
 	Step, StreamStep time.Duration
 }
 
+// Work returns the work of reading the last uncached tokens of a prompt, in
+// tokens without attention. Attention relates each token to all before it.
+func (s EngineSpeed) Work(prompt, uncached int) int64 {
+	if s.PairsPerToken <= 0 {
+		return int64(uncached)
+	}
+	u := float64(uncached)
+	pairs := u * (float64(prompt) - u/2)
+	return int64(uncached) + int64(pairs/s.PairsPerToken)
+}
+
 func (s EngineSpeed) prefill(tokens int64) time.Duration {
 	return time.Duration(float64(tokens) / s.PrefillPerMs * float64(time.Millisecond))
 }
@@ -161,10 +177,11 @@
 func (s PrefillScorer) Score(r *Request, t *directory.Target) Choice {
 	load := t.Load.Total()
 	uncached := r.Prompt.Tokens - s.cached(r, t)
+	work := s.Speed.Work(r.Prompt.Tokens, uncached)
 	c := Choice{
 		Wait:     s.Speed.prefill(max(load.Prefill, 0)) + time.Duration(max(load.Prefills, 0))*s.Speed.Setup,
-		Run:      s.Speed.prefill(int64(uncached)) + s.Speed.Setup,
-		Uncached: uncached,
+		Run:      s.Speed.prefill(work) + s.Speed.Setup,
+		Uncached: uncached, Work: work,
 	}
 	reread := max(uncached-s.private(r), 0)
 	c.Cost = c.Wait + c.Run + s.Speed.prefill(int64(reread)) + s.remote(t, r.Bytes) + s.health(t) + max(t.Load.Delay(), 0)
@@ -252,10 +269,11 @@
 func (s WholeScorer) Score(r *Request, t *directory.Target) Choice {
 	load := t.Load.Total()
 	uncached := r.Prompt.Tokens - s.cached(r, t)
+	work := s.Speed.Work(r.Prompt.Tokens, uncached)
 	c := Choice{
 		Wait:     wholeSlowdown * s.Speed.prefill(max(load.Prefill, 0)),
-		Run:      wholeSlowdown*s.Speed.prefill(int64(uncached)) + s.Speed.Setup,
-		Uncached: uncached,
+		Run:      wholeSlowdown*s.Speed.prefill(work) + s.Speed.Setup,
+		Uncached: uncached, Work: work,
 	}
 	c.Cost = c.Wait + c.Run + time.Duration(load.Streams)*s.Speed.Step + s.remote(t, r.Bytes) + s.health(t) + max(t.Load.Delay(), 0)
 	if !(DecodeScorer{Engine: s.Engine}).room(load, r) {
--- a/server/node/lease.go
+++ b/server/node/lease.go
@@ -37,6 +37,7 @@
 	lease  *authority.Lease
 	scope  types.DataCentreID
 	window time.Duration // in which a holder may order after its claim was sent
+	last   grant
 }
 
 // leaseScope names the one lease of a deployment in the records, which have a
@@ -82,6 +83,9 @@
 // claim returns a grant, or an error that wraps errNotHeld with the time at
 // which to try again.
 func (c *leaseClaimer) claim(ctx context.Context) (grant, error) {
+	if c.last.check() == nil && c.lease.Held(time.Now()) {
+		return c.last, nil
+	}
 	for range leaseReads {
 		if err := c.read(ctx); err != nil {
 			return grant{}, err
@@ -102,7 +106,8 @@
 			return grant{}, err
 		}
 		if g := c.lease.Grant(); g.Fence != 0 && c.lease.Held(time.Now()) {
-			return grant{g.Fence, sent + c.window}, nil
+			c.last = grant{g.Fence, sent + c.window}
+			return c.last, nil
 		}
 	}
 	return grant{}, errNotHeld
--- a/server/node/node.go
+++ b/server/node/node.go
@@ -122,7 +122,7 @@
 			CacheAge: n.settings.CacheAge, Failure: failureCost,
 		},
 		Speed: placement.EngineSpeed{
-			PrefillPerMs: float64(n.settings.PrefillTokensPerMs), Setup: setupTime, Step: stepTime, StreamStep: streamTime,
+			PrefillPerMs: float64(n.settings.PrefillTokensPerMs), PairsPerToken: float64(n.settings.PairsPerToken), Setup: setupTime, Step: stepTime, StreamStep: streamTime,
 		},
 		Now: time.Now,
 	}
--- a/server/node/roles.go
+++ b/server/node/roles.go
@@ -26,7 +26,7 @@
 	// roleSettle is how long a deviation from the plan has to last before the
 	// first node acts on it; the others wait roleTurn longer for each place in
 	// line. Engines that are replaced are missing for a second or two.
-	roleSettle = time.Second
+	roleSettle = 1500 * time.Millisecond
 	roleTurn   = 4 * time.Second
 	// roleAgain is how long after its order an engine may still be registered
 	// with its old role, besides the time of the change.
--- a/server/node/settings.go
+++ b/server/node/settings.go
@@ -23,8 +23,11 @@
 	// PrefillShare is the share of the engines that have the prefill role, in
 	// thousandths.
 	PrefillShare int `toml:"prefill_share"`
-	// PrefillTokensPerMs is the assumed speed of a prefill engine.
+	// PrefillTokensPerMs is the speed of a prefill engine without attention, and
+	// PairsPerToken the number of pairs of tokens to which attention takes as long
+	// as one token.
 	PrefillTokensPerMs int `toml:"prefill_tokens_per_ms"`
+	PairsPerToken      int `toml:"pairs_per_token"`
 	// RegistrationInterval is the time between two reads of the registrations,
 	// ConfigurationWait the time that a read of the configuration waits.
 	RegistrationInterval time.Duration `toml:"registration_interval"`
@@ -41,7 +44,7 @@
 // DefaultSettings returns the settings that hold where the file says nothing.
 func DefaultSettings() *Settings {
 	return &Settings{
-		LogLevel: "info", LogRate: 50, SampleOne: 64, PrefillShare: 670, PrefillTokensPerMs: 45,
+		LogLevel: "info", LogRate: 50, SampleOne: 64, PrefillShare: 670, PrefillTokensPerMs: 49, PairsPerToken: 55_000,
 		RegistrationInterval: 600 * time.Millisecond, ConfigurationWait: 1200 * time.Millisecond,
 		RemoteByte: 4 * time.Microsecond, CacheAge: 60 * time.Second, GCPercent: 100,
 	}
@@ -54,6 +57,7 @@
 	c.Int("sample_one", int64(s.SampleOne), 1, 1_000_000)
 	c.Int("prefill_share", int64(s.PrefillShare), 0, 1000)
 	c.Int("prefill_tokens_per_ms", int64(s.PrefillTokensPerMs), 1, 100_000)
+	c.Int("pairs_per_token", int64(s.PairsPerToken), 0, 1_000_000_000)
 	c.Duration("registration_interval", s.RegistrationInterval, 50*time.Millisecond, 10*time.Second)
 	c.Duration("configuration_wait", s.ConfigurationWait, 0, 30*time.Second)
 	c.Duration("remote_byte", s.RemoteByte, 0, time.Millisecond)
