placement: fetch shared parts between engines and follow evictions by tokens

Change: a prefill on an engine without the parts names an engine that has them; parts count as evicted once 0.8 of the KV cache was brought in after them, by counters that the nodes exchange.

--- a/directory/load.go
+++ b/directory/load.go
@@ -18,11 +18,20 @@
 	Streams int64
 	// StreamTokens counts the KV cache of these streams in tokens.
 	StreamTokens int64
+	// Read counts all tokens that were ever brought into the KV cache, by prefill
+	// or from another engine. It only grows.
+	Read int64
+}
+
+// InProgress returns w without what has ended.
+func (w Work) InProgress() Work {
+	w.Read = 0
+	return w
 }
 
 // Counters holds a Work that several goroutines change.
 type Counters struct {
-	requests, prefill, prefills, streams, streamTokens atomic.Int64
+	requests, prefill, prefills, streams, streamTokens, read atomic.Int64
 }
 
 // Add adds w.
@@ -32,6 +41,7 @@
 	addTo(&c.prefills, w.Prefills)
 	addTo(&c.streams, w.Streams)
 	addTo(&c.streamTokens, w.StreamTokens)
+	addTo(&c.read, w.Read)
 }
 
 func addTo(a *atomic.Int64, n int64) {
@@ -42,17 +52,25 @@
 
 // Load returns the sum.
 func (c *Counters) Load() Work {
-	return Work{c.requests.Load(), c.prefill.Load(), c.prefills.Load(), c.streams.Load(), c.streamTokens.Load()}
+	return Work{
+		c.requests.Load(), c.prefill.Load(), c.prefills.Load(), c.streams.Load(), c.streamTokens.Load(), c.read.Load(),
+	}
 }
 
 // Minus returns w less v.
 func (w Work) Minus(v Work) Work {
-	return Work{w.Requests - v.Requests, w.Prefill - v.Prefill, w.Prefills - v.Prefills, w.Streams - v.Streams, w.StreamTokens - v.StreamTokens}
+	return Work{
+		w.Requests - v.Requests, w.Prefill - v.Prefill, w.Prefills - v.Prefills,
+		w.Streams - v.Streams, w.StreamTokens - v.StreamTokens, w.Read - v.Read,
+	}
 }
 
 // Plus returns the sum of w and v.
 func (w Work) Plus(v Work) Work {
-	return Work{w.Requests + v.Requests, w.Prefill + v.Prefill, w.Prefills + v.Prefills, w.Streams + v.Streams, w.StreamTokens + v.StreamTokens}
+	return Work{
+		w.Requests + v.Requests, w.Prefill + v.Prefill, w.Prefills + v.Prefills,
+		w.Streams + v.Streams, w.StreamTokens + v.StreamTokens, w.Read + v.Read,
+	}
 }
 
 // Load is what this daemon knows of the load and the health of one start of a
@@ -77,6 +95,26 @@
 // NewLoad returns the state of a target that has just been seen.
 func NewLoad() *Load { return &Load{} }
 
+// Hold records that an engine holds the shared parts of a prompt and has brought
+// the given number of tokens into its KV cache for it.
+func (l *Load) Hold(parts []Part, read int) {
+	l.Own.Add(Work{Read: int64(read)})
+	l.Cache.Use(parts, l.clock())
+}
+
+// Held returns the number of leading tokens that an engine is expected to hold.
+// A part is expected to be evicted once capacity tokens were brought in after
+// its last use, as by a cache that evicts the least recently used.
+func (l *Load) Held(parts []Part, capacity int) int {
+	return l.Cache.Cached(parts, l.clock()-int64(capacity))
+}
+
+// clock counts the tokens that were brought into the KV cache, from 1.
+func (l *Load) clock() int64 { return l.Own.read.Load() + l.Peers.read.Load() + 1 }
+
+// Heard records that an engine holds parts by the word of another daemon.
+func (l *Load) Heard(parts []Part) { l.Cache.Use(parts, l.clock()) }
+
 // Total returns the work of all daemons on the target.
 func (l *Load) Total() Work { return l.Own.Load().Plus(l.Peers.Load()) }
 
--- a/directory/prefix.go
+++ b/directory/prefix.go
@@ -25,15 +25,15 @@
 
 type prefixSlot struct {
 	key  atomic.Uint64
-	used atomic.Int64 // Unix nanoseconds
+	used atomic.Int64 // on the clock of the engine's cache; 0 means never
 }
 
 // Cached returns the number of leading tokens of a prompt that the engine is
-// expected to hold. Parts that were last used before oldest do not count.
+// expected to hold. Parts that were last used at oldest or before do not count.
 func (p *PrefixTable) Cached(parts []Part, oldest int64) int {
 	tokens := 0
 	for _, part := range parts {
-		if p.used(part.Key) <= oldest {
+		if u := p.used(part.Key); u == 0 || u <= oldest {
 			break
 		}
 		tokens += part.Tokens
@@ -51,7 +51,7 @@
 	return 0
 }
 
-// Use records that the engine reads the parts at now, in Unix nanoseconds.
+// Use records that the engine uses the parts at now, on the clock of its cache.
 func (p *PrefixTable) Use(parts []Part, now int64) {
 	for _, part := range parts {
 		p.use(part.Key, now)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -84,6 +84,9 @@
 	Target  *directory.Target
 	Stage   Stage
 	Source  Handle // for StageDecode
+	// Fetch, if not nil, is an engine from which the target fetches the parts of
+	// the prompt that it lacks.
+	Fetch *directory.Target
 	// Deadline is when the work becomes useless.
 	Deadline time.Time
 	// Progress bounds the time without any byte from the target.
@@ -145,6 +148,10 @@
 type Settings struct {
 	Costs placement.Costs
 	Speed placement.EngineSpeed
+	// MovedToken is the cost of a token of KV cache that is moved, besides its time.
+	MovedToken time.Duration
+	// CopiedToken is the cost of holding a shared token on one more engine.
+	CopiedToken time.Duration
 	// Now returns the time.
 	Now func() time.Time
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -25,6 +25,9 @@
 	// prefillSlack is how much longer than predicted a prefill may take before
 	// another engine is asked.
 	prefillSlack = time.Second
+	// cacheShare is the share of the KV cache that holds prompt parts beside the
+	// running requests and the handles that wait to be taken.
+	cacheShare = 0.8
 	// minRetryAfter is the shortest time after which a refused caller is asked
 	// to come back.
 	minRetryAfter = 100 * time.Millisecond
@@ -97,7 +100,7 @@
 	if s.handle.ID != "" {
 		return s.decode()
 	}
-	p := s.pick(placement.Role(types.RolePrefill), placement.PrefillScorer{Costs: s.g.settings.Costs, Speed: s.g.settings.Speed})
+	p := s.pick(placement.Role(types.RolePrefill), s.prefillScorer())
 	if p.Target == nil {
 		return s.whole(placement.Role(types.RoleDecode), s.wholeScorer())
 	}
@@ -111,8 +114,20 @@
 	return s.decode()
 }
 
+func (s *stream) link() placement.Link {
+	e := s.service.Engine
+	return placement.Link{TokenBytes: e.KVTokenBytes, Mbps: e.LinkMbps, MovedToken: s.g.settings.MovedToken}
+}
+
+func (s *stream) prefillScorer() placement.PrefillScorer {
+	return placement.PrefillScorer{
+		Costs: s.costs(), Speed: s.g.settings.Speed, Link: s.link(), CopiedToken: s.g.settings.CopiedToken,
+		Source: placement.FindSource(s.candidates(), s.query(), s.costs()),
+	}
+}
+
 func (s *stream) wholeScorer() placement.WholeScorer {
-	return placement.WholeScorer{Costs: s.g.settings.Costs, Speed: s.g.settings.Speed, Engine: *s.service.Engine}
+	return placement.WholeScorer{Costs: s.costs(), Speed: s.g.settings.Speed, Engine: *s.service.Engine}
 }
 
 // check refuses a request whose first event would come so late that it is
@@ -132,9 +147,10 @@
 	t := p.Target
 	w := s.begin(t, directory.Work{Requests: 1, Prefills: 1, Prefill: p.Work})
 	defer w.end()
-	s.use(t)
+	s.use(t, s.brought(p))
 	s.sending(p, StagePrefill)
 	c := s.call(t, StagePrefill)
+	c.Fetch = p.Fetch
 	c.Priority = s.route.Priority
 	c.Progress = min(2*p.Predicted()+prefillSlack, c.Progress)
 	began := s.now()
@@ -153,18 +169,33 @@
 	return nil
 }
 
-// use records that an engine holds the shared parts of the prompt.
-func (s *stream) use(t *directory.Target) {
+// use records that an engine holds the shared parts of the prompt, and how many
+// tokens it has brought in for it.
+func (s *stream) use(t *directory.Target, read int) {
 	parts := s.r.Prompt.Parts
-	t.Load.Cache.Use(parts, s.now().UnixNano())
+	t.Load.Hold(parts, read)
 	s.g.share.Used(t, parts)
 }
 
+// brought returns the tokens that a prefill brings into the KV cache of its
+// engine, read or fetched.
+func (s *stream) brought(p placement.Choice) int {
+	held := p.Target.Load.Held(s.r.Prompt.Parts, s.costs().CacheTokens)
+	return max(s.r.Prompt.Tokens-held, 0)
+}
+
+// costs returns what engines of the service are weighed with.
+func (s *stream) costs() placement.Costs {
+	c := s.g.settings.Costs
+	c.CacheTokens = int(cacheShare * float64(s.service.Engine.KVTokens))
+	return c
+}
+
 // decode runs the request from the KV cache of the prefill.
 func (s *stream) decode() error {
 	h := s.handle
 	d := s.pick(placement.Role(types.RoleDecode), placement.DecodeScorer{
-		Costs: s.g.settings.Costs, Speed: s.g.settings.Speed, Engine: *s.service.Engine, Source: h.Target.DataCentre,
+		Costs: s.costs(), Speed: s.g.settings.Speed, Engine: *s.service.Engine, Link: s.link(), Source: h.Target.DataCentre,
 	})
 	if d.Target == nil {
 		return &ended{s.refuse(types.RefusedNoTarget, s.route.Objective)}
@@ -177,7 +208,7 @@
 	}
 	if err == nil {
 		// The engine keeps the parts that it has fetched.
-		s.use(d.Target)
+		s.use(d.Target, d.Uncached+s.r.Prompt.Output)
 	}
 	return err
 }
@@ -188,8 +219,8 @@
 	if c.Target == nil {
 		return &ended{s.refuse(types.RefusedNoTarget, s.route.Objective)}
 	}
-	if s.r.Prompt != nil {
-		s.use(c.Target)
+	if s.r.Prompt != nil && s.service != nil && s.service.Engine != nil {
+		s.use(c.Target, c.Uncached)
 	}
 	return s.run(c, s.call(c.Target, StageWhole))
 }
--- a/loadshare/share.go
+++ b/loadshare/share.go
@@ -184,7 +184,7 @@
 			s.sent[t.Hash] = sentWork{w, now}
 		}
 		// The end of work is repeated, because the message that tells it can be lost.
-		if changed || len(parts) > 0 || full && (w != (directory.Work{}) || now.Sub(old.since) < repeat) {
+		if changed || len(parts) > 0 || full && (w.InProgress() != (directory.Work{}) || now.Sub(old.since) < repeat) {
 			items = append(items, item{t.Hash, w, parts})
 		}
 	})
@@ -266,12 +266,12 @@
 	snapshot := s.directory.Load()
 	for i := range m.items {
 		if t := snapshot.ByHash(m.items[i].target); t != nil {
-			p.take(t.Load, &m.items[i], now)
+			p.take(t.Load, &m.items[i])
 		}
 	}
 }
 
-func (p *peer) take(l *directory.Load, i *item, now time.Time) {
+func (p *peer) take(l *directory.Load, i *item) {
 	old := p.work[i.target]
 	if old.load != l {
 		old = told{load: l}
@@ -282,7 +282,7 @@
 	for k, key := range i.parts {
 		parts[k].Key = key
 	}
-	l.Cache.Use(parts, now.UnixNano())
+	l.Heard(parts)
 }
 
 // forget takes back what the daemon has told.
@@ -291,7 +291,7 @@
 		return
 	}
 	for _, t := range p.work {
-		t.load.Peers.Add(directory.Work{}.Minus(t.work))
+		t.load.Peers.Add(directory.Work{}.Minus(t.work.InProgress()))
 	}
 }
 
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -56,6 +56,9 @@
 	// the same with attention in units of tokens.
 	Uncached int
 	Work     int64
+	// Fetch, if not nil, is an engine from which the target fetches the shared
+	// parts that it lacks.
+	Fetch *directory.Target
 	// Cost orders the choices; the lowest is best. It has the unit of time, and
 	// includes what a choice costs others.
 	Cost time.Duration
@@ -115,8 +118,9 @@
 	Local types.DataCentreID
 	// RemoteByte is the cost of a byte that is sent to another data centre.
 	RemoteByte time.Duration
-	// CacheAge is how long a prompt part is expected to stay in a prefix cache.
-	CacheAge time.Duration
+	// CacheTokens is the number of tokens that the KV cache of an engine keeps
+	// besides those of running requests.
+	CacheTokens int
 	// Failure is the cost of a target that fails all requests.
 	Failure time.Duration
 }
@@ -133,8 +137,7 @@
 }
 
 func (c Costs) cached(r *Request, t *directory.Target) int {
-	oldest := r.Now.Add(-c.CacheAge).UnixNano()
-	return min(t.Load.Cache.Cached(r.Prompt.Parts, oldest), r.Prompt.Tokens)
+	return min(t.Load.Held(r.Prompt.Parts, c.CacheTokens), r.Prompt.Tokens)
 }
 
 // EngineSpeed is what is known of the speed of engines.
@@ -166,25 +169,96 @@
 	return time.Duration(float64(tokens) / s.PrefillPerMs * float64(time.Millisecond))
 }
 
+// Link describes the transfer of KV cache between engines.
+type Link struct {
+	TokenBytes int
+	// Mbps is the rate in Mbit/s; 0 means that nothing can be transferred.
+	Mbps float64
+	// MovedToken is the cost of a token that is moved, besides its time.
+	MovedToken time.Duration
+}
+
+// crossing is by how much longer a transfer between data centres takes.
+const crossing = 2
+
+// time returns the time to move tokens between two data centres.
+func (l Link) time(tokens int, from, to types.DataCentreID) time.Duration {
+	if l.Mbps <= 0 {
+		return 0
+	}
+	bits := float64(tokens) * float64(l.TokenBytes) * 8
+	d := time.Duration(bits / (l.Mbps * 1e6) * float64(time.Second))
+	if from != to {
+		d *= crossing
+	}
+	return d
+}
+
+// cost returns the time of a transfer and what it costs besides.
+func (l Link) cost(tokens int, from, to types.DataCentreID) time.Duration {
+	c := time.Duration(tokens) * l.MovedToken
+	if from != to {
+		c *= crossing
+	}
+	return l.time(tokens, from, to) + c
+}
+
+// Source is an engine that holds leading parts of a prompt.
+type Source struct {
+	Target *directory.Target
+	Tokens int
+}
+
+// FindSource returns the engine that holds most of the prompt, and among equals
+// one in the given data centre.
+func FindSource(targets []*directory.Target, r *Request, c Costs) Source {
+	var best Source
+	for _, t := range targets {
+		if t.Leaving() || len(r.Prompt.Parts) == 0 {
+			continue
+		}
+		n := c.cached(r, t)
+		if n > best.Tokens || n == best.Tokens && n > 0 && t.DataCentre == c.Local {
+			best = Source{t, n}
+		}
+	}
+	return best
+}
+
+// minFetch is the least number of tokens for which a fetch is worth its call.
+const minFetch = 512
+
 // PrefillScorer scores engines that read the prompt.
 type PrefillScorer struct {
 	Costs
 	Speed EngineSpeed
+	Link  Link
+	// CopiedToken is the cost of holding a shared token on one more engine, where
+	// it takes the place of another one.
+	CopiedToken time.Duration
+	// Source is the engine that holds most of the prompt; its Target is nil if
+	// nothing can be fetched.
+	Source Source
 }
 
 // Score implements Scorer. A shared part that has to be read again counts
 // twice: it delays this request and takes the engine's time from others.
 func (s PrefillScorer) Score(r *Request, t *directory.Target) Choice {
 	load := t.Load.Total()
-	uncached := r.Prompt.Tokens - s.cached(r, t)
-	work := s.Speed.Work(r.Prompt.Tokens, uncached)
-	c := Choice{
-		Wait:     s.Speed.prefill(max(load.Prefill, 0)) + time.Duration(max(load.Prefills, 0))*s.Speed.Setup,
-		Run:      s.Speed.prefill(work) + s.Speed.Setup,
-		Uncached: uncached, Work: work,
+	cached := s.cached(r, t)
+	c := Choice{Wait: s.Speed.prefill(max(load.Prefill, 0)) + time.Duration(max(load.Prefills, 0))*s.Speed.Setup}
+	var fetch time.Duration
+	if missing := s.Source.Tokens - cached; s.Source.Target != nil && s.Source.Target != t && missing >= minFetch {
+		c.Fetch = s.Source.Target
+		cached = s.Source.Tokens
+		fetch = s.Link.time(missing, c.Fetch.DataCentre, t.DataCentre)
+		c.Cost = s.Link.cost(missing, c.Fetch.DataCentre, t.DataCentre) - fetch + time.Duration(missing)*s.CopiedToken
 	}
-	reread := max(uncached-s.private(r), 0)
-	c.Cost = c.Wait + c.Run + s.Speed.prefill(int64(reread)) + s.remote(t, r.Bytes) + s.health(t) + max(t.Load.Delay(), 0)
+	c.Uncached = r.Prompt.Tokens - cached
+	c.Work = s.Speed.Work(r.Prompt.Tokens, c.Uncached)
+	c.Run = s.Speed.prefill(c.Work) + s.Speed.Setup + fetch
+	reread := max(c.Uncached-s.private(r), 0)
+	c.Cost += c.Wait + c.Run + s.Speed.prefill(int64(reread)) + s.remote(t, r.Bytes) + s.health(t) + max(t.Load.Delay(), 0)
 	return c
 }
 
@@ -203,6 +277,7 @@
 	Costs
 	Speed  EngineSpeed
 	Engine routes.Engine
+	Link   Link
 	// Source is the data centre of the engine that has read the prompt.
 	Source types.DataCentreID
 }
@@ -220,12 +295,12 @@
 	load := t.Load.Total()
 	moved := r.Prompt.Tokens - s.cached(r, t)
 	c := Choice{
-		Wait:     s.transfer(moved, t),
+		Wait:     s.Link.time(moved, s.Source, t.DataCentre),
 		Run:      s.Speed.Step + time.Duration(load.Streams)*s.Speed.StreamStep,
 		Uncached: moved,
 	}
 	waiting := s.Speed.prefill(2*max(load.Prefill, 0)) / 4
-	c.Cost = c.Wait + c.Run + waiting + time.Duration(load.Streams)*s.Speed.Step + s.remote(t, r.Bytes) + s.health(t) + max(t.Load.Delay(), 0)
+	c.Cost = s.Link.cost(moved, s.Source, t.DataCentre) + c.Run + waiting + time.Duration(load.Streams)*s.Speed.Step + s.remote(t, r.Bytes) + s.health(t) + max(t.Load.Delay(), 0)
 	if !s.room(load, r) {
 		c.Cost += overloaded
 	}
@@ -240,20 +315,6 @@
 	return s.Engine.KVTokens == 0 || float64(need) <= full*float64(s.Engine.KVTokens)
 }
 
-// transfer returns the time to move tokens of KV cache to t. Transfers between
-// data centres take twice as long.
-func (s DecodeScorer) transfer(tokens int, t *directory.Target) time.Duration {
-	if s.Engine.LinkMbps <= 0 {
-		return 0
-	}
-	bits := float64(tokens) * float64(s.Engine.KVTokenBytes) * 8
-	d := time.Duration(bits / (s.Engine.LinkMbps * 1e6) * float64(time.Second))
-	if t.DataCentre != s.Source {
-		d *= 2
-	}
-	return d
-}
-
 // WholeScorer scores engines that both read the prompt and generate the tokens.
 type WholeScorer struct {
 	Costs
--- a/server/node/node.go
+++ b/server/node/node.go
@@ -58,6 +58,12 @@
 	setupTime  = 8 * time.Millisecond
 	stepTime   = 6 * time.Millisecond
 	streamTime = 40 * time.Microsecond
+	// movedToken is the cost of moving one token of KV cache. The users' price of a
+	// moved prompt of 17,000 tokens is about that of a first token 30 ms later.
+	movedToken = 2 * time.Microsecond
+	// copiedToken is the cost of holding a shared token on one more engine. With
+	// less, copies of the users' shared parts crowd each other out of the KV cache.
+	copiedToken = 10 * time.Microsecond
 	// failureCost is the cost of a target that fails every request.
 	failureCost = 400 * time.Millisecond
 )
@@ -119,12 +125,12 @@
 	return gateway.Settings{
 		Costs: placement.Costs{
 			Local: n.machine.DataCentre, RemoteByte: n.settings.RemoteByte,
-			CacheAge: n.settings.CacheAge, Failure: failureCost,
+			Failure: failureCost,
 		},
 		Speed: placement.EngineSpeed{
 			PrefillPerMs: float64(n.settings.PrefillTokensPerMs), PairsPerToken: float64(n.settings.PairsPerToken), Setup: setupTime, Step: stepTime, StreamStep: streamTime,
 		},
-		Now: time.Now,
+		MovedToken: movedToken, CopiedToken: copiedToken, Now: time.Now,
 	}
 }
 
--- a/server/node/settings.go
+++ b/server/node/settings.go
@@ -35,8 +35,6 @@
 	// RemoteByte is the cost of a byte to another data centre, as time to the
 	// first token.
 	RemoteByte time.Duration `toml:"remote_byte"`
-	// CacheAge is how long a prompt part is expected to stay in a prefix cache.
-	CacheAge time.Duration `toml:"cache_age"`
 	// GCPercent is the growth of the heap after which memory is collected.
 	GCPercent int `toml:"gc_percent"`
 }
@@ -46,7 +44,7 @@
 	return &Settings{
 		LogLevel: "info", LogRate: 50, SampleOne: 64, PrefillShare: 670, PrefillTokensPerMs: 49, PairsPerToken: 55_000,
 		RegistrationInterval: 600 * time.Millisecond, ConfigurationWait: 1200 * time.Millisecond,
-		RemoteByte: 4 * time.Microsecond, CacheAge: 60 * time.Second, GCPercent: 100,
+		RemoteByte: 4 * time.Microsecond, GCPercent: 100,
 	}
 }
 
@@ -61,6 +59,5 @@
 	c.Duration("registration_interval", s.RegistrationInterval, 50*time.Millisecond, 10*time.Second)
 	c.Duration("configuration_wait", s.ConfigurationWait, 0, 30*time.Second)
 	c.Duration("remote_byte", s.RemoteByte, 0, time.Millisecond)
-	c.Duration("cache_age", s.CacheAge, time.Second, time.Hour)
 	c.Int("gc_percent", int64(s.GCPercent), 10, 1000)
 }
