Test the node against a stand-in of the platform

The stand-in has the store with keyed topics, targets that register there, and engines with roles, handles and orders.

--- a/cmd/lentilpick-node/main.go
+++ b/cmd/lentilpick-node/main.go
@@ -3,6 +3,8 @@
 
 import (
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/alecthomas/kong"
 
@@ -29,5 +31,9 @@
 		WithField(daemon.FieldVM, m.VM).WithField(daemon.FieldDataCentre, m.DataCentre)
 	n, err := node.New(s, m, log)
 	k.FatalIfErrorf(err)
-	k.FatalIfErrorf(n.Run())
+	ctx, cancel := daemon.SignalContext()
+	defer cancel()
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	k.FatalIfErrorf(n.Run(ctx, hup))
 }
--- a/server/node/node.go
+++ b/server/node/node.go
@@ -8,12 +8,10 @@
 	"net/http"
 	"net/netip"
 	"os"
-	"os/signal"
 	"runtime/debug"
 	"strconv"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -186,12 +184,11 @@
 	return i
 }
 
-// Run serves until SIGTERM, then stops gracefully.
-func (n *Node) Run() error {
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+// Run serves until the context ends, then stops gracefully. A value from hup
+// asks for the platform's settings to be read again.
+func (n *Node) Run(ctx context.Context, hup <-chan os.Signal) error {
 	config := net.ListenConfig{Control: transport.UserTimeoutControl(userTimeout)}
-	callers, err := config.Listen(context.Background(), "tcp4", n.machine.Callers)
+	callers, err := config.Listen(ctx, "tcp4", n.machine.Callers)
 	if err != nil {
 		return merry.Wrap(ErrStart, merry.WithCause(err))
 	}
@@ -203,25 +200,24 @@
 	if err != nil {
 		return merry.Wrap(ErrStart, merry.WithCause(err))
 	}
-	ctx, cancel := context.WithCancel(context.Background())
+	background, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	failed := make(chan error, 3)
-	go func() { failed <- (&fasthttp.Server{Handler: n.handleReady, Name: "lentilpick"}).Serve(ready) }()
+	readiness := &fasthttp.Server{Handler: n.handleReady, Name: "lentilpick"}
+	go func() { failed <- readiness.Serve(ready) }()
 	go func() { failed <- http.Serve(metrics, n.metrics.Handler) }()
 	go func() { failed <- n.front.Serve(callers) }()
-	n.start(ctx)
+	n.start(background)
 	n.log.WithField(daemon.FieldAddress, n.machine.Callers).Info("started")
 	for {
 		select {
 		case err := <-failed:
 			return merry.Wrap(ErrStart, merry.WithCause(err))
-		case s := <-signals:
-			if s == syscall.SIGHUP {
-				n.reload()
-				continue
-			}
+		case <-hup:
+			n.reload()
+		case <-ctx.Done():
 			n.stop(callers)
-			return nil
+			return errors.Join(ready.Close(), metrics.Close())
 		}
 	}
 }
--- /dev/null
+++ b/server/node/path_test.go
@@ -0,0 +1,430 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/lentilpick/lentilpick/daemon"
+	"github.com/lentilpick/lentilpick/platform"
+	"github.com/lentilpick/lentilpick/platform/standin"
+)
+
+// world is a node with the stand-ins around it.
+type world struct {
+	t       *testing.T
+	store   *standin.Store
+	node    *Node
+	url     string
+	ready   string
+	prefill *standin.Target
+	decode  *standin.Target
+	plain   [2]*standin.Target
+	version int
+	stop    func()
+}
+
+func freePort(t *testing.T) int {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	return l.Addr().(*net.TCPAddr).Port
+}
+
+// newWorld starts the stand-ins and a node. The node's planner is off unless a
+// share is given.
+func newWorld(t *testing.T, share int) *world {
+	w := &world{t: t}
+	var err error
+	w.store, err = standin.NewStore("127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(w.store.Close)
+	target := func(id, service, phase string) *standin.Target {
+		k, err := standin.NewTarget(w.store, id, service, "dc1", phase, "127.0.0.1:0")
+		assert.NilError(t, err)
+		k.Join()
+		t.Cleanup(k.Close)
+		return k
+	}
+	w.prefill, w.decode = target("i-p", "llm", "prefill"), target("i-d", "llm", "decode")
+	w.plain[0], w.plain[1] = target("i-a", "desk", ""), target("i-b", "desk", "")
+	w.startNode(share)
+	return w
+}
+
+func (w *world) startNode(share int) {
+	port := func() string { return "127.0.0.1:" + strconv.Itoa(freePort(w.t)) }
+	s := DefaultSettings()
+	s.PrefillShare, s.RegistrationInterval, s.ConfigurationWait = share, 50*time.Millisecond, 200*time.Millisecond
+	m := &platform.Settings{
+		VM: "vm1", DataCentre: "dc1", IP: netip.MustParseAddr("127.0.0.1"), Callers: port(), Ready: port(),
+		InternalPort: freePort(w.t), MetricsPort: freePort(w.t), Store: w.store.Address(), MemoryBytes: 1 << 30,
+		StopTime: 8 * time.Second, DrainTime: time.Second, ConfigTime: time.Second, LeaseTime: 3 * time.Second,
+		RetryRatio: 0.2, RetryExtra: 100, RetryWindow: 10 * time.Second,
+	}
+	n, err := New(s, m, daemon.NewLogger(io.Discard, "error", "node"))
+	assert.NilError(w.t, err)
+	w.node, w.url, w.ready = n, "http://"+m.Callers, "http://"+m.Ready+"/readyz"
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- n.Run(ctx, make(chan os.Signal)) }()
+	w.stop = func() {
+		cancel()
+		assert.NilError(w.t, <-ended)
+	}
+	w.t.Cleanup(cancel)
+	poll.WaitOn(w.t, func(poll.LogT) poll.Result {
+		c, err := net.Dial("tcp4", m.Callers)
+		if err != nil {
+			return poll.Continue("the node does not listen: %s", err)
+		}
+		_ = c.Close()
+		return poll.Success()
+	}, poll.WithDelay(time.Millisecond))
+}
+
+// configure writes a configuration; extra routes are added to the usual ones.
+func (w *world) configure(extra ...map[string]any) {
+	w.version++
+	route := func(name, kind, service string, attempts int, more map[string]any) map[string]any {
+		r := map[string]any{
+			"Name": name, "Host": "h.example", "PathPrefix": "/" + name + "/", "Kind": kind, "Service": service,
+			"TimeoutMs": 3000, "SloMs": 500, "MaxAttempts": attempts, "GapSloMs": 200,
+		}
+		for k, v := range more {
+			r[k] = v
+		}
+		return r
+	}
+	routes := []map[string]any{
+		route("once", "unsafe", "desk", 1, nil), route("read", "safe", "desk", 2, nil),
+		route("chat", "streaming", "llm", 1, map[string]any{"Sticky": true}),
+		route("resume", "streaming", "llm", 2, map[string]any{"Sticky": true, "Resumable": true}),
+	}
+	config := map[string]any{
+		"Version": w.version, "Routes": append(routes, extra...),
+		"Services": []map[string]any{
+			{"Name": "desk", "HealthPath": "/healthz", "MaxConns": 100},
+			{"Name": "llm", "HealthPath": "/healthz", "MaxConns": 100, "Engine": map[string]any{
+				"Slots": 64, "KvCapacity": 500000, "KvTokenBytes": 163840, "LinkMbps": 1600000.0, "HandleTtlS": 5.0, "SwitchS": 1.0,
+			}},
+		},
+		"Limits": map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": 1 << 20, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
+	}
+	b, err := json.Marshal(config)
+	assert.NilError(w.t, err)
+	w.store.Put("keyed.op", "config", b)
+}
+
+// await waits until the node is ready with the newest configuration.
+func (w *world) await() {
+	poll.WaitOn(w.t, func(poll.LogT) poll.Result {
+		t := w.node.gateway.Table()
+		if w.node.ready() && t != nil && t.Version == uint64(w.version) && w.node.directory.Load().Len() == 4 {
+			return poll.Success()
+		}
+		return poll.Continue("the node is not ready")
+	}, poll.WithDelay(5*time.Millisecond))
+}
+
+type reply struct {
+	status int
+	body   string
+	header http.Header
+	err    error
+}
+
+func (w *world) request(ctx context.Context, id, path, body string) reply {
+	method := http.MethodPost
+	if body == "" {
+		method = http.MethodGet
+	}
+	req, err := http.NewRequestWithContext(ctx, method, w.url+path, strings.NewReader(body))
+	assert.NilError(w.t, err)
+	req.Host = "h.example"
+	req.Header.Set("X-Request-Id", id)
+	req.Header.Set("X-Deadline-Ms", "2000")
+	req.Header.Set("X-Kv-Source", "1.2.3.4:5/forged")
+	if strings.HasPrefix(path, "/chat") || strings.HasPrefix(path, "/resume") {
+		req.Header.Set("X-Model", "m")
+		req.Header.Set("X-Token-Usage", "1460,80")
+		req.Header.Set("X-Prompt-Prefix", "5c1e07a2:800,91bd3f06:410,e4402b7d:250")
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	return reply{resp.StatusCode, string(b), resp.Header, err}
+}
+
+func (w *world) get(id, path, body string) reply {
+	return w.request(context.Background(), id, path, body)
+}
+
+func events(id string, from int) string {
+	var b strings.Builder
+	for i := from; i <= standin.Events; i++ {
+		b.WriteString(standin.Event(id, i))
+	}
+	return b.String()
+}
+
+// runsOf counts the runs of a request on all targets.
+func (w *world) runsOf(id string) int {
+	n := 0
+	for _, t := range []*standin.Target{w.prefill, w.decode, w.plain[0], w.plain[1]} {
+		for _, r := range t.Runs() {
+			if r.Request == id {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// Guards against a node that answers for routes that it does not know yet, says
+// that it is ready before it knows a configuration, or stays so without one.
+func TestNotReadyWithoutConfiguration(t *testing.T) {
+	w := newWorld(t, 0)
+	r := w.get("r1", "/read/x", "")
+	assert.Equal(t, r.status, http.StatusServiceUnavailable)
+	resp, err := http.Get(w.ready)
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, http.StatusServiceUnavailable)
+	w.configure()
+	w.await()
+	r = w.get("r2", "/read/x", "")
+	assert.Equal(t, r.status, http.StatusOK)
+	assert.Equal(t, r.body, standin.PlainAnswer("r2"))
+	assert.Equal(t, w.get("r3", "/nowhere/x", "").status, http.StatusNotFound)
+}
+
+// Guards against a node that does not serve after it has started while the
+// store was down, and against one that stops serving when the store goes away.
+func TestStoreDown(t *testing.T) {
+	w := newWorld(t, 0)
+	w.store.Down.Store(true)
+	w.configure()
+	assert.Equal(t, w.get("r1", "/read/x", "").status, http.StatusServiceUnavailable)
+	w.store.Down.Store(false)
+	w.await()
+	w.store.Down.Store(true)
+	assert.Equal(t, w.get("r2", "/read/x", "").status, http.StatusOK)
+}
+
+// Guards against a stream that is changed on its way, a prompt that is read by
+// the wrong engine, and headers of a caller that only the node may set.
+func TestStreamIsSplit(t *testing.T) {
+	w := newWorld(t, 0)
+	w.configure()
+	w.await()
+	r := w.get("s1", "/chat/x?q=1", strings.Repeat("p", 17_000))
+	assert.NilError(t, r.err)
+	assert.Equal(t, r.status, http.StatusOK)
+	assert.Equal(t, r.body, events("s1", 1))
+	assert.Equal(t, r.header.Get("X-Server-Stamp"), "stamp-i-d")
+	runs := w.decode.Runs()
+	assert.Equal(t, len(runs), 1)
+	assert.Equal(t, runs[0].Path, "/chat/x?q=1")
+	assert.Equal(t, len(runs[0].Body), 17_000)
+}
+
+// Guards against a resumable stream that ends at a crash, repeats events, or
+// misses some.
+func TestStreamResumes(t *testing.T) {
+	w := newWorld(t, 0)
+	w.configure()
+	w.await()
+	second, err := standin.NewTarget(w.store, "i-d2", "llm", "dc1", "decode", "127.0.0.1:0")
+	assert.NilError(t, err)
+	second.Join()
+	t.Cleanup(second.Close)
+	w.decode.Behave(standin.Behaviour{CutAfter: 2})
+	second.Behave(standin.Behaviour{CutAfter: 2})
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if w.node.directory.Load().Len() == 5 {
+			return poll.Success()
+		}
+		return poll.Continue("the second engine is not known")
+	}, poll.WithDelay(5*time.Millisecond))
+	r := w.get("s1", "/resume/x", "prompt")
+	assert.Assert(t, r.err != nil, "both engines cut: the answer must not look complete")
+	assert.Equal(t, r.body, events("s1", 1)[:len(r.body)])
+	second.Behave(standin.Behaviour{})
+	w.decode.Behave(standin.Behaviour{})
+	r = w.get("s2", "/resume/x", "prompt")
+	assert.NilError(t, r.err)
+	assert.Equal(t, r.body, events("s2", 1))
+}
+
+// Guards against a stream that may run once and is sent again after a cut, and
+// against one that looks complete.
+func TestStreamIsNotRepeated(t *testing.T) {
+	w := newWorld(t, 0)
+	w.configure()
+	w.await()
+	w.decode.Behave(standin.Behaviour{CutAfter: 2})
+	r := w.get("s1", "/chat/x", "prompt")
+	assert.Assert(t, r.err != nil)
+	assert.Equal(t, w.runsOf("s1"), 1)
+}
+
+// Guards against a lost KV cache that ends a request although nothing has run.
+func TestLostHandleIsReadAgain(t *testing.T) {
+	w := newWorld(t, 0)
+	w.configure()
+	w.await()
+	w.prefill.Behave(standin.Behaviour{LoseHandles: true})
+	r := w.get("s1", "/chat/x", "prompt")
+	assert.Equal(t, r.status, http.StatusServiceUnavailable)
+	assert.Equal(t, w.runsOf("s1"), 0)
+}
+
+// Guards against a request that may run once and runs twice, and against a
+// refusal that says "not run" after a run.
+func TestOnceIsNotRepeated(t *testing.T) {
+	w := newWorld(t, 0)
+	w.configure()
+	w.await()
+	for _, p := range w.plain {
+		p.Behave(standin.Behaviour{Mute: true})
+	}
+	r := w.get("b1", "/once/x", "deposit")
+	assert.Equal(t, r.status, http.StatusGatewayTimeout)
+	assert.Equal(t, w.runsOf("b1"), 1)
+	for _, p := range w.plain {
+		p.Behave(standin.Behaviour{Refuse: true})
+	}
+	r = w.get("b2", "/once/x", "deposit")
+	assert.Equal(t, r.status, http.StatusServiceUnavailable)
+	assert.Equal(t, w.runsOf("b2"), 0)
+	assert.Assert(t, r.header.Get("Retry-After") != "")
+}
+
+// Guards against an idempotent request that is not tried elsewhere, and against
+// one that is tried more often than the route allows.
+func TestIdempotentIsRepeated(t *testing.T) {
+	w := newWorld(t, 0)
+	w.configure()
+	w.await()
+	w.plain[0].Behave(standin.Behaviour{Fail: true})
+	for i := range 4 {
+		id := fmt.Sprintf("a%d", i)
+		r := w.get(id, "/read/x", "")
+		assert.Equal(t, r.status, http.StatusOK)
+		assert.Equal(t, r.body, standin.PlainAnswer(id))
+	}
+	w.plain[1].Behave(standin.Behaviour{Fail: true})
+	r := w.get("a9", "/read/x", "")
+	assert.Equal(t, r.status, http.StatusInternalServerError)
+	assert.Equal(t, w.runsOf("a9"), 2)
+}
+
+// Guards against work for a target that has said that it is leaving or whose
+// registration is gone.
+func TestLeavingTargetGetsNoWork(t *testing.T) {
+	w := newWorld(t, 0)
+	w.configure()
+	w.await()
+	w.plain[0].Drain()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if w.node.directory.Load().Target("i-a").Leaving() {
+			return poll.Success()
+		}
+		return poll.Continue("the notice has not arrived")
+	}, poll.WithDelay(5*time.Millisecond))
+	for i := range 6 {
+		assert.Equal(t, w.get(fmt.Sprintf("l%d", i), "/read/x", "").status, http.StatusOK)
+	}
+	assert.Equal(t, len(w.plain[0].Runs()), 0)
+}
+
+// Guards against an engine that works on for a caller that has left.
+func TestCallerGone(t *testing.T) {
+	w := newWorld(t, 0)
+	w.configure()
+	w.await()
+	w.decode.Behave(standin.Behaviour{Work: 30 * time.Millisecond})
+	ctx, cancel := context.WithTimeout(context.Background(), 60*time.Millisecond)
+	defer cancel()
+	r := w.request(ctx, "g1", "/chat/x", "prompt")
+	assert.Assert(t, r.err != nil)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		runs := w.decode.Runs()
+		if len(runs) == 0 || len(runs) == 1 && runs[0].Stopped {
+			return poll.Success()
+		}
+		return poll.Continue("the engine works on")
+	}, poll.WithDelay(5*time.Millisecond))
+}
+
+// Guards against a planned stop that cuts a request in progress, and against a
+// node that counts as ready while it stops.
+func TestGracefulStop(t *testing.T) {
+	w := newWorld(t, 0)
+	w.configure()
+	w.await()
+	w.decode.Behave(standin.Behaviour{Work: 100 * time.Millisecond})
+	answer := make(chan reply, 1)
+	go func() { answer <- w.get("t1", "/chat/x", "prompt") }()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if len(w.decode.Runs()) == 1 {
+			return poll.Success()
+		}
+		return poll.Continue("the request has not arrived")
+	}, poll.WithDelay(time.Millisecond))
+	w.stop()
+	r := <-answer
+	assert.NilError(t, r.err)
+	assert.Equal(t, r.body, events("t1", 1))
+	assert.Assert(t, !w.node.ready())
+}
+
+// Guards against roles that are not ordered, orders without a fencing number,
+// and orders that are repeated although they hold.
+func TestRolesAreOrdered(t *testing.T) {
+	w := newWorld(t, 500)
+	third, err := standin.NewTarget(w.store, "i-d2", "llm", "dc1", "decode", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(third.Close)
+	fourth, err := standin.NewTarget(w.store, "i-d3", "llm", "dc1", "decode", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(fourth.Close)
+	w.configure()
+	engines := []*standin.Target{w.prefill, w.decode, third, fourth}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		n := 0
+		for _, e := range engines {
+			if e.Phase() == "prefill" {
+				n++
+			}
+		}
+		if n == 2 {
+			return poll.Success()
+		}
+		return poll.Continue("%d prefill engines", n)
+	}, poll.WithDelay(20*time.Millisecond))
+	orders := 0
+	for _, e := range engines {
+		for _, o := range e.Orders() {
+			orders++
+			assert.Equal(t, o.Holder, "vm1")
+			assert.Assert(t, o.FencingToken > 0)
+		}
+	}
+	assert.Equal(t, orders, 1)
+}
