--- /dev/null
+++ b/directory/directory_test.go
@@ -0,0 +1,134 @@
+package directory
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lentilpick/lentilpick/types"
+)
+
+var start = time.Unix(1000, 0)
+
+func entry(id string) Entry {
+	return Entry{ID: types.TargetID(id), Service: "s", Address: "10.0.0.1:80", DataCentre: "dc1", Born: 1}
+}
+
+// Guards against a request that holds an old snapshot and sends to a target
+// that has been removed since.
+func TestRemovedTargetIsLeaving(t *testing.T) {
+	d := New()
+	d.Put(entry("a"))
+	old := d.Load().Target("a")
+	d.Remove("a", start, 0)
+	assert.Assert(t, d.Load().Target("a") == nil)
+	assert.Assert(t, old.Leaving())
+}
+
+// Guards against a target that is dropped because its registration lapsed
+// while the store was away, and against one that stays though it is gone.
+func TestLapsedRegistration(t *testing.T) {
+	d := New()
+	d.Put(entry("a"))
+	d.Put(entry("b"))
+	load := d.Load().Target("a").Load
+	d.Remove("a", start, time.Second)
+	d.Remove("b", start, time.Second)
+	assert.Equal(t, d.Load().Len(), 2)
+	d.Put(entry("a"))
+	d.Expire(start.Add(999 * time.Millisecond))
+	assert.Equal(t, d.Load().Len(), 2)
+	changes := d.Expire(start.Add(time.Second))
+	assert.DeepEqual(t, changes, []Change{{"b", "s", ChangeRemoved}})
+	assert.Equal(t, d.Load().Len(), 1)
+	assert.Assert(t, d.Load().Target("a").Load == load)
+}
+
+// Guards against a second removal that extends the grace period of the first.
+func TestGraceIsNotExtended(t *testing.T) {
+	d := New()
+	d.Put(entry("a"))
+	d.Remove("a", start, time.Second)
+	d.Replace(nil, start.Add(900*time.Millisecond), time.Second)
+	d.Expire(start.Add(time.Second))
+	assert.Equal(t, d.Load().Len(), 0)
+}
+
+// Guards against the load and the cache of a target that has started again
+// under its old name.
+func TestRestartedTargetIsNew(t *testing.T) {
+	d := New()
+	d.Put(entry("a"))
+	old := d.Load().Target("a").Load
+	old.Own.Add(Work{Requests: 3})
+	old.Leaving.Store(true)
+	e := entry("a")
+	e.Born = 2
+	d.Put(e)
+	assert.Assert(t, d.Load().Target("a").Load != old)
+	assert.Assert(t, !d.Load().Target("a").Leaving())
+	e.Role = types.RolePrefill
+	changes := d.Put(e)
+	assert.DeepEqual(t, changes, []Change{{"a", "s", ChangeRole}})
+}
+
+// Guards against a list that leaves targets out without removing them, and
+// against a repeated entry that counts as a change.
+func TestReplace(t *testing.T) {
+	d := New()
+	d.Put(entry("a"))
+	d.Put(entry("b"))
+	changes := d.Replace([]Entry{entry("b"), entry("c")}, start, 0)
+	assert.Equal(t, len(changes), 2)
+	assert.Assert(t, d.Load().Target("a") == nil)
+	assert.Assert(t, d.Load().Target("c") != nil)
+	assert.Equal(t, len(d.Put(entry("c"))), 0)
+}
+
+// Guards against a target that gets work in its pause after failures, and
+// against a pause after a single failure.
+func TestPauseAfterFailures(t *testing.T) {
+	d := New()
+	d.Put(entry("a"))
+	a := d.Load().Target("a")
+	a.Load.Failed(start)
+	assert.Assert(t, a.Usable(start))
+	a.Load.Failed(start)
+	assert.Assert(t, !a.Usable(start))
+	assert.Assert(t, a.Usable(start.Add(maxBackOff)))
+	for range 40 {
+		a.Load.Failed(start)
+	}
+	assert.Assert(t, a.Usable(start.Add(maxBackOff)), "the pause has a bound")
+	a.Load.Succeeded()
+	a.Load.RetryAfter.Store(0)
+	a.Load.Failed(start)
+	assert.Assert(t, a.Usable(start))
+}
+
+// Guards against a part that counts as cached after an earlier one was evicted,
+// and against parts that count after as many tokens as the cache holds.
+func TestHeldParts(t *testing.T) {
+	l := NewLoad()
+	parts := []Part{{1, 100}, {2, 50}}
+	assert.Equal(t, l.Held(parts, 1000), 0)
+	l.Hold(parts, 150)
+	assert.Equal(t, l.Held(parts, 1000), 150)
+	l.Hold([]Part{{3, 900}}, 900)
+	l.Hold(parts[1:], 0)
+	assert.Equal(t, l.Held(parts, 1000), 150)
+	l.Peers.Add(Work{Read: 100})
+	assert.Equal(t, l.Held(parts, 1000), 0, "the first part is evicted, the second one is of no use")
+	assert.Equal(t, l.Held(parts[1:], 1000), 50)
+}
+
+// Guards against a table that grows or loses the newest parts when it is full.
+func TestPrefixTableEvictsTheOldest(t *testing.T) {
+	var p PrefixTable
+	for i := range int64(prefixWays + 1) {
+		p.use(uint64(i+1)*prefixBuckets, i+1)
+	}
+	assert.Equal(t, p.used(prefixBuckets), int64(0))
+	assert.Equal(t, p.used((prefixWays+1)*prefixBuckets), int64(prefixWays+1))
+}
--- /dev/null
+++ b/feed/feed_test.go
@@ -0,0 +1,103 @@
+package feed
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lentilpick/lentilpick/types"
+)
+
+// fakeSource answers each call by the next step of a script.
+type fakeSource struct {
+	steps []func() error
+	lists int
+	reads []types.Offset
+	end   types.Offset
+	done  func()
+}
+
+func (s *fakeSource) next() error {
+	if len(s.steps) == 0 {
+		s.done()
+		return nil
+	}
+	f := s.steps[0]
+	s.steps = s.steps[1:]
+	return f()
+}
+
+func (s *fakeSource) List(context.Context) ([]Item[string], types.Offset, error) {
+	s.lists++
+	v := "listed"
+	return []Item[string]{{Key: "k", Value: &v}}, s.end, s.next()
+}
+
+func (s *fakeSource) Read(_ context.Context, from types.Offset, _ time.Duration) ([]Item[string], types.Offset, error) {
+	s.reads = append(s.reads, from)
+	return nil, from + 1, s.next()
+}
+
+type fakeHandler struct {
+	listed, changed, failed int
+	away                    []time.Duration
+}
+
+func (h *fakeHandler) Listed(_ []Item[string], away time.Duration) {
+	h.listed++
+	h.away = append(h.away, away)
+}
+func (h *fakeHandler) Changed(_ []Item[string], away time.Duration) {
+	h.changed++
+	h.away = append(h.away, away)
+}
+func (h *fakeHandler) Failed(error, time.Duration) { h.failed++ }
+
+func ok() error { return nil }
+
+func follow(t *testing.T, s *fakeSource) *fakeHandler {
+	h := &fakeHandler{}
+	synctest.Test(t, func(*testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		s.done = cancel
+		Follow(ctx, s, h, Schedule{Every: 100 * time.Millisecond, MinPause: 100 * time.Millisecond, MaxPause: time.Second})
+	})
+	return h
+}
+
+// Guards against records that are missed because a read does not go on where the
+// last one ended.
+func TestReadsGoOn(t *testing.T) {
+	s := &fakeSource{end: 40, steps: []func() error{ok, ok, ok}}
+	h := follow(t, s)
+	assert.Equal(t, s.lists, 1)
+	assert.DeepEqual(t, s.reads, []types.Offset{40, 41, 42})
+	assert.Equal(t, h.listed, 1)
+}
+
+// Guards against keys that are missed because their records have expired.
+func TestExpiredRecordsAreListedAgain(t *testing.T) {
+	expired := func() error { return ErrExpired }
+	s := &fakeSource{end: 7, steps: []func() error{ok, expired, ok, ok}}
+	h := follow(t, s)
+	assert.Equal(t, s.lists, 2)
+	assert.Equal(t, h.listed, 2)
+	assert.Equal(t, h.failed, 0)
+}
+
+// Guards against a long outage that the handler does not hear of, and against a
+// single failed call that counts as one.
+func TestOutage(t *testing.T) {
+	fail := func() error { return errors.New("down") }
+	long := []func() error{ok, fail, fail, fail, fail, ok, ok}
+	h := follow(t, &fakeSource{steps: long})
+	assert.Equal(t, h.failed, 4)
+	assert.Assert(t, h.away[1] >= 1400*time.Millisecond, "%v", h.away)
+	assert.Equal(t, h.away[2], time.Duration(0))
+	h = follow(t, &fakeSource{steps: []func() error{ok, fail, ok}})
+	assert.Equal(t, h.away[1], time.Duration(0))
+}
--- /dev/null
+++ b/loadshare/share_test.go
@@ -0,0 +1,127 @@
+package loadshare
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lentilpick/lentilpick/directory"
+)
+
+var now = time.Unix(1000, 0)
+
+func newShare(t *testing.T, name string) (*Share, *directory.Target) {
+	d := directory.New()
+	d.Put(directory.Entry{ID: "a", Service: "s", Born: 1})
+	s, err := New(name, "127.0.0.1:0", d)
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = s.conn.Close() })
+	return s, d.Load().Target("a")
+}
+
+// pass hands the messages of one share to another.
+func pass(t *testing.T, from, to *Share, full bool, at time.Time) {
+	for _, b := range from.messages(full) {
+		m, err := decode(b)
+		assert.NilError(t, err)
+		to.fold(m, at)
+	}
+}
+
+// Guards against work that is counted twice, or that stays after its end.
+func TestWorkOfPeers(t *testing.T) {
+	s, a := newShare(t, "one")
+	r, b := newShare(t, "two")
+	a.Load.Own.Add(directory.Work{Requests: 2, Prefill: 500, Prefills: 1})
+	pass(t, s, r, false, now)
+	pass(t, s, r, true, now)
+	assert.Equal(t, b.Load.Peers.Load(), directory.Work{Requests: 2, Prefill: 500, Prefills: 1})
+	assert.Equal(t, r.Live(), 1)
+	a.Load.Own.Add(directory.Work{Requests: -2, Prefill: -500, Prefills: -1})
+	pass(t, s, r, false, now)
+	assert.Equal(t, b.Load.Peers.Load(), directory.Work{})
+}
+
+// Guards against work that stays for ever because the message of its end was
+// lost, and against an old message that arrives after a newer one.
+func TestLostAndLateMessages(t *testing.T) {
+	s, a := newShare(t, "one")
+	r, b := newShare(t, "two")
+	a.Load.Own.Add(directory.Work{Requests: 1})
+	late := s.messages(false)[0]
+	a.Load.Own.Add(directory.Work{Requests: -1})
+	_ = s.messages(false) // lost
+	old, err := decode(late)
+	assert.NilError(t, err)
+	r.fold(old, now)
+	assert.Equal(t, b.Load.Peers.Load().Requests, int64(1))
+	pass(t, s, r, true, now)
+	assert.Equal(t, b.Load.Peers.Load().Requests, int64(0))
+	r.fold(old, now)
+	assert.Equal(t, b.Load.Peers.Load().Requests, int64(0))
+}
+
+// Guards against the work of a daemon that has died or started again.
+func TestSilentAndRestartedPeers(t *testing.T) {
+	s, a := newShare(t, "one")
+	r, b := newShare(t, "two")
+	a.Load.Own.Add(directory.Work{Requests: 1, Read: 100})
+	pass(t, s, r, false, now)
+	r.expire(now.Add(silent))
+	assert.Equal(t, b.Load.Peers.Load().Requests, int64(1))
+	again, c := newShare(t, "one")
+	c.Load.Own.Add(directory.Work{Requests: 5, Read: 10})
+	pass(t, again, r, false, now)
+	assert.Equal(t, b.Load.Peers.Load(), directory.Work{Requests: 5, Read: 110})
+	r.expire(now.Add(2 * silent))
+	assert.Equal(t, b.Load.Peers.Load(), directory.Work{Read: 110}, "the cache's clock does not go back")
+	assert.Equal(t, r.Live(), 0)
+}
+
+// Guards against load that is taken from a target which has started again.
+func TestRestartedTarget(t *testing.T) {
+	s, a := newShare(t, "one")
+	r, _ := newShare(t, "two")
+	a.Load.Own.Add(directory.Work{Requests: 3})
+	pass(t, s, r, false, now)
+	r.directory.Put(directory.Entry{ID: "a", Service: "s", Born: 2})
+	a.Load.Own.Add(directory.Work{Requests: -1})
+	pass(t, s, r, false, now)
+	assert.Equal(t, r.directory.Load().Target("a").Load.Peers.Load().Requests, int64(2))
+}
+
+// Guards against parts that the others do not learn, and against a queue of them
+// that blocks a request.
+func TestPartsAreTold(t *testing.T) {
+	s, a := newShare(t, "one")
+	r, b := newShare(t, "two")
+	parts := []directory.Part{{Key: 7, Tokens: 100}}
+	for range 2 * partsQueue {
+		s.Used(a, parts)
+	}
+	pass(t, s, r, false, now)
+	assert.Equal(t, b.Load.Held(parts, 1000), 100)
+}
+
+// Guards against a datagram that makes the decoder fail, read beyond its end or
+// accept values that overflow.
+func FuzzDecode(f *testing.F) {
+	m := message{sender: 1, start: 2, seq: 3}
+	good := appendItem(m.appendHeader(nil), &item{target: 4, work: directory.Work{Requests: 1, Read: 1 << 30}, parts: []uint64{5, 6}})
+	f.Add(good)
+	f.Add(good[:len(good)-1])
+	f.Add([]byte{magic, version})
+	f.Add([]byte(nil))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		m, err := decode(b)
+		if err != nil {
+			assert.Assert(t, errors.Is(err, ErrMalformed))
+			return
+		}
+		for _, i := range m.items {
+			assert.Assert(t, i.work.Prefill >= 0 && i.work.Prefill <= maxValue && len(i.parts) <= maxParts)
+		}
+	})
+}
--- /dev/null
+++ b/planning/share_test.go
@@ -0,0 +1,50 @@
+package planning
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lentilpick/lentilpick/types"
+)
+
+func engines(spec string) []Engine {
+	var out []Engine
+	for i := 0; i < len(spec); i += 2 {
+		role := types.RoleDecode
+		if spec[i+1] == 'p' {
+			role = types.RolePrefill
+		}
+		out = append(out, Engine{
+			ID: types.TargetID(rune('a' + i/2)), Group: Group{DataCentre: types.DataCentreID(spec[i : i+1])}, Role: role,
+		})
+	}
+	return out
+}
+
+// Guards against more changes than the share needs, against a data centre that
+// loses all engines of one role, and against a service without a role.
+func TestKeepShare(t *testing.T) {
+	for _, c := range []struct {
+		name, engines string
+		share         float64
+		want          int
+		role          types.Role
+	}{
+		{"as planned", "1p1d2p2d", 0.5, 0, 0},
+		{"too few", "1p1d1d1d2d2d2d2d", 0.5, 3, types.RolePrefill},
+		{"too many", "1p1p1p2p2p2d", 0.5, 2, types.RoleDecode},
+		{"never all", "1d1d1d", 1, 2, types.RolePrefill},
+		{"never none", "1p1p1p", 0, 2, types.RoleDecode},
+		{"one engine", "1d", 0.5, 0, 0},
+	} {
+		got := KeepShare(engines(c.engines), c.share)
+		assert.Equal(t, len(got), c.want, c.name)
+		for _, g := range got {
+			assert.Equal(t, g.Role, c.role, c.name)
+		}
+	}
+	got := KeepShare(engines("1d1d1d2d2d2d"), 0.33)
+	assert.Equal(t, len(got), 2)
+	assert.Assert(t, (got[0].Engine < "d") != (got[1].Engine < "d"), "one change in each data centre: %v", got)
+}
