--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -107,6 +107,24 @@
 	assert.Assert(t, a.Usable(start))
 }
 
+// Guards against new work for a target that has gone dark without closing its
+// connections, and against an idle target that counts as silent.
+func TestWatch(t *testing.T) {
+	l := NewLoad()
+	limit, pause := 600*time.Millisecond, time.Second
+	assert.Assert(t, !l.Watch(start.Add(time.Hour), limit, pause), "nothing is in progress")
+	l.Begin(Work{Requests: 1}, start)
+	assert.Assert(t, !l.Watch(start.Add(limit), limit, pause))
+	l.Alive(start.Add(limit))
+	assert.Assert(t, !l.Watch(start.Add(2*limit), limit, pause))
+	at := start.Add(3 * limit)
+	assert.Assert(t, l.Watch(at, limit, pause))
+	assert.Equal(t, l.RetryAfter.Load(), at.Add(pause).UnixNano())
+	l.Alive(at)
+	assert.Assert(t, !l.Suspect())
+	assert.Equal(t, l.RetryAfter.Load(), int64(0))
+}
+
 // Guards against a part that counts as cached after an earlier one was evicted,
 // and against parts that count after as many tokens as the cache holds.
 func TestHeldParts(t *testing.T) {
--- a/directory/load.go
+++ b/directory/load.go
@@ -90,6 +90,8 @@
 	failures atomic.Int64 // consecutive
 	failed   atomic.Int64 // failed share of recent requests, in 1/shareUnit
 	delay    atomic.Int64 // smoothed excess over predictions, in nanoseconds
+	heard    atomic.Int64 // last sign of life in Unix nanoseconds
+	suspect  atomic.Bool  // this daemon finds the target silent
 }
 
 // NewLoad returns the state of a target that has just been seen.
@@ -115,6 +117,44 @@
 // Heard records that an engine holds parts by the word of another daemon.
 func (l *Load) Heard(parts []Part) { l.Cache.Use(parts, l.clock()) }
 
+// Begin records that own work of a request begins at now.
+func (l *Load) Begin(w Work, now time.Time) {
+	if l.Own.requests.Load() == 0 {
+		l.heard.Store(now.UnixNano())
+	}
+	l.Own.Add(w)
+}
+
+// Alive records a sign of life at now.
+func (l *Load) Alive(now time.Time) {
+	l.heard.Store(now.UnixNano())
+	if l.suspect.Load() {
+		l.suspect.Store(false)
+		l.RetryAfter.Store(0)
+	}
+}
+
+// Watch reports whether the target has been silent for longer than limit on
+// work of this daemon, and takes it out of use for pause if so.
+func (l *Load) Watch(now time.Time, limit, pause time.Duration) bool {
+	silent := l.Own.requests.Load() > 0 && now.UnixNano()-l.heard.Load() > int64(limit)
+	l.suspect.Store(silent)
+	if silent {
+		l.Pause(now.Add(pause))
+	}
+	return silent
+}
+
+// Suspect reports whether this daemon finds the target silent.
+func (l *Load) Suspect() bool { return l.suspect.Load() }
+
+// Pause takes the target out of use until the given time.
+func (l *Load) Pause(until time.Time) {
+	if n := until.UnixNano(); n > l.RetryAfter.Load() {
+		l.RetryAfter.Store(n)
+	}
+}
+
 // Total returns the work of all daemons on the target.
 func (l *Load) Total() Work { return l.Own.Load().Plus(l.Peers.Load()) }
 
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -113,7 +113,7 @@
 }
 
 func (x *exchange) begin(t *directory.Target, w directory.Work) *work {
-	t.Load.Own.Add(w)
+	t.Load.Begin(w, x.now())
 	x.g.share.Changed(t)
 	return &work{x.g, t, w}
 }
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -95,8 +95,8 @@
 
 type quiet struct{}
 
-func (quiet) Decided(*Event)                            {}
-func (quiet) Changed(*directory.Target)                 {}
+func (quiet) Decided(*Event)                           {}
+func (quiet) Changed(*directory.Target)                {}
 func (quiet) Used(*directory.Target, []directory.Part) {}
 
 type world struct {
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -89,6 +89,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
+	t.Load.Alive(x.now())
 	t.Load.Succeeded()
 	t.Load.Delayed(x.now().Sub(began) - c.Predicted())
 	return a, body, nil
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -163,6 +163,7 @@
 		return err
 	}
 	s.prefills++
+	t.Load.Alive(s.now())
 	t.Load.Succeeded()
 	t.Load.Delayed(s.now().Sub(began) - p.Predicted())
 	s.handle = h
@@ -250,10 +251,11 @@
 		return err
 	}
 	defer a.Close()
+	t.Load.Alive(s.now())
 	if a.Status() != http.StatusOK {
 		return s.failed(a)
 	}
-	err = s.copy(a, func() {
+	err = s.copy(a, t, func() {
 		t.Load.Delayed(s.now().Sub(began) - p.Predicted())
 		load.Prefill, load.Prefills, load.Streams = 0, 0, 1
 		w.change(load)
@@ -289,12 +291,13 @@
 // copy passes whole events to the caller until the end of the stream. The head
 // of the answer is passed with the first event, so that a stream without any
 // can still go elsewhere.
-func (s *stream) copy(a Answer, first func()) error {
+func (s *stream) copy(a Answer, t *directory.Target, first func()) error {
 	b := newEventBuffer()
 	defer b.release()
 	for {
 		n, err := b.fill(a)
 		if n > 0 {
+			t.Load.Alive(s.now())
 			if events := b.complete(); len(events) > 0 {
 				if s.events == 0 {
 					s.first = s.now().Sub(s.r.Arrived)
--- a/loadshare/message.go
+++ b/loadshare/message.go
@@ -36,9 +36,14 @@
 type item struct {
 	target uint64
 	work   directory.Work
+	// silent says that the sender finds the target silent.
+	silent bool
 	parts  []uint64
 }
 
+// silentFlag is set in the number of parts of an item.
+const silentFlag = 0x80
+
 func (m *message) appendHeader(b []byte) []byte {
 	b = append(b, magic, version)
 	b = binary.BigEndian.AppendUint64(b, m.sender)
@@ -52,7 +57,11 @@
 	for _, v := range []int64{w.Requests, w.Prefill, w.Prefills, w.Streams, w.StreamTokens, w.Read} {
 		b = binary.AppendUvarint(b, uint64(max(v, 0)))
 	}
-	b = append(b, byte(len(i.parts)))
+	n := byte(len(i.parts))
+	if i.silent {
+		n |= silentFlag
+	}
+	b = append(b, n)
 	for _, p := range i.parts {
 		b = binary.BigEndian.AppendUint64(b, p)
 	}
@@ -93,10 +102,14 @@
 		}
 		*v, b = int64(u), b[n:]
 	}
-	if len(b) < 1 || int(b[0]) > maxParts || len(b) < 1+8*int(b[0]) {
+	if len(b) < 1 {
+		return i, nil, false
+	}
+	n := int(b[0] &^ silentFlag)
+	if n > maxParts || len(b) < 1+8*n {
 		return i, nil, false
 	}
-	n := int(b[0])
+	i.silent = b[0]&silentFlag != 0
 	for b = b[1:]; n > 0; n-- {
 		i.parts, b = append(i.parts, binary.BigEndian.Uint64(b)), b[8:]
 	}
--- a/loadshare/share.go
+++ b/loadshare/share.go
@@ -25,6 +25,9 @@
 	silent = 2500 * time.Millisecond
 	// repeat is how long unchanged work is told again with each beat.
 	repeat = 4 * beat
+	// suspectPause is how long a target gets no work after another daemon has found
+	// it silent. Silence that lasts is told again with the next message.
+	suspectPause = 700 * time.Millisecond
 	// partsQueue bounds the prompt parts that wait to be told.
 	partsQueue = 256
 )
@@ -184,8 +187,9 @@
 			s.sent[t.Hash] = sentWork{w, now}
 		}
 		// The end of work is repeated, because the message that tells it can be lost.
-		if changed || len(parts) > 0 || full && (w.InProgress() != (directory.Work{}) || now.Sub(old.since) < repeat) {
-			items = append(items, item{t.Hash, w, parts})
+		silent := t.Load.Suspect()
+		if changed || silent || len(parts) > 0 || full && (w.InProgress() != (directory.Work{}) || now.Sub(old.since) < repeat) {
+			items = append(items, item{t.Hash, w, silent, parts})
 		}
 	})
 	clear(s.parts)
@@ -266,18 +270,21 @@
 	snapshot := s.directory.Load()
 	for i := range m.items {
 		if t := snapshot.ByHash(m.items[i].target); t != nil {
-			p.take(t.Load, &m.items[i])
+			p.take(t.Load, &m.items[i], now)
 		}
 	}
 }
 
-func (p *peer) take(l *directory.Load, i *item) {
+func (p *peer) take(l *directory.Load, i *item, now time.Time) {
 	old := p.work[i.target]
 	if old.load != l {
 		old = told{load: l}
 	}
 	l.Peers.Add(i.work.Minus(old.work))
 	p.work[i.target] = told{l, i.work}
+	if i.silent {
+		l.Pause(now.Add(suspectPause))
+	}
 	parts := make([]directory.Part, len(i.parts))
 	for k, key := range i.parts {
 		parts[k].Key = key
--- a/loadshare/share_test.go
+++ b/loadshare/share_test.go
@@ -105,6 +105,18 @@
 	assert.Equal(t, b.Load.Held(parts, 1000), 100)
 }
 
+// Guards against nodes that each have to find out for themselves that a target
+// is dark.
+func TestSilentTargetIsTold(t *testing.T) {
+	s, a := newShare(t, "one")
+	r, b := newShare(t, "two")
+	a.Load.Begin(directory.Work{Requests: 1}, now)
+	assert.Assert(t, a.Load.Watch(now.Add(time.Second), 500*time.Millisecond, time.Second))
+	pass(t, s, r, false, now)
+	assert.Assert(t, !b.Usable(now))
+	assert.Assert(t, b.Usable(now.Add(suspectPause)))
+}
+
 // Guards against a datagram that makes the decoder fail, read beyond its end or
 // accept values that overflow.
 func FuzzDecode(f *testing.F) {
--- a/server/node/node.go
+++ b/server/node/node.go
@@ -229,6 +229,7 @@
 func (n *Node) start(ctx context.Context) {
 	source := func(name string) outage { return outage{log: n.log.WithField(fieldSource, name)} }
 	go n.share.Run(ctx)
+	go n.watch(ctx)
 	go feed.Follow(ctx, n.store.Configurations(), &configFeed{
 		outage: source("configuration"), gateway: n.gateway, loaded: func() { n.configured.Store(true) },
 	}, feed.Schedule{Wait: n.settings.ConfigurationWait, MinPause: minPause, MaxPause: maxPause})
