--- a/server/node/node.go
+++ b/server/node/node.go
@@ -61,7 +61,7 @@
 	movedToken = 2 * time.Microsecond
 	// copiedToken is the cost of holding a shared token on one more engine. With
 	// less, copies of the users' shared parts crowd each other out of the KV cache.
-	copiedToken = 20 * time.Microsecond
+	copiedToken = 30 * time.Microsecond
 	// failureCost is the cost of a target that fails every request.
 	failureCost = 400 * time.Millisecond
 )
--- a/server/node/settings.go
+++ b/server/node/settings.go
@@ -42,9 +42,9 @@
 // DefaultSettings returns the settings that hold where the file says nothing.
 func DefaultSettings() *Settings {
 	return &Settings{
-		LogLevel: "info", LogRate: 50, SampleOne: 64, PrefillShare: 670, PrefillTokensPerMs: 49, PairsPerToken: 55_000,
+		LogLevel: "info", LogRate: 50, SampleOne: 64, PrefillShare: 750, PrefillTokensPerMs: 49, PairsPerToken: 55_000,
 		RegistrationInterval: 600 * time.Millisecond, ConfigurationWait: 1200 * time.Millisecond,
-		RemoteByte: 4 * time.Microsecond, GCPercent: 100,
+		RemoteByte: 8 * time.Microsecond, GCPercent: 100,
 	}
 }
 
