One reader of the store in each data centre, and one relay of load messages

Change: the first node of each data centre reads the store at its interval; load messages carry how fresh the read is and where the last change ends, so that the others read when there is something, or when the news goes stale. A load message crosses to another data centre once and is passed on there. Outages of a feed are measured from the first failed call.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -17,6 +17,8 @@
 // Item is the newest record of one key.
 type Item[T any] struct {
 	Key string
+	// Next is the offset after the record.
+	Next types.Offset
 	// Value is nil when the key was removed.
 	Value *T
 	// Err says why a record does not decode; Value is nil then, but the key was
@@ -38,7 +40,9 @@
 // that runs Follow. away is how long the source could not be read before.
 type Handler[T any] interface {
 	Listed(items []Item[T], away time.Duration)
-	Changed(items []Item[T], away time.Duration)
+	// Changed returns the offset after the last record that changed something, 0
+	// for none.
+	Changed(items []Item[T], away time.Duration) types.Offset
 	// Failed is called after each failed call, with the time since the last one
 	// that did not fail.
 	Failed(err error, away time.Duration)
@@ -46,26 +50,41 @@
 
 // Schedule says when to read.
 type Schedule struct {
-	// Every is the time between reads that do not wait, Wait the time that a read
-	// waits for changes.
-	Every, Wait time.Duration
+	// Due returns how long to wait before the next read, 0 to read now, and how
+	// long the read waits for changes. It is asked again after the wait.
+	Due func(now time.Time) (pause, wait time.Duration)
+	// Read, if not nil, is told after each good call when it began, the offset
+	// that it reached, and what Changed returned.
+	Read func(began time.Time, next, changed types.Offset)
 	// MinPause and MaxPause bound the pause after a failed read.
 	MinPause, MaxPause time.Duration
-	// Wake, if not nil, ends a pause between reads early.
+	// Wake, if not nil, ends the wait before a read early.
 	Wake <-chan struct{}
 }
 
+// Every returns a schedule function that reads every interval.
+func Every(interval, wait time.Duration) func(time.Time) (time.Duration, time.Duration) {
+	var last time.Time
+	return func(now time.Time) (time.Duration, time.Duration) {
+		if pause := last.Add(interval).Sub(now); pause > 0 {
+			return pause, wait
+		}
+		last = now
+		return 0, wait
+	}
+}
+
 // awayAfter is how long a source has to fail before its records count as
 // missing news. Shorter failures are single lost calls.
 const awayAfter = 500 * time.Millisecond
 
-// Follow reads until the context ends.
+// Follow reads until the context ends. The first reads list the keys and then
+// ask for changes at once.
 func Follow[T any](ctx context.Context, src Source[T], h Handler[T], s Schedule) {
-	f := follower[T]{src: src, h: h, s: s, good: time.Now()}
+	f := follower[T]{src: src, h: h, s: s}
 	for ctx.Err() == nil {
 		if f.step(ctx) {
 			f.pause = 0
-			f.sleep(ctx, s.Every)
 			continue
 		}
 		f.pause = min(max(2*f.pause, s.MinPause), s.MaxPause)
@@ -79,57 +98,95 @@
 	s      Schedule
 	next   types.Offset
 	listed bool
-	good   time.Time // when the last call succeeded
-	pause  time.Duration
+	// lost is when the first of the last failed calls began; zero after a good one.
+	lost  time.Time
+	pause time.Duration
 }
 
 func (f *follower[T]) step(ctx context.Context) bool {
 	if !f.listed {
-		items, next, err := f.src.List(ctx)
-		if err != nil {
-			return f.failed(err)
-		}
-		f.listed, f.next = true, next
-		f.h.Listed(items, f.back())
-		return true
+		return f.list(ctx)
+	}
+	var wait time.Duration
+	if f.pause == 0 {
+		wait = f.await(ctx)
 	}
-	items, next, err := f.src.Read(ctx, f.next, f.s.Wait)
+	began := time.Now()
+	items, next, err := f.src.Read(ctx, f.next, wait)
 	if errors.Is(err, ErrExpired) {
 		f.listed = false
-		return f.step(ctx)
+		return f.list(ctx)
 	}
 	if err != nil {
-		return f.failed(err)
+		return f.failed(err, began)
 	}
 	f.next = next
-	f.h.Changed(items, f.back())
+	f.told(began, f.h.Changed(items, f.back()))
 	return true
 }
 
-func (f *follower[T]) failed(err error) bool {
-	f.h.Failed(err, time.Since(f.good))
+func (f *follower[T]) list(ctx context.Context) bool {
+	began := time.Now()
+	items, next, err := f.src.List(ctx)
+	if err != nil {
+		return f.failed(err, began)
+	}
+	f.listed, f.next = true, next
+	f.h.Listed(items, f.back())
+	f.told(began, 0)
+	return true
+}
+
+// await waits until a read is due and returns how long it may wait for changes.
+func (f *follower[T]) await(ctx context.Context) time.Duration {
+	for ctx.Err() == nil {
+		pause, wait := f.s.Due(time.Now())
+		if pause <= 0 {
+			return wait
+		}
+		if f.sleep(ctx, pause) {
+			return 0
+		}
+	}
+	return 0
+}
+
+func (f *follower[T]) told(began time.Time, changed types.Offset) {
+	if f.s.Read != nil {
+		f.s.Read(began, f.next, changed)
+	}
+}
+
+func (f *follower[T]) failed(err error, began time.Time) bool {
+	if f.lost.IsZero() {
+		f.lost = began
+	}
+	f.h.Failed(err, time.Since(f.lost))
 	return false
 }
 
 // back returns how long the source was away and records that it is there.
 func (f *follower[T]) back() time.Duration {
-	away := time.Since(f.good) - f.s.Every - f.s.Wait
-	f.good = time.Now()
-	if away < awayAfter || f.pause == 0 {
+	if f.lost.IsZero() {
+		return 0
+	}
+	away := time.Since(f.lost)
+	f.lost = time.Time{}
+	if away < awayAfter {
 		return 0
 	}
 	return away
 }
 
-func (f *follower[T]) sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
+// sleep waits and reports whether it was woken early.
+func (f *follower[T]) sleep(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
 	case <-ctx.Done():
 	case <-t.C:
 	case <-f.s.Wake:
+		return true
 	}
+	return false
 }
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -58,10 +58,7 @@
 	e.Outcome, e.First, e.Tries = o, x.first, x.tries+x.prefills
 	e.Late = x.route != nil && x.first > x.route.Objective
 	x.g.observer.Decided(e)
-	return Result{
-		Outcome: o, Started: x.started, RetryAfter: x.retryAfter,
-		Timeout: x.ctx != nil && errors.Is(x.ctx.Err(), context.DeadlineExceeded),
-	}
+	return Result{Outcome: o, Started: x.started, RetryAfter: x.retryAfter}
 }
 
 func (x *exchange) event(k Kind) *Event {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -198,8 +198,6 @@
 	Started bool
 	// RetryAfter is when a refused request has a chance again.
 	RetryAfter time.Duration
-	// Timeout says that the time of the request was over.
-	Timeout bool
 }
 
 // Serve serves one request to its end. The context ends when the caller is
--- a/loadshare/message.go
+++ b/loadshare/message.go
@@ -7,8 +7,10 @@
 import (
 	"encoding/binary"
 	"errors"
+	"time"
 
 	"github.com/lentilpick/lentilpick/directory"
+	"github.com/lentilpick/lentilpick/types"
 )
 
 // ErrMalformed reports a datagram that does not decode.
@@ -17,7 +19,11 @@
 const (
 	magic      = 0x6c
 	version    = 1
-	headerSize = 2 + 8 + 8 + 8
+	headerSize = 3 + 8 + 8 + 8
+	// flagRelay asks the receiver to pass the message on in its data centre.
+	flagRelay = 1
+	// flagsAt is the position of the flags in a datagram.
+	flagsAt = 2
 	// maxMessage keeps a datagram within one Ethernet frame.
 	maxMessage = 1400
 	// maxParts bounds the prompt parts of one target in one message.
@@ -29,6 +35,8 @@
 	sender uint64 // hash of the daemon's name
 	start  uint64 // identifies the run of the daemon
 	seq    uint64
+	relay  bool
+	feeds  [Feeds]state
 	items  []item
 }
 
@@ -45,10 +53,15 @@
 const silentFlag = 0x80
 
 func (m *message) appendHeader(b []byte) []byte {
-	b = append(b, magic, version)
+	b = append(b, magic, version, 0)
 	b = binary.BigEndian.AppendUint64(b, m.sender)
 	b = binary.BigEndian.AppendUint64(b, m.start)
-	return binary.BigEndian.AppendUint64(b, m.seq)
+	b = binary.BigEndian.AppendUint64(b, m.seq)
+	for _, f := range m.feeds {
+		b = binary.AppendUvarint(b, uint64(f.age.Milliseconds()))
+		b = binary.AppendUvarint(b, uint64(f.changed))
+	}
+	return b
 }
 
 func appendItem(b []byte, i *item) []byte {
@@ -74,9 +87,14 @@
 		return nil, ErrMalformed
 	}
 	m := &message{
-		sender: binary.BigEndian.Uint64(b[2:]), start: binary.BigEndian.Uint64(b[10:]), seq: binary.BigEndian.Uint64(b[18:]),
+		sender: binary.BigEndian.Uint64(b[3:]), start: binary.BigEndian.Uint64(b[11:]), seq: binary.BigEndian.Uint64(b[19:]),
+		relay: b[flagsAt]&flagRelay != 0,
 	}
-	for b = b[headerSize:]; len(b) > 0; {
+	b, ok := m.decodeFeeds(b[headerSize:])
+	if !ok {
+		return nil, ErrMalformed
+	}
+	for len(b) > 0 {
 		i, rest, ok := decodeItem(b)
 		if !ok {
 			return nil, ErrMalformed
@@ -86,6 +104,23 @@
 	return m, nil
 }
 
+// decodeFeeds decodes what the sender knows of the feeds.
+func (m *message) decodeFeeds(b []byte) ([]byte, bool) {
+	for i := range m.feeds {
+		age, n := binary.Uvarint(b)
+		if n <= 0 || age > maxValue {
+			return nil, false
+		}
+		changed, k := binary.Uvarint(b[n:])
+		if k <= 0 || changed > maxValue {
+			return nil, false
+		}
+		m.feeds[i] = state{time.Duration(age) * time.Millisecond, types.Offset(changed)}
+		b = b[n+k:]
+	}
+	return b, true
+}
+
 // maxValue bounds a value of an item; a larger one is an error of the sender.
 const maxValue = 1 << 40
 
--- /dev/null
+++ b/loadshare/progress.go
@@ -0,0 +1,77 @@
+package loadshare
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/lentilpick/lentilpick/types"
+)
+
+// Feeds is the number of feeds of the store that the nodes follow together.
+const Feeds = 3
+
+// never is the age of a feed that was not read yet.
+const never = time.Hour
+
+// state is what a node tells of one feed: how long ago it was read to its end,
+// and the offset after the last record that changed something.
+type state struct {
+	age     time.Duration
+	changed types.Offset
+}
+
+// Progress tells how far the nodes have read one feed, so that a few of them
+// read it for all. It is safe for concurrent use.
+type Progress struct {
+	own     atomic.Int64 // when this node read the end, in Unix nanoseconds
+	peers   atomic.Int64 // the same for the freshest other node
+	changed atomic.Int64 // offset after the last change that this node has read
+	next    atomic.Int64 // offset from which this node reads on
+	wake    chan struct{}
+}
+
+func newProgress() *Progress { return &Progress{wake: make(chan struct{}, 1)} }
+
+// Read records that this node has read the feed at now, up to the offset next.
+// changed is the offset after the last record that changed something, 0 for none.
+func (p *Progress) Read(now time.Time, next, changed types.Offset) {
+	p.own.Store(now.UnixNano())
+	p.next.Store(int64(next))
+	if int64(changed) > p.changed.Load() {
+		p.changed.Store(int64(changed))
+	}
+}
+
+// Own returns when this node has last read the end of the feed.
+func (p *Progress) Own() time.Time { return time.Unix(0, p.own.Load()) }
+
+// Freshest returns when any node has last read the end of the feed, as far as
+// this node was told.
+func (p *Progress) Freshest() time.Time { return time.Unix(0, max(p.own.Load(), p.peers.Load())) }
+
+// Wake receives a value when another node has read a change that this one has
+// not.
+func (p *Progress) Wake() <-chan struct{} { return p.wake }
+
+func (p *Progress) state(now time.Time) state {
+	age := never
+	if own := p.own.Load(); own > 0 {
+		age = min(max(now.Sub(time.Unix(0, own)), 0), never)
+	}
+	return state{age, types.Offset(p.changed.Load())}
+}
+
+// hear folds what another node tells.
+func (p *Progress) hear(s state, now time.Time) {
+	if s.age < never {
+		if at := now.Add(-s.age).UnixNano(); at > p.peers.Load() {
+			p.peers.Store(at)
+		}
+	}
+	if int64(s.changed) > p.next.Load() {
+		select {
+		case p.wake <- struct{}{}:
+		default:
+		}
+	}
+}
--- a/loadshare/share.go
+++ b/loadshare/share.go
@@ -4,7 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"net"
-	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -15,9 +14,11 @@
 )
 
 const (
-	// gather is how long changes are gathered into one message. It is short
-	// beside the time of a prefill, which the others are to see in time.
-	gather = 2 * time.Millisecond
+	// gather is how long changes are gathered into one message, and gatherPeer
+	// what each other node adds, so that large fleets exchange fewer messages. Both
+	// are short beside the time of a prefill, which the others are to see in time.
+	gather     = 2 * time.Millisecond
+	gatherPeer = 100 * time.Microsecond
 	// beat is the time between messages with the whole state.
 	beat = 500 * time.Millisecond
 	// silent is the time without a message after which the work of a daemon no
@@ -38,13 +39,14 @@
 	start     uint64
 	directory *directory.Directory
 	conn      *net.UDPConn
-	peers     atomic.Pointer[[]netip.AddrPort]
+	peers     atomic.Pointer[peerList]
+	feeds     [Feeds]*Progress
 	wake      chan struct{}
 	used      chan usedParts
 	malformed atomic.Int64
 
 	mu    sync.Mutex // guards what follows; not taken on the path of a request
-	from  map[uint64]*peer
+	from  map[uint64]*peerState
 	sent  map[uint64]sentWork // what the others were told last, by target
 	seq   uint64
 	parts map[uint64][]uint64
@@ -61,8 +63,8 @@
 	parts  []directory.Part
 }
 
-// peer is what another daemon has told.
-type peer struct {
+// peerState is what another daemon has told.
+type peerState struct {
 	start, seq uint64
 	heard      time.Time
 	work       map[uint64]told
@@ -84,15 +86,20 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Share{
+	s := &Share{
 		self: xxhash.Sum64String(name), start: rand.Uint64(), directory: d, conn: conn,
 		wake: make(chan struct{}, 1), used: make(chan usedParts, partsQueue),
-		from: map[uint64]*peer{}, sent: map[uint64]sentWork{}, parts: map[uint64][]uint64{},
-	}, nil
+		from: map[uint64]*peerState{}, sent: map[uint64]sentWork{}, parts: map[uint64][]uint64{},
+	}
+	for i := range s.feeds {
+		s.feeds[i] = newProgress()
+	}
+	s.peers.Store(&peerList{})
+	return s, nil
 }
 
-// SetPeers replaces the addresses of the other daemons.
-func (s *Share) SetPeers(all []netip.AddrPort) { s.peers.Store(&all) }
+// Feed returns the progress of one feed.
+func (s *Share) Feed(i int) *Progress { return s.feeds[i] }
 
 // Live returns the number of other daemons that were heard lately.
 func (s *Share) Live() int {
@@ -137,7 +144,7 @@
 		case <-ctx.Done():
 			return
 		case <-s.wake:
-			timer.Reset(gather)
+			timer.Reset(gather + time.Duration(s.peers.Load().len())*gatherPeer)
 			select {
 			case <-ctx.Done():
 				return
@@ -161,13 +168,16 @@
 func (s *Share) tell(full bool) {
 	peers := s.peers.Load()
 	for _, b := range s.messages(full) {
-		if peers == nil {
-			continue
-		}
-		for _, a := range *peers {
-			// A datagram that is not sent is like one that is lost.
-			_, _ = s.conn.WriteToUDPAddrPort(b, a)
-		}
+		s.send(b, peers.local)
+		b[flagsAt] = flagRelay
+		s.send(b, s.relays(peers))
+	}
+}
+
+// send sends a datagram. One that is not sent is like one that is lost.
+func (s *Share) send(b []byte, to []Peer) {
+	for _, p := range to {
+		_, _ = s.conn.WriteToUDPAddrPort(b, p.Address)
 	}
 }
 
@@ -196,7 +206,7 @@
 	if len(items) == 0 && !full {
 		return nil
 	}
-	return s.encode(items)
+	return s.encode(items, now)
 }
 
 func (s *Share) takeParts() {
@@ -214,11 +224,14 @@
 	}
 }
 
-func (s *Share) encode(items []item) [][]byte {
+func (s *Share) encode(items []item, now time.Time) [][]byte {
 	var out [][]byte
 	header := func() []byte {
 		s.seq++
 		m := message{sender: s.self, start: s.start, seq: s.seq}
+		for i, f := range s.feeds {
+			m.feeds[i] = f.state(now)
+		}
 		return m.appendHeader(make([]byte, 0, 256))
 	}
 	b := header()
@@ -245,6 +258,10 @@
 			s.malformed.Add(1)
 			continue
 		}
+		if m.relay {
+			buf[flagsAt] = 0
+			s.send(buf[:n], s.peers.Load().local)
+		}
 		s.fold(m, time.Now())
 	}
 }
@@ -259,10 +276,13 @@
 	p := s.from[m.sender]
 	if p == nil || p.start != m.start {
 		p.forget()
-		p = &peer{start: m.start, work: map[uint64]told{}}
+		p = &peerState{start: m.start, work: map[uint64]told{}}
 		s.from[m.sender] = p
 	}
 	p.heard = now
+	for i, f := range s.feeds {
+		f.hear(m.feeds[i], now)
+	}
 	if m.seq <= p.seq {
 		return
 	}
@@ -275,7 +295,7 @@
 	}
 }
 
-func (p *peer) take(l *directory.Load, i *item, now time.Time) {
+func (p *peerState) take(l *directory.Load, i *item, now time.Time) {
 	old := p.work[i.target]
 	if old.load != l {
 		old = told{load: l}
@@ -293,7 +313,7 @@
 }
 
 // forget takes back what the daemon has told.
-func (p *peer) forget() {
+func (p *peerState) forget() {
 	if p == nil {
 		return
 	}
--- a/server/node/feeds.go
+++ b/server/node/feeds.go
@@ -58,8 +58,9 @@
 }
 
 // Changed implements feed.Handler.
-func (f *configFeed) Changed(items []feed.Item[*routes.Table], _ time.Duration) {
+func (f *configFeed) Changed(items []feed.Item[*routes.Table], _ time.Duration) types.Offset {
 	f.back()
+	var changed types.Offset
 	for _, i := range items {
 		switch {
 		case i.Err != nil:
@@ -68,8 +69,10 @@
 		case f.gateway.SetTable(*i.Value):
 			f.log.WithFields(logrus.Fields{fieldConfig: (*i.Value).Version, "routes": (*i.Value).Routes()}).Info("configuration in force")
 			f.loaded()
+			changed = i.Next
 		}
 	}
+	return changed
 }
 
 // Failed implements feed.Handler.
@@ -100,20 +103,33 @@
 }
 
 // Changed implements feed.Handler.
-func (f *registrationFeed) Changed(items []feed.Item[directory.Entry], away time.Duration) {
+func (f *registrationFeed) Changed(items []feed.Item[directory.Entry], away time.Duration) types.Offset {
 	grace := f.grace(away)
 	now := time.Now()
+	var changed types.Offset
 	for _, i := range items {
-		switch {
-		case i.Err != nil:
-			f.malformed(i)
-		case i.Value != nil:
-			f.changed(f.directory.Put(*i.Value))
-		default:
-			f.changed(f.directory.Remove(types.TargetID(i.Key), now, grace))
+		if f.fold(i, now, grace) {
+			changed = i.Next
 		}
 	}
 	f.changed(f.directory.Expire(now))
+	return changed
+}
+
+// fold folds one record and reports whether it may matter to other nodes. A
+// removal does, also one that is not believed yet.
+func (f *registrationFeed) fold(i feed.Item[directory.Entry], now time.Time, grace time.Duration) bool {
+	switch {
+	case i.Err != nil:
+		f.malformed(i)
+		return false
+	case i.Value != nil:
+		changes := f.directory.Put(*i.Value)
+		f.changed(changes)
+		return len(changes) > 0
+	}
+	f.changed(f.directory.Remove(types.TargetID(i.Key), now, grace))
+	return true
 }
 
 // grace returns how long removed targets stay in use. After an outage of the
--- a/server/node/members.go
+++ b/server/node/members.go
@@ -52,10 +52,10 @@
 }
 
 // Changed implements feed.Handler.
-func (m *members) Changed(items []feed.Item[Member], _ time.Duration) {
+func (m *members) Changed(items []feed.Item[Member], _ time.Duration) types.Offset {
 	m.back()
 	if len(items) == 0 {
-		return
+		return 0
 	}
 	m.mu.Lock()
 	for _, i := range items {
@@ -75,6 +75,7 @@
 	m.mu.Unlock()
 	slices.SortFunc(list, func(a, b Member) int { return a.Address.Compare(b.Address) })
 	m.changed(list)
+	return items[len(items)-1].Next
 }
 
 // Failed implements feed.Handler.
--- a/server/node/node.go
+++ b/server/node/node.go
@@ -161,11 +161,11 @@
 // setPeers takes a new list of the other nodes.
 func (n *Node) setPeers(all []Member) {
 	n.peers.Store(&all)
-	addresses := make([]netip.AddrPort, len(all))
+	peers := make([]loadshare.Peer, len(all))
 	for i, m := range all {
-		addresses[i] = m.Address
+		peers[i] = loadshare.Peer{Name: m.VM, DataCentre: m.DataCentre, Address: m.Address}
 	}
-	n.share.SetPeers(addresses)
+	n.share.SetPeers(peers, n.machine.DataCentre)
 	nodes := float64(len(all) + 1)
 	n.gateway.SetRetryLimits(admission.RetryLimits{
 		Ratio: budgetShare * n.machine.RetryRatio, Saved: max(budgetShare*n.machine.RetryExtra/nodes, 1),
@@ -175,9 +175,19 @@
 // place returns the node's place in line for orders: its position among the
 // nodes by name.
 func (n *Node) place() int {
+	return n.before(func(Member) bool { return true })
+}
+
+// placeAtHome returns the node's place in line for reads of the store, among the
+// nodes of its data centre.
+func (n *Node) placeAtHome() int {
+	return n.before(func(m Member) bool { return m.DataCentre == n.machine.DataCentre })
+}
+
+func (n *Node) before(counts func(Member) bool) int {
 	i := 0
 	for _, m := range *n.peers.Load() {
-		if m.VM < n.machine.VM {
+		if m.VM < n.machine.VM && counts(m) {
 			i++
 		}
 	}
@@ -232,14 +242,14 @@
 	go n.watch(ctx)
 	go feed.Follow(ctx, n.store.Configurations(), &configFeed{
 		outage: source("configuration"), gateway: n.gateway, loaded: func() { n.configured.Store(true) },
-	}, feed.Schedule{Wait: n.settings.ConfigurationWait, MinPause: minPause, MaxPause: maxPause})
+	}, n.pace(feedConfig, 0, n.settings.ConfigurationWait).schedule(minPause, maxPause))
 	go feed.Follow(ctx, n.store.Registrations(), &registrationFeed{
 		outage: source("registrations"), directory: n.directory, loaded: func() { n.listed.Store(true) },
-	}, feed.Schedule{Every: n.settings.RegistrationInterval, MinPause: minPause, MaxPause: maxPause})
+	}, n.pace(feedRegistrations, n.settings.RegistrationInterval, 0).schedule(minPause, maxPause))
 	go func() {
 		join(ctx, n.store, n.self(), n.log)
 		feed.Follow(ctx, platform.Keyed(n.store, membersTopic, DecodeMember), n.members,
-			feed.Schedule{Every: memberInterval, MinPause: joinPause, MaxPause: memberInterval})
+			n.pace(feedMembers, memberInterval, 0).schedule(joinPause, memberInterval))
 	}()
 	if n.settings.PrefillShare > 0 {
 		holder := authority.Holder{VM: n.machine.VM, Incarnation: strconv.FormatUint(rand.Uint64(), 36)}
@@ -252,6 +262,19 @@
 	}
 }
 
+// pace returns when the node reads a feed whose reader reads at interval and
+// waits for changes.
+func (n *Node) pace(index int, interval, wait time.Duration) *pace {
+	return &pace{
+		progress: n.share.Feed(index), interval: interval, wait: wait,
+		stale: max(2*interval, interval+wait, minStale), place: n.placeAtHome,
+	}
+}
+
+// minStale leaves room for a read, for the messages that tell of it, and for a
+// beat between them.
+const minStale = 800 * time.Millisecond
+
 func (n *Node) self() Member {
 	return Member{
 		VM: n.machine.VM, DataCentre: n.machine.DataCentre,
--- /dev/null
+++ b/server/node/pace_test.go
@@ -0,0 +1,32 @@
+package node
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lentilpick/lentilpick/directory"
+	"github.com/lentilpick/lentilpick/loadshare"
+)
+
+// Guards against nodes that all read the store, and against a data centre that
+// learns of changes too late because its reader has gone.
+func TestPace(t *testing.T) {
+	s, err := loadshare.New("vm", "127.0.0.1:0", directory.New())
+	assert.NilError(t, err)
+	place := 0
+	p := &pace{progress: s.Feed(0), interval: 600 * time.Millisecond, stale: 1200 * time.Millisecond, place: func() int { return place }}
+	now := time.Now()
+	s.Feed(0).Read(now, 1, 0)
+	pause, _ := p.due(now.Add(100 * time.Millisecond))
+	assert.Equal(t, pause.Round(time.Millisecond), 500*time.Millisecond, "the reader reads at its interval")
+	place = 2
+	pause, _ = p.due(now.Add(600 * time.Millisecond))
+	assert.Equal(t, pause.Round(time.Millisecond), 800*time.Millisecond, "others wait until the news is stale")
+	pause, _ = p.due(now.Add(1400 * time.Millisecond))
+	assert.Assert(t, pause <= 0)
+	place = 1000
+	pause, _ = p.due(now)
+	assert.Equal(t, pause.Round(time.Millisecond), 1700*time.Millisecond, "the last in line is in time as well")
+}
