--- a/feed/feed.go
+++ b/feed/feed.go
@@ -53,9 +53,9 @@
 	// Due returns how long to wait before the next read, 0 to read now, and how
 	// long the read waits for changes. It is asked again after the wait.
 	Due func(now time.Time) (pause, wait time.Duration)
-	// Read, if not nil, is told after each good call when it began, the offset
-	// that it reached, and what Changed returned.
-	Read func(began time.Time, next, changed types.Offset)
+	// Read, if not nil, is told after each good call as of when it is true at
+	// least, the offset that it reached, and what Changed returned.
+	Read func(asOf time.Time, next, changed types.Offset)
 	// MinPause and MaxPause bound the pause after a failed read.
 	MinPause, MaxPause time.Duration
 	// Wake, if not nil, ends the wait before a read early.
@@ -121,7 +121,8 @@
 		return f.failed(err, began)
 	}
 	f.next = next
-	f.told(began, f.h.Changed(items, f.back()))
+	// A read without news has waited before it looked for the last time.
+	f.told(began.Add(min(wait, time.Since(began))), f.h.Changed(items, f.back()))
 	return true
 }
 
@@ -151,9 +152,9 @@
 	return 0
 }
 
-func (f *follower[T]) told(began time.Time, changed types.Offset) {
+func (f *follower[T]) told(asOf time.Time, changed types.Offset) {
 	if f.s.Read != nil {
-		f.s.Read(began, f.next, changed)
+		f.s.Read(asOf, f.next, changed)
 	}
 }
 
--- a/server/node/node.go
+++ b/server/node/node.go
@@ -267,13 +267,16 @@
 func (n *Node) pace(index int, interval, wait time.Duration) *pace {
 	return &pace{
 		progress: n.share.Feed(index), interval: interval, wait: wait,
-		stale: max(2*interval, interval+wait, minStale), place: n.placeAtHome,
+		stale: max(interval+wait+tellTime, minStale), place: n.placeAtHome,
 	}
 }
 
-// minStale leaves room for a read, for the messages that tell of it, and for a
-// beat between them.
-const minStale = 800 * time.Millisecond
+const (
+	// tellTime is how long it takes until the others have heard of a read: a beat
+	// of the load messages and some more.
+	tellTime = 600 * time.Millisecond
+	minStale = 800 * time.Millisecond
+)
 
 func (n *Node) self() Member {
 	return Member{
--- a/server/node/settings.go
+++ b/server/node/settings.go
@@ -43,8 +43,8 @@
 func DefaultSettings() *Settings {
 	return &Settings{
 		LogLevel: "info", LogRate: 50, SampleOne: 64, PrefillShare: 750, PrefillTokensPerMs: 49, PairsPerToken: 55_000,
-		RegistrationInterval: 600 * time.Millisecond, ConfigurationWait: 1200 * time.Millisecond,
-		RemoteByte: 8 * time.Microsecond, GCPercent: 100,
+		RegistrationInterval: 600 * time.Millisecond, ConfigurationWait: 500 * time.Millisecond,
+		RemoteByte: 12 * time.Microsecond, GCPercent: 100,
 	}
 }
 
