Add a soak of real nodes under random faults

lentilpick-load soak runs three nodes as processes against the stand-ins, with links that delay, silence or cut connections, signals in overlapping series, outages and lost answers of the store, grey and draining targets, and changes of the configuration. It checks single runs, true refusals, whole answers, fencing and recovery.

A first version started a node twice when a kill met a planned stop; the second process could not bind its port, and the node's message named no cause.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 CHECKS ?= 1500
 MODULES := $(sort $(dir $(wildcard */go.mod)))
 
-.PHONY: build test demo faults latency fuzz mutations measure bench generate fmt
+.PHONY: build test demo soak faults latency fuzz mutations measure bench generate fmt
 
 build:
 	go build -o $(BIN)/ ./cmd/...
@@ -21,6 +21,11 @@
 demo: build
 	./$(BIN)/lentilpick-load demo --bin $(BIN) --examples examples
 
+RUNS ?= 1
+DURATION ?= 8s
+soak: build ## Runs nodes under random faults: SEED, RUNS and DURATION of each run.
+	./$(BIN)/lentilpick-load soak --bin $(BIN) --seed $(SEED) --runs $(RUNS) --duration $(DURATION)
+
 faults: build ## Runs the fault scenarios over real processes; results in out/faults.json.
 	./$(BIN)/lentilpick-load faults --bin $(BIN) --examples examples --out out
 
--- a/cmd/lentilpick-load/main.go
+++ b/cmd/lentilpick-load/main.go
@@ -6,6 +6,7 @@
 
 	"github.com/lentilpick/lentilpick/cmd/internal/capacity"
 	"github.com/lentilpick/lentilpick/cmd/internal/load"
+	"github.com/lentilpick/lentilpick/cmd/internal/soak"
 )
 
 var cli struct {
@@ -13,6 +14,7 @@
 	Demo     load.DemoCmd    `cmd:"" help:"Run both example deployments on loopback, send a mixed load and print a report."`
 	Faults   load.FaultsCmd  `cmd:"" help:"Run fault scenarios over real processes and check what holds."`
 	Latency  load.LatencyCmd `cmd:"" help:"Measure what the entry daemon adds to a direct call of an engine."`
+	Soak     soak.Cmd        `cmd:"" help:"Run nodes against stand-ins of the platform under random faults and check the promises."`
 }
 
 func main() {
--- a/server/node/node.go
+++ b/server/node/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -102,13 +103,13 @@
 	}
 	n.share, err = loadshare.New(string(m.VM), n.internal(m.InternalPort), n.directory)
 	if err != nil {
-		return nil, merry.Wrap(ErrStart, merry.WithCause(err))
+		return nil, fmt.Errorf("%w: %w", ErrStart, err)
 	}
 	o := &observer{log: log, counters: c, sample: uint64(s.SampleOne), rate: int64(s.LogRate)}
 	n.gateway = gateway.New(n.gatewaySettings(), n.directory, n.targets, n.share, o)
 	n.front, err = platform.NewFront(n.gateway, log, n.badInput(c))
 	if err != nil {
-		return nil, merry.Wrap(ErrStart, merry.WithCause(err))
+		return nil, fmt.Errorf("%w: %w", ErrStart, err)
 	}
 	n.members = &members{outage: outage{log: log.WithField(fieldSource, "members")}, self: m.VM, changed: n.setPeers}
 	n.setPeers(nil)
@@ -200,15 +201,15 @@
 	config := net.ListenConfig{Control: transport.UserTimeoutControl(userTimeout)}
 	callers, err := config.Listen(ctx, "tcp4", n.machine.Callers)
 	if err != nil {
-		return merry.Wrap(ErrStart, merry.WithCause(err))
+		return fmt.Errorf("%w: %w", ErrStart, err)
 	}
 	ready, err := net.Listen("tcp4", n.machine.Ready)
 	if err != nil {
-		return merry.Wrap(ErrStart, merry.WithCause(err))
+		return fmt.Errorf("%w: %w", ErrStart, err)
 	}
 	metrics, err := net.Listen("tcp4", n.internal(n.machine.MetricsPort))
 	if err != nil {
-		return merry.Wrap(ErrStart, merry.WithCause(err))
+		return fmt.Errorf("%w: %w", ErrStart, err)
 	}
 	background, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -222,7 +223,7 @@
 	for {
 		select {
 		case err := <-failed:
-			return merry.Wrap(ErrStart, merry.WithCause(err))
+			return fmt.Errorf("%w: %w", ErrStart, err)
 		case <-hup:
 			n.reload()
 		case <-ctx.Done():
--- a/server/node/path_test.go
+++ b/server/node/path_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -101,37 +100,10 @@
 	}, poll.WithDelay(time.Millisecond))
 }
 
-// configure writes a configuration; extra routes are added to the usual ones.
-func (w *world) configure(extra ...map[string]any) {
+// configure writes the next version of the configuration.
+func (w *world) configure() {
 	w.version++
-	route := func(name, kind, service string, attempts int, more map[string]any) map[string]any {
-		r := map[string]any{
-			"Name": name, "Host": "h.example", "PathPrefix": "/" + name + "/", "Kind": kind, "Service": service,
-			"TimeoutMs": 3000, "SloMs": 500, "MaxAttempts": attempts, "GapSloMs": 200,
-		}
-		for k, v := range more {
-			r[k] = v
-		}
-		return r
-	}
-	routes := []map[string]any{
-		route("once", "unsafe", "desk", 1, nil), route("read", "safe", "desk", 2, nil),
-		route("chat", "streaming", "llm", 1, map[string]any{"Sticky": true}),
-		route("resume", "streaming", "llm", 2, map[string]any{"Sticky": true, "Resumable": true}),
-	}
-	config := map[string]any{
-		"Version": w.version, "Routes": append(routes, extra...),
-		"Services": []map[string]any{
-			{"Name": "desk", "HealthPath": "/healthz", "MaxConns": 100},
-			{"Name": "llm", "HealthPath": "/healthz", "MaxConns": 100, "Engine": map[string]any{
-				"Slots": 64, "KvCapacity": 500000, "KvTokenBytes": 163840, "LinkMbps": 1600000.0, "HandleTtlS": 5.0, "SwitchS": 1.0,
-			}},
-		},
-		"Limits": map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": 1 << 20, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
-	}
-	b, err := json.Marshal(config)
-	assert.NilError(w.t, err)
-	w.store.Put("keyed.op", "config", b)
+	w.store.Configure(w.version)
 }
 
 // await waits until the node is ready with the newest configuration.
@@ -159,14 +131,11 @@
 	}
 	req, err := http.NewRequestWithContext(ctx, method, w.url+path, strings.NewReader(body))
 	assert.NilError(w.t, err)
-	req.Host = "h.example"
-	req.Header.Set("X-Request-Id", id)
-	req.Header.Set("X-Deadline-Ms", "2000")
+	req.Host = standin.Host
 	req.Header.Set("X-Kv-Source", "1.2.3.4:5/forged")
-	if strings.HasPrefix(path, "/chat") || strings.HasPrefix(path, "/resume") {
-		req.Header.Set("X-Model", "m")
-		req.Header.Set("X-Token-Usage", "1460,80")
-		req.Header.Set("X-Prompt-Prefix", "5c1e07a2:800,91bd3f06:410,e4402b7d:250")
+	prompted := strings.HasPrefix(path, "/chat") || strings.HasPrefix(path, "/resume")
+	for k, v := range standin.Headers(id, prompted) {
+		req.Header.Set(k, v)
 	}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
@@ -347,7 +316,7 @@
 	w := newWorld(t, 0)
 	w.configure()
 	w.await()
-	w.plain[0].Drain()
+	w.plain[0].SetDraining(true)
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		if w.node.directory.Load().Target("i-a").Leaving() {
 			return poll.Success()
