--- a/cmd/internal/ctl/explain.go
+++ b/cmd/internal/ctl/explain.go
@@ -42,6 +42,7 @@
 	Predicted float64   `json:"predicted_ms"`
 	Uncached  int       `json:"uncached_tokens"`
 	Tries     int       `json:"tries"`
+	Status    int       `json:"status"`
 }
 
 // Run implements the command.
@@ -135,7 +136,7 @@
 func (l *logLine) describeOutcome() string {
 	switch l.Outcome {
 	case "answered":
-		return fmt.Sprintf("answered, first result after %.1f ms, %d calls", l.First, l.Tries)
+		return fmt.Sprintf("answered with status %d, first result after %.1f ms, %d calls", l.Status, l.First, l.Tries)
 	case "not_run":
 		return fmt.Sprintf("refused and not run: %s, %d calls", l.Reason, l.Tries)
 	}
--- a/gateway/event.go
+++ b/gateway/event.go
@@ -38,6 +38,8 @@
 	// Retry, Target and Err say why a call is repeated or not, for KindRetry and
 	// KindNoRetry.
 	Retry types.RetryReason
+	// Status is the status of the target's answer, 0 without one.
+	Status int
 	// Late says that the answer, or its first event, missed the objective.
 	Late  bool
 	Tries int
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -33,6 +33,7 @@
 	prefills   int  // prefill requests that may have reached an engine
 	started    bool // the head of an answer was passed to the caller
 	first      time.Duration
+	status     int // of the answer that was passed to the caller
 	retryAfter time.Duration
 	trail      []Event
 	lastTarget types.TargetID
@@ -58,7 +59,7 @@
 // end reports the outcome.
 func (x *exchange) end(o types.Outcome) Result {
 	e := x.event(KindOutcome)
-	e.Outcome, e.First, e.Tries = o, x.first, x.tries+x.prefills
+	e.Outcome, e.First, e.Status, e.Tries = o, x.first, x.status, x.tries+x.prefills
 	e.Late = x.route != nil && x.first > x.route.Objective
 	x.decided(e)
 	x.g.observer.Ended(x.trail)
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -54,7 +54,7 @@
 // pass gives a whole answer to the caller.
 func (x *exchange) pass(a Answer, body []byte) types.Outcome {
 	x.first = x.now().Sub(x.r.Arrived)
-	x.started = true
+	x.started, x.status = true, a.Status()
 	if err := x.w.Whole(a, body); err != nil {
 		return x.attempt.Refuse(types.RefusedCallerGone)
 	}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -326,7 +326,7 @@
 // forward passes events to the caller.
 func (s *stream) forward(a Answer, events []byte) error {
 	if !s.started {
-		s.started = true
+		s.started, s.status = true, a.Status()
 		if err := s.w.Begin(a); err != nil {
 			return s.gone()
 		}
--- a/server/node/node.go
+++ b/server/node/node.go
@@ -140,7 +140,7 @@
 			return
 		}
 		c.badInput.Add(context.Background(), 1)
-		n.log.WithError(err).WithFields(logrus.Fields{daemon.FieldAddress: remote.String(), "status": status}).Debug("bad input")
+		n.log.WithError(err).WithFields(logrus.Fields{daemon.FieldAddress: remote.String(), fieldStatus: status}).Debug("bad input")
 	}
 }
 
--- a/server/node/observer.go
+++ b/server/node/observer.go
@@ -23,6 +23,7 @@
 	fieldUncached  = "uncached_tokens"
 	fieldTries     = "tries"
 	fieldOutcome   = "outcome"
+	fieldStatus    = "status"
 )
 
 var stageNames = [...]string{"whole", "prefill", "decode"}
@@ -68,7 +69,7 @@
 			f[logrus.ErrorKey] = e.Err.Error()
 		}
 	case gateway.KindOutcome:
-		f[fieldFirst], f[fieldTries] = millis(e.First), e.Tries
+		f[fieldFirst], f[fieldTries], f[fieldStatus] = millis(e.First), e.Tries, e.Status
 		f[fieldOutcome], f[daemon.FieldReason] = outcomeOf(e.Outcome)
 	}
 	o.log.WithTime(e.Request.Arrived.Add(e.Elapsed)).WithFields(f).Info(string(e.Kind))
@@ -82,7 +83,7 @@
 		return end.Request.Hash%o.sample == 0
 	}
 	_, answered := end.Outcome.(types.Answered)
-	return !answered || end.Late || end.Tries > 2 || end.Request.Hash%o.sample == 0
+	return !answered || end.Status >= 500 || end.Late || end.Tries > 2 || end.Request.Hash%o.sample == 0
 }
 
 // allowed bounds the lines of each second.
