--- a/cmd/internal/docscheck/docs_test.go
+++ b/cmd/internal/docscheck/docs_test.go
@@ -4,6 +4,7 @@
 	"os"
 	"path/filepath"
 	"reflect"
+	"regexp"
 	"strings"
 	"testing"
 
@@ -12,6 +13,7 @@
 	"github.com/lentilpick/lentilpick/daemon"
 	"github.com/lentilpick/lentilpick/server/control"
 	"github.com/lentilpick/lentilpick/server/entry"
+	"github.com/lentilpick/lentilpick/server/node"
 	"github.com/lentilpick/lentilpick/types"
 )
 
@@ -27,7 +29,7 @@
 // Guards against a setting that operators cannot find.
 func TestSettingsAreDocumented(t *testing.T) {
 	text := page(t, "OPERATIONS.md")
-	for _, s := range []any{entry.Settings{}, control.Settings{}} {
+	for _, s := range []any{entry.Settings{}, control.Settings{}, node.Settings{}} {
 		v := reflect.TypeOf(s)
 		for i := range v.NumField() {
 			key := "`" + v.Field(i).Tag.Get("toml") + "`"
@@ -61,3 +63,36 @@
 		}
 	}
 }
+
+// Guards against settings of the deployment that the node refuses.
+func TestDeploymentIsValid(t *testing.T) {
+	assert.NilError(t, daemon.LoadSettings(filepath.Join(root, "deploy", "node.toml"), node.DefaultSettings()))
+}
+
+// Guards against log fields and metrics of the node that the page does not
+// explain, and against ones that it explains though they are gone.
+func TestNodeLogAndMetricsAreDocumented(t *testing.T) {
+	text := page(t, "OPERATIONS.md")
+	names := regexp.MustCompile(`"(lentilpick_[a-z_]+)"`)
+	fields := regexp.MustCompile(`field[A-Z][A-Za-z]* += "([a-z_]+)"`)
+	known := map[string]bool{}
+	files, err := filepath.Glob(filepath.Join(root, "server", "*", "*.go"))
+	assert.NilError(t, err)
+	for _, f := range files {
+		b, err := os.ReadFile(f)
+		assert.NilError(t, err)
+		for _, m := range names.FindAllStringSubmatch(string(b), -1) {
+			known[m[1]] = true
+		}
+		if filepath.Base(filepath.Dir(f)) != "node" {
+			continue
+		}
+		for _, m := range append(names.FindAllStringSubmatch(string(b), -1), fields.FindAllStringSubmatch(string(b), -1)...) {
+			assert.Check(t, strings.Contains(text, "`"+m[1]), "%s is not in OPERATIONS.md", m[1])
+		}
+	}
+	section := text[strings.Index(text, "## The node"):strings.Index(text, "## From a request")]
+	for _, m := range regexp.MustCompile("`(lentilpick_[a-z_]+)").FindAllStringSubmatch(section, -1) {
+		assert.Check(t, known[m[1]], "%s is in OPERATIONS.md and not in the code", m[1])
+	}
+}
--- a/cmd/internal/soak/soak.go
+++ b/cmd/internal/soak/soak.go
@@ -318,13 +318,13 @@
 			if o.Status != http.StatusAccepted {
 				continue
 			}
-			if h := holders[o.FencingToken]; h != "" && h != o.Holder {
-				errs = append(errs, fmt.Errorf("%s took orders of %s and %s under the number %d", t.ID, h, o.Holder, o.FencingToken))
+			if h := holders[o.Fence]; h != "" && h != o.Holder {
+				errs = append(errs, fmt.Errorf("%s took orders of %s and %s under the number %d", t.ID, h, o.Holder, o.Fence))
 			}
-			if o.FencingToken < last {
-				errs = append(errs, fmt.Errorf("%s took an order of %s under the number %d after %d", t.ID, o.Holder, o.FencingToken, last))
+			if o.Fence < last {
+				errs = append(errs, fmt.Errorf("%s took an order of %s under the number %d after %d", t.ID, o.Holder, o.Fence, last))
 			}
-			holders[o.FencingToken], last = o.Holder, o.FencingToken
+			holders[o.Fence], last = o.Holder, o.Fence
 		}
 	}
 	return errors.Join(errs...)
--- a/server/node/path_test.go
+++ b/server/node/path_test.go
@@ -399,7 +399,7 @@
 		for _, o := range e.Orders() {
 			orders++
 			assert.Equal(t, o.Holder, "vm1")
-			assert.Assert(t, o.FencingToken > 0)
+			assert.Assert(t, o.Fence > 0)
 		}
 	}
 	assert.Equal(t, orders, 1)
