node: wait out earlier holders where engines check no fences; check the bounds

Engines that do not check fencing numbers are ordered only after every earlier holder's order can no longer be under way. A node whose settings cannot keep the platform's bounds on news does not start. Fields and functions without a use are gone.

--- a/directory/prefix.go
+++ b/directory/prefix.go
@@ -73,13 +73,3 @@
 	b[oldest].key.Store(key)
 	b[oldest].used.Store(now)
 }
-
-// Clear forgets all parts.
-func (p *PrefixTable) Clear() {
-	for i := range p.buckets {
-		for j := range p.buckets[i] {
-			p.buckets[i][j].used.Store(0)
-			p.buckets[i][j].key.Store(0)
-		}
-	}
-}
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -62,18 +62,6 @@
 	Wake <-chan struct{}
 }
 
-// Every returns a schedule function that reads every interval.
-func Every(interval, wait time.Duration) func(time.Time) (time.Duration, time.Duration) {
-	var last time.Time
-	return func(now time.Time) (time.Duration, time.Duration) {
-		if pause := last.Add(interval).Sub(now); pause > 0 {
-			return pause, wait
-		}
-		last = now
-		return 0, wait
-	}
-}
-
 // awayAfter is how long a source has to fail before its records count as
 // missing news. Shorter failures are single lost calls.
 const awayAfter = 500 * time.Millisecond
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -60,12 +60,24 @@
 
 func ok() error { return nil }
 
+// every returns a schedule function that reads every interval.
+func every(interval, wait time.Duration) func(time.Time) (time.Duration, time.Duration) {
+	var last time.Time
+	return func(now time.Time) (time.Duration, time.Duration) {
+		if pause := last.Add(interval).Sub(now); pause > 0 {
+			return pause, wait
+		}
+		last = now
+		return 0, wait
+	}
+}
+
 func follow(t *testing.T, s *fakeSource) *fakeHandler {
 	h := &fakeHandler{}
 	synctest.Test(t, func(*testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
 		s.done = cancel
-		Follow(ctx, s, h, Schedule{Due: Every(100*time.Millisecond, 0), MinPause: 100 * time.Millisecond, MaxPause: time.Second})
+		Follow(ctx, s, h, Schedule{Due: every(100*time.Millisecond, 0), MinPause: 100 * time.Millisecond, MaxPause: time.Second})
 	})
 	return h
 }
--- a/routes/routes.go
+++ b/routes/routes.go
@@ -53,8 +53,6 @@
 	Priority int
 	// Attempts is how many targets may run one attempt of a caller.
 	Attempts int
-	// Prompted routes carry requests that describe their prompt.
-	Prompted bool
 	// Resumable streams may go on at another target.
 	Resumable bool
 	Backends  []Backend
--- a/server/node/lease.go
+++ b/server/node/lease.go
@@ -35,8 +35,10 @@
 type leaseClaimer struct {
 	log    logclient.Log
 	lease  *authority.Lease
-	scope  types.DataCentreID
 	window time.Duration // in which a holder may order after its claim was sent
+	// fenced says that engines refuse the orders of earlier holders. Without it a
+	// holder waits until no earlier one can have an order under way.
+	fenced bool
 	last   grant
 }
 
@@ -44,12 +46,16 @@
 // field for the data centre that a lease is for.
 const leaseScope = "all"
 
-func newLeaseClaimer(log logclient.Log, self authority.Holder, period time.Duration) *leaseClaimer {
+// quarantine is how long an earlier holder may have an order under way: longer
+// than machines of the platform are suspended, and than late orders take.
+const quarantine = 30 * time.Second
+
+func newLeaseClaimer(log logclient.Log, self authority.Holder, period time.Duration, fenced bool) *leaseClaimer {
 	d := leasePeriods * period
 	s := authority.Settings{
-		DataCentre: leaseScope, Self: self, Duration: d, RenewEvery: period, Margin: authority.MarginFor(d), Quarantine: d,
+		DataCentre: leaseScope, Self: self, Duration: d, RenewEvery: period, Margin: authority.MarginFor(d), Quarantine: quarantine,
 	}
-	return &leaseClaimer{log: log, scope: leaseScope, window: period, lease: authority.NewLease(s, time.Now())}
+	return &leaseClaimer{log: log, window: period, fenced: fenced, lease: authority.NewLease(s, time.Now())}
 }
 
 // grant is the right to order until it ends.
@@ -106,6 +112,9 @@
 			return grant{}, err
 		}
 		if g := c.lease.Grant(); g.Fence != 0 && c.lease.Held(time.Now()) {
+			if !c.fenced && !g.Cleared(time.Now(), func(types.VMID) bool { return false }) {
+				return grant{}, fmt.Errorf("%w: %w", errNotHeld, authority.ErrQuarantine)
+			}
 			c.last = grant{g.Fence, sent + c.window}
 			return c.last, nil
 		}
--- a/server/node/node.go
+++ b/server/node/node.go
@@ -87,6 +87,9 @@
 
 // New returns a node that is not yet serving.
 func New(s *Settings, m *platform.Settings, log *logrus.Entry) (*Node, error) {
+	if err := checkBounds(s, m); err != nil {
+		return nil, err
+	}
 	debug.SetMemoryLimit(int64(memoryShare * float64(m.MemoryBytes)))
 	debug.SetGCPercent(s.GCPercent)
 	n := &Node{
@@ -116,6 +119,20 @@
 	return n, n.registerGauges(o)
 }
 
+// checkBounds refuses settings with which the news of the store comes later than
+// the platform allows.
+func checkBounds(s *Settings, m *platform.Settings) error {
+	if late := 2*s.RegistrationInterval + tellTime; late > m.DrainTime {
+		return fmt.Errorf("%w: registration_interval = %s: news of leaving targets takes up to %s, and the platform allows %s",
+			ErrStart, s.RegistrationInterval, late, m.DrainTime)
+	}
+	if late := s.ConfigurationWait + tellTime; late > m.ConfigTime {
+		return fmt.Errorf("%w: configuration_wait = %s: news of a configuration takes up to %s, and the platform allows %s",
+			ErrStart, s.ConfigurationWait, late, m.ConfigTime)
+	}
+	return nil
+}
+
 func (n *Node) internal(port int) string {
 	return net.JoinHostPort(n.machine.IP.String(), strconv.Itoa(port))
 }
@@ -149,6 +166,7 @@
 		n.metrics.Gauge("lentilpick_in_flight", "Requests in progress.", func() int64 { return int64(n.front.InFlight()) }),
 		n.metrics.Gauge("lentilpick_peers", "Other nodes that were heard lately.", func() int64 { return int64(n.share.Live()) }),
 		n.metrics.Gauge("lentilpick_targets", "Known targets.", func() int64 { return int64(n.directory.Load().Len()) }),
+		n.metrics.Gauge("lentilpick_bad_messages", "Messages of other nodes that did not decode.", n.share.Malformed),
 		n.metrics.Gauge("lentilpick_log_dropped", "Log lines that were dropped.", o.dropped.Load),
 		n.metrics.Gauge("lentilpick_configuration", "Version of the configuration in force.", func() int64 {
 			if t := n.gateway.Table(); t != nil {
@@ -256,7 +274,7 @@
 		holder := authority.Holder{VM: n.machine.VM, Incarnation: strconv.FormatUint(rand.Uint64(), 36)}
 		k := &roleKeeper{
 			log: n.log, gateway: n.gateway, directory: n.directory, targets: n.targets, self: n.machine.VM,
-			lease: newLeaseClaimer(n.store, holder, n.machine.LeaseTime),
+			lease: newLeaseClaimer(n.store, holder, n.machine.LeaseTime, n.machine.ChecksFencing),
 			share: float64(n.settings.PrefillShare) / 1000, place: n.place, away: n.share.Changed,
 		}
 		go k.run(ctx)
--- a/server/node/pace_test.go
+++ b/server/node/pace_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/lentilpick/lentilpick/directory"
 	"github.com/lentilpick/lentilpick/loadshare"
+	"github.com/lentilpick/lentilpick/platform"
 )
 
 // Guards against nodes that all read the store, and against a data centre that
@@ -30,3 +31,16 @@
 	pause, _ = p.due(now)
 	assert.Equal(t, pause.Round(time.Millisecond), 1700*time.Millisecond, "the last in line is in time as well")
 }
+
+// Guards against a node that runs with settings with which it cannot keep the
+// platform's bounds.
+func TestBounds(t *testing.T) {
+	m := &platform.Settings{DrainTime: 2 * time.Second, ConfigTime: 2 * time.Second}
+	assert.NilError(t, checkBounds(DefaultSettings(), m))
+	s := DefaultSettings()
+	s.RegistrationInterval = time.Second
+	assert.ErrorContains(t, checkBounds(s, m), "registration_interval")
+	s = DefaultSettings()
+	s.ConfigurationWait = 2 * time.Second
+	assert.ErrorContains(t, checkBounds(s, m), "configuration_wait")
+}
--- a/server/node/roles_test.go
+++ b/server/node/roles_test.go
@@ -48,7 +48,7 @@
 const period = 3 * time.Second
 
 func claimer(l *fakeLog, vm types.VMID) *leaseClaimer {
-	return newLeaseClaimer(l, authority.Holder{VM: vm, Incarnation: "1"}, period)
+	return newLeaseClaimer(l, authority.Holder{VM: vm, Incarnation: "1"}, period, true)
 }
 
 // Guards against two nodes that may order at the same time, or so soon after one
@@ -77,6 +77,28 @@
 	})
 }
 
+// Guards against orders to engines that do not check fencing numbers while an
+// earlier holder may still have one under way.
+func TestQuarantineWithoutFencing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx := context.Background()
+		l := &fakeLog{}
+		a, b := claimer(l, "a"), claimer(l, "b")
+		a.fenced, b.fenced = false, false
+		_, err := a.claim(ctx)
+		assert.NilError(t, err)
+		granted := time.Duration(0)
+		for began := time.Now(); granted == 0; time.Sleep(time.Second) {
+			_, err = b.claim(ctx)
+			if err == nil {
+				granted = time.Since(began)
+			}
+			assert.Assert(t, err == nil || errors.Is(err, errNotHeld), "%v", err)
+		}
+		assert.Assert(t, granted >= quarantine, "%s", granted)
+	})
+}
+
 // Guards against a claim whose lost answer counts as a grant of another time, and
 // against a claim without the records that have expired.
 func TestClaimWithLostAnswer(t *testing.T) {
