--- a/server/node/pace.go
+++ b/server/node/pace.go
@@ -36,7 +36,7 @@
 	// bounds on configuration and on leaving targets.
 	maxTurns = 5
 	// rarely is the longest time between two reads of any node.
-	rarely = 10 * time.Second
+	rarely = 30 * time.Second
 )
 
 // due implements feed.Schedule.
