Expire lapsed registrations by the watch, not by the next read

It sent to the target 3.5 s after it had left. Ruled out: a lost load message (the removal had been read).

--- a/server/node/feeds.go
+++ b/server/node/feeds.go
@@ -112,7 +112,6 @@
 			changed = i.Next
 		}
 	}
-	f.changed(f.directory.Expire(now))
 	return changed
 }
 
@@ -152,12 +151,13 @@
 // Failed implements feed.Handler.
 func (f *registrationFeed) Failed(err error, away time.Duration) {
 	f.failed(err, away)
-	f.changed(f.directory.Expire(time.Now()))
 }
 
-func (f *registrationFeed) changed(changes []directory.Change) {
+func (f *registrationFeed) changed(changes []directory.Change) { logChanges(f.log, changes) }
+
+func logChanges(log *logrus.Entry, changes []directory.Change) {
 	for _, c := range changes {
-		f.log.WithFields(logrus.Fields{
+		log.WithFields(logrus.Fields{
 			daemon.FieldTarget: c.ID, daemon.FieldService: c.Service, fieldChange: c.What,
 		}).Info("target changed")
 	}
--- /dev/null
+++ b/server/node/feeds_test.go
@@ -0,0 +1,54 @@
+package node
+
+import (
+	"errors"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lentilpick/lentilpick/daemon"
+	"github.com/lentilpick/lentilpick/directory"
+	"github.com/lentilpick/lentilpick/feed"
+)
+
+// Guards against work for a target whose registration was removed after an
+// outage and that has not registered again: a node that is told of changes by
+// others may not read the store for long after the removal (kereru-tpl trouble-1
+// --seed 11: a request 3.5 s after the server had left).
+func TestRemovalAfterOutageEndsWithoutAnotherRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := daemon.NewLogger(io.Discard, "error", "node")
+		d := directory.New()
+		f := &registrationFeed{outage: outage{log: log}, directory: d, loaded: func() {}}
+		w := watcher{log: log, directory: d, changed: func(*directory.Target) {}}
+		a, b := directory.Entry{ID: "a", Service: "s"}, directory.Entry{ID: "b", Service: "s"}
+		f.Listed([]feed.Item[directory.Entry]{{Key: "a", Value: &a}, {Key: "b", Value: &b}}, 0)
+		f.Failed(errors.New("down"), time.Second)
+		f.Changed([]feed.Item[directory.Entry]{{Key: "a"}, {Key: "b"}}, 3*time.Second)
+		assert.Equal(t, d.Load().Len(), 2)
+		for range int((returnTime - time.Millisecond) / watchInterval) {
+			time.Sleep(watchInterval)
+			w.step(time.Now())
+		}
+		assert.Equal(t, d.Load().Len(), 2)
+		f.Changed([]feed.Item[directory.Entry]{{Key: "b", Value: &b}}, 0)
+		time.Sleep(2 * watchInterval)
+		w.step(time.Now())
+		assert.Equal(t, d.Load().Len(), 1)
+		assert.Assert(t, d.Load().Target("a") == nil)
+	})
+}
+
+// Guards against a removal without an outage that is not believed at once.
+func TestRemovalCountsAtOnce(t *testing.T) {
+	d := directory.New()
+	f := &registrationFeed{outage: outage{log: daemon.NewLogger(io.Discard, "error", "node")}, directory: d, loaded: func() {}}
+	a := directory.Entry{ID: "a", Service: "s"}
+	f.Listed([]feed.Item[directory.Entry]{{Key: "a", Value: &a}}, 0)
+	changed := f.Changed([]feed.Item[directory.Entry]{{Key: "a", Next: 7}}, 0)
+	assert.Equal(t, d.Load().Len(), 0)
+	assert.Equal(t, int(changed), 7)
+}
--- a/server/node/watch.go
+++ b/server/node/watch.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/lentilpick/lentilpick/daemon"
 	"github.com/lentilpick/lentilpick/directory"
 	"github.com/lentilpick/lentilpick/types"
@@ -25,23 +27,37 @@
 )
 
 // watch takes targets out of use while they are silent on own requests, and
-// tells the other nodes.
+// those whose registrations have not come back after an outage.
 func (n *Node) watch(ctx context.Context) {
+	w := watcher{log: n.log, directory: n.directory, changed: n.share.Changed}
 	for daemon.Sleep(ctx, watchInterval) {
-		now := time.Now()
-		n.directory.Load().All(func(t *directory.Target) {
-			was := t.Load.Suspect()
-			if !t.Load.Watch(now, silenceOf(t), suspectPause) {
-				return
-			}
-			n.share.Changed(t)
-			if !was {
-				n.log.WithField(daemon.FieldTarget, t.ID).WithField(daemon.FieldService, t.Service).Warn("target is silent")
-			}
-		})
+		w.step(time.Now())
 	}
 }
 
+// watcher looks at all targets now and then.
+type watcher struct {
+	log       *logrus.Entry
+	directory *directory.Directory
+	// changed tells the other nodes of a target.
+	changed func(*directory.Target)
+}
+
+func (w *watcher) step(now time.Time) {
+	// A node that does not read the store for a while has no other occasion.
+	logChanges(w.log, w.directory.Expire(now))
+	w.directory.Load().All(func(t *directory.Target) {
+		was := t.Load.Suspect()
+		if !t.Load.Watch(now, silenceOf(t), suspectPause) {
+			return
+		}
+		w.changed(t)
+		if !was {
+			w.log.WithField(daemon.FieldTarget, t.ID).WithField(daemon.FieldService, t.Service).Warn("target is silent")
+		}
+	})
+}
+
 func silenceOf(t *directory.Target) time.Duration {
 	switch t.Role {
 	case types.RolePrefill:
