--- a/directory/prefix.go
+++ b/directory/prefix.go
@@ -18,11 +18,14 @@
 }
 
 // PrefixTable remembers which prompt parts an engine has read recently. It has
-// a fixed size and no locks: a lost update costs a wrong prediction at most.
+// a fixed size, which it takes with its first part, and no locks: a lost update
+// costs a wrong prediction at most.
 type PrefixTable struct {
-	buckets [prefixBuckets][prefixWays]prefixSlot
+	buckets atomic.Pointer[prefixBucketTable]
 }
 
+type prefixBucketTable [prefixBuckets][prefixWays]prefixSlot
+
 type prefixSlot struct {
 	key  atomic.Uint64
 	used atomic.Int64 // on the clock of the engine's cache; 0 means never
@@ -42,7 +45,11 @@
 }
 
 func (p *PrefixTable) used(key uint64) int64 {
-	b := &p.buckets[key%prefixBuckets]
+	table := p.buckets.Load()
+	if table == nil {
+		return 0
+	}
+	b := &table[key%prefixBuckets]
 	for i := range b {
 		if b[i].key.Load() == key {
 			return b[i].used.Load()
@@ -59,7 +66,12 @@
 }
 
 func (p *PrefixTable) use(key uint64, now int64) {
-	b := &p.buckets[key%prefixBuckets]
+	table := p.buckets.Load()
+	if table == nil {
+		p.buckets.CompareAndSwap(nil, new(prefixBucketTable))
+		table = p.buckets.Load()
+	}
+	b := &table[key%prefixBuckets]
 	oldest := 0
 	for i := range b {
 		if b[i].key.Load() == key {
--- a/server/node/node.go
+++ b/server/node/node.go
@@ -180,9 +180,13 @@
 // setPeers takes a new list of the other nodes.
 func (n *Node) setPeers(all []Member) {
 	n.peers.Store(&all)
-	peers := make([]loadshare.Peer, len(all))
-	for i, m := range all {
-		peers[i] = loadshare.Peer{Name: m.VM, DataCentre: m.DataCentre, Address: m.Address}
+	var peers []loadshare.Peer
+	for _, m := range all {
+		// Load is not exchanged between regions, so that the messages of a node do not
+		// grow with their number.
+		if n.machine.Regions[m.DataCentre] == n.machine.Regions[n.machine.DataCentre] {
+			peers = append(peers, loadshare.Peer{Name: m.VM, DataCentre: m.DataCentre, Address: m.Address})
+		}
 	}
 	n.share.SetPeers(peers, n.machine.DataCentre)
 	nodes := float64(len(all) + 1)
