gateway: serve prompts where engines have no separate roles

Cause: engines registered as colocated, or without a phase, were dropped or found by no filter, so that a deployment without split roles would have refused every prompt. Whole requests are refused early like split ones. The new tests fail without the change.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -319,6 +319,14 @@
 	assert.Equal(t, reason(r.Outcome), "not_run overload")
 	assert.Assert(t, r.RetryAfter >= minRetryAfter)
 	assert.Equal(t, len(w.targets.calls), 0)
+
+	w = newWorld()
+	for _, id := range []types.TargetID{"p1", "p2", "d1", "d2"} {
+		w.d.Put(directory.Entry{ID: id, Service: "llm", Role: types.RoleMixed, Slots: 8})
+		w.d.Load().Target(id).Load.Peers.Add(directory.Work{Prefill: 500_000, Prefills: 40})
+	}
+	r, _ = w.serve(context.Background(), "/chat/x")
+	assert.Equal(t, reason(r.Outcome), "not_run overload")
 }
 
 // Guards against a request that is held beyond its deadline, and against work
@@ -347,6 +355,21 @@
 	assert.Equal(t, reason(r.Outcome), "not_run unknown_route")
 }
 
+// Guards against prompts that find no engine where engines have no separate
+// roles, or where none has the prefill role.
+func TestEnginesWithoutPrefillRole(t *testing.T) {
+	for _, role := range []types.Role{types.RoleMixed, types.RoleDecode} {
+		w := newWorld()
+		for _, id := range []types.TargetID{"p1", "p2", "d1", "d2"} {
+			w.d.Put(directory.Entry{ID: id, Service: "llm", Role: role, Slots: 8})
+		}
+		w.targets.send = script(&fakeAnswer{status: 200, pieces: []string{"id: 1\n\n"}}, ErrRefused)
+		r, _ := w.serve(context.Background(), "/chat/x")
+		assert.Equal(t, reason(r.Outcome), "answered")
+		assert.Equal(t, w.targets.stages(), "ww", "the second engine serves what the first one refused")
+	}
+}
+
 // Guards against own work that stays with a target after the request.
 func TestWorkEnds(t *testing.T) {
 	w := newWorld()
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -95,14 +95,14 @@
 		return s.whole(placement.Available{}, placement.PlainScorer{Costs: s.g.settings.Costs, Work: plainWork})
 	}
 	if s.events > 0 {
-		return s.whole(placement.Role(types.RoleDecode), s.wholeScorer())
+		return s.whole(placement.Generates{}, s.wholeScorer())
 	}
 	if s.handle.ID != "" {
 		return s.decode()
 	}
 	p := s.pick(placement.Role(types.RolePrefill), s.prefillScorer())
 	if p.Target == nil {
-		return s.whole(placement.Role(types.RoleDecode), s.wholeScorer())
+		return s.whole(placement.Generates{}, s.wholeScorer())
 	}
 	if err := s.check(p); err != nil {
 		return err
@@ -196,7 +196,7 @@
 // decode runs the request from the KV cache of the prefill.
 func (s *stream) decode() error {
 	h := s.handle
-	d := s.pick(placement.Role(types.RoleDecode), placement.DecodeScorer{
+	d := s.pick(placement.Generates{}, placement.DecodeScorer{
 		Costs: s.costs(), Speed: s.g.settings.Speed, Engine: *s.service.Engine, Link: s.link(), Source: h.Target.DataCentre,
 	})
 	if d.Target == nil {
@@ -222,6 +222,11 @@
 		return &ended{s.refuse(types.RefusedNoTarget, s.route.Objective)}
 	}
 	if s.r.Prompt != nil && s.service != nil && s.service.Engine != nil {
+		if s.events == 0 {
+			if err := s.check(c); err != nil {
+				return err
+			}
+		}
 		s.use(c.Target, c.Uncached)
 	}
 	return s.run(c, s.call(c.Target, StageWhole))
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -112,6 +112,15 @@
 	return t.Role == types.Role(o) && Available{}.Keep(r, t)
 }
 
+// Generates keeps the available engines that generate tokens: all but those that
+// only read prompts.
+type Generates struct{}
+
+// Keep implements Filter.
+func (Generates) Keep(r *Request, t *directory.Target) bool {
+	return t.Role != types.RolePrefill && Available{}.Keep(r, t)
+}
+
 // Costs holds what the choice of a target is weighed with.
 type Costs struct {
 	// Local is the data centre of this daemon.
@@ -331,9 +340,13 @@
 	load := t.Load.Total()
 	uncached := r.Prompt.Tokens - s.cached(r, t)
 	work := s.Speed.Work(r.Prompt.Tokens, uncached)
+	slowdown := time.Duration(1)
+	if t.Role == types.RoleDecode {
+		slowdown = wholeSlowdown
+	}
 	c := Choice{
-		Wait:     wholeSlowdown * s.Speed.prefill(max(load.Prefill, 0)),
-		Run:      wholeSlowdown*s.Speed.prefill(work) + s.Speed.Setup,
+		Wait:     slowdown * s.Speed.prefill(max(load.Prefill, 0)),
+		Run:      slowdown*s.Speed.prefill(work) + s.Speed.Setup,
 		Uncached: uncached, Work: work,
 	}
 	c.Cost = c.Wait + c.Run + time.Duration(load.Streams)*s.Speed.Step + s.remote(t, r.Bytes) + s.health(t) + max(t.Load.Delay(), 0)
