node: log what the knowledge of a configuration rests on, and refusals without a route

The logs of the late configurations did not tell the hypotheses apart. The line "configuration in force" now says how the node learned of it, the offsets, how long ago the node and the freshest other node had read the feed, and who said so. A request that an older configuration refuses with 404 is logged with the version that decided; such lines have a limit of their own, a quarter of log_rate, so that callers of unknown paths crowd out nobody.

--- a/gateway/event.go
+++ b/gateway/event.go
@@ -23,7 +23,7 @@
 	Request *Request
 	Route   string
 	Service types.ServiceID
-	// Config is the version of the configuration that decided.
+	// Config is the version of the configuration that decided, 0 without one.
 	Config uint64
 	Target types.TargetID
 	Stage  Stage
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -73,8 +73,11 @@
 
 func (x *exchange) event(k Kind) Event {
 	e := Event{Kind: k, Request: x.r, Service: x.serviceID, Elapsed: x.now().Sub(x.r.Arrived)}
+	if x.table != nil {
+		e.Config = x.table.Version
+	}
 	if x.route != nil {
-		e.Route, e.Config = x.route.Name, x.table.Version
+		e.Route = x.route.Name
 	}
 	return e
 }
--- a/loadshare/peers.go
+++ b/loadshare/peers.go
@@ -32,6 +32,18 @@
 	return n
 }
 
+// name returns the name of the node with a hash, or an empty one.
+func (l *peerList) name(hash uint64) types.VMID {
+	for _, group := range append([][]Peer{l.local}, l.remote...) {
+		for _, p := range group {
+			if p.hash() == hash {
+				return p.Name
+			}
+		}
+	}
+	return ""
+}
+
 // SetPeers replaces the list of the other daemons. own is the data centre of
 // this one.
 func (s *Share) SetPeers(all []Peer, own types.DataCentreID) {
--- a/loadshare/progress.go
+++ b/loadshare/progress.go
@@ -24,10 +24,11 @@
 // Progress tells how far the nodes have read one feed, so that a few of them
 // read it for all. It is safe for concurrent use.
 type Progress struct {
-	own     atomic.Int64 // when this node read the end, in Unix nanoseconds
-	peers   atomic.Int64 // the same for the freshest other node
-	changed atomic.Int64 // offset after the last change that this node has read
-	next    atomic.Int64 // offset from which this node reads on
+	own     atomic.Int64  // when this node read the end, in Unix nanoseconds
+	peers   atomic.Int64  // the same for the freshest other node
+	teller  atomic.Uint64 // hash of the name of that node
+	changed atomic.Int64  // offset after the last change that this node has read
+	next    atomic.Int64  // offset from which this node reads on
 	// queued is the offset that the news in the queue reaches.
 	queued atomic.Int64
 	wake   chan struct{}
@@ -92,6 +93,26 @@
 // this node was told.
 func (p *Progress) Freshest() time.Time { return time.Unix(0, max(p.own.Load(), p.peers.Load())) }
 
+// Knowledge says what a node's knowledge of a feed rests on.
+type Knowledge struct {
+	// Own is the time since the node's own last read of the end of the feed, and
+	// Told the same for the freshest other node, as far as this one was told.
+	Own, Told time.Duration
+	// Teller is that node; empty if it is not known by name.
+	Teller types.VMID
+	// Next is the offset up to which the node has read or was told of changes.
+	Next types.Offset
+}
+
+// Knowledge returns what this node's knowledge of a feed rests on at now.
+func (s *Share) Knowledge(index int, now time.Time) Knowledge {
+	p := s.feeds[index]
+	return Knowledge{
+		Own: now.Sub(p.Own()), Told: now.Sub(time.Unix(0, p.peers.Load())),
+		Teller: s.peers.Load().name(p.teller.Load()), Next: types.Offset(p.next.Load()),
+	}
+}
+
 // Wake receives a value when another node has read a change that this one has
 // not.
 func (p *Progress) Wake() <-chan struct{} { return p.wake }
@@ -105,10 +126,11 @@
 }
 
 // hear folds what another node tells.
-func (p *Progress) hear(s state, now time.Time) {
+func (p *Progress) hear(s state, sender uint64, now time.Time) {
 	if s.age < never {
 		if at := now.Add(-s.age).UnixNano(); at > p.peers.Load() {
 			p.peers.Store(at)
+			p.teller.Store(sender)
 		}
 	}
 	if int64(s.changed) > max(p.next.Load(), p.queued.Load()) {
--- a/loadshare/share.go
+++ b/loadshare/share.go
@@ -336,7 +336,7 @@
 		}
 	}
 	for i, f := range s.feeds {
-		f.hear(m.feeds[i], now)
+		f.hear(m.feeds[i], m.sender, now)
 	}
 	if m.seq <= p.seq {
 		return
--- a/server/node/feeds.go
+++ b/server/node/feeds.go
@@ -9,6 +9,7 @@
 	"github.com/lentilpick/lentilpick/directory"
 	"github.com/lentilpick/lentilpick/feed"
 	"github.com/lentilpick/lentilpick/gateway"
+	"github.com/lentilpick/lentilpick/loadshare"
 	"github.com/lentilpick/lentilpick/routes"
 	"github.com/lentilpick/lentilpick/types"
 )
@@ -43,6 +44,17 @@
 	fieldSource = "source"
 	fieldChange = "change"
 	fieldKey    = "key"
+	// fieldLearned says how a node has learned of a record, fieldOffset is the
+	// offset after it, and fieldKnown the one up to which the node knew the feed
+	// before. fieldOwnRead and fieldToldRead are the ages of the freshest reads by
+	// the node and by the others, as it believed before, and fieldTeller names the
+	// node that told the latter.
+	fieldLearned  = "learned"
+	fieldOffset   = "offset"
+	fieldKnown    = "known_offset"
+	fieldOwnRead  = "own_read_ms"
+	fieldToldRead = "told_read_ms"
+	fieldTeller   = "teller"
 )
 
 // configFeed puts configurations in force. It implements feed.Handler.
@@ -50,30 +62,46 @@
 	outage
 	gateway *gateway.Gateway
 	loaded  func()
+	// knowledge says what is known of the feed.
+	knowledge func() loadshare.Knowledge
 }
 
 // Listed implements feed.Handler.
 func (f *configFeed) Listed(l feed.Listing[*routes.Table], away time.Duration) {
-	f.Changed(l.Items, away)
+	f.back()
+	f.fold(l.Items, byList)
 }
 
 // Changed implements feed.Handler.
 func (f *configFeed) Changed(items []feed.Item[*routes.Table], _ time.Duration) []feed.Item[*routes.Table] {
 	f.back()
-	return f.fold(items)
+	return f.fold(items, byRead)
 }
 
 // Told implements feed.Handler.
-func (f *configFeed) Told(items []feed.Item[*routes.Table], _ time.Duration) { f.fold(items) }
+func (f *configFeed) Told(items []feed.Item[*routes.Table], _ time.Duration) {
+	f.fold(items, byTelling)
+}
+
+// Ways by which a node learns of a record.
+const (
+	byList    = "list"
+	byRead    = "read"
+	byTelling = "told"
+)
 
-func (f *configFeed) fold(items []feed.Item[*routes.Table]) (changed []feed.Item[*routes.Table]) {
+func (f *configFeed) fold(items []feed.Item[*routes.Table], learned string) (changed []feed.Item[*routes.Table]) {
 	for _, i := range items {
 		switch {
 		case i.Err != nil:
 			f.log.WithError(i.Err).Error("configuration does not decode; it is passed over")
 		case i.Value == nil:
 		case f.gateway.SetTable(*i.Value):
-			f.log.WithFields(logrus.Fields{fieldConfig: (*i.Value).Version, "routes": (*i.Value).Routes()}).Info("configuration in force")
+			k := f.knowledge()
+			f.log.WithFields(logrus.Fields{
+				fieldConfig: (*i.Value).Version, "routes": (*i.Value).Routes(), fieldLearned: learned, fieldOffset: i.Next,
+				fieldKnown: k.Next, fieldOwnRead: millis(k.Own), fieldToldRead: millis(k.Told), fieldTeller: k.Teller,
+			}).Info("configuration in force")
 			f.loaded()
 			changed = append(changed, i)
 		}
--- a/server/node/node.go
+++ b/server/node/node.go
@@ -114,7 +114,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrStart, err)
 	}
-	o := &observer{log: log, counters: c, sample: uint64(s.SampleOne), rate: int64(s.LogRate)}
+	o := newObserver(log, c, s.SampleOne, s.LogRate)
 	n.gateway = gateway.New(n.gatewaySettings(), n.directory, n.targets, n.share, o)
 	n.front, err = platform.NewFront(n.gateway, log, n.badInput(c))
 	if err != nil {
@@ -289,6 +289,7 @@
 	go n.watch(ctx)
 	go follow(ctx, n, feedConfig, n.store.Configurations(), &configFeed{
 		outage: source("configuration"), gateway: n.gateway, loaded: func() { n.configured.Store(true) },
+		knowledge: func() loadshare.Knowledge { return n.share.Knowledge(feedConfig, time.Now()) },
 	}, n.pace(feedConfig, 0, n.settings.ConfigurationWait), minPause, maxPause)
 	go follow(ctx, n, feedRegistrations, n.store.Registrations(), &registrationFeed{
 		outage: source("registrations"), directory: n.directory, loaded: func() { n.listed.Store(true) },
--- a/server/node/observer.go
+++ b/server/node/observer.go
@@ -34,10 +34,20 @@
 	log      *logrus.Entry
 	counters *counters
 	sample   uint64
-	rate     int64
-	second   atomic.Int64 // the second that written counts
-	written  atomic.Int64
-	dropped  atomic.Int64
+	// lines bounds all lines, unrouted those of paths without a route.
+	lines, unrouted lineLimit
+	dropped         atomic.Int64
+}
+
+// unroutedShare is the part of the lines that requests without a route may take:
+// callers that try paths at random must not crowd out the others.
+const unroutedShare = 4
+
+func newObserver(log *logrus.Entry, c *counters, sample, rate int) *observer {
+	return &observer{
+		log: log, counters: c, sample: uint64(sample),
+		lines: lineLimit{rate: int64(rate)}, unrouted: lineLimit{rate: int64(rate) / unroutedShare},
+	}
 }
 
 // Decided implements gateway.Observer.
@@ -46,7 +56,7 @@
 // Ended implements gateway.Observer. It writes the decisions of a request in
 // full or not at all.
 func (o *observer) Ended(all []gateway.Event) {
-	if !o.worth(&all[len(all)-1]) || !o.allowed(len(all)) {
+	if end := &all[len(all)-1]; !o.worth(end) || !o.allowed(end, len(all)) {
 		return
 	}
 	for i := range all {
@@ -57,7 +67,10 @@
 func (o *observer) write(e *gateway.Event) {
 	f := logrus.Fields{daemon.FieldRequest: e.Request.ID, fieldElapsed: millis(e.Elapsed)}
 	if e.Route != "" {
-		f[fieldRoute], f[daemon.FieldService], f[fieldConfig] = e.Route, e.Service, e.Config
+		f[fieldRoute], f[daemon.FieldService] = e.Route, e.Service
+	}
+	if e.Config != 0 {
+		f[fieldConfig] = e.Config
 	}
 	switch e.Kind {
 	case gateway.KindSend:
@@ -76,29 +89,39 @@
 }
 
 // worth reports whether the decisions about a request are written: those of all
-// that did not go as planned, and of a sample of the others. A path without a
-// route is a caller's error and says nothing about the system.
+// that did not go as planned, and of a sample of the others.
 func (o *observer) worth(end *gateway.Event) bool {
-	if r, ok := end.Outcome.(types.NotRun); ok && r.Reason() == types.RefusedUnknownRoute {
-		return end.Request.Hash%o.sample == 0
-	}
 	_, answered := end.Outcome.(types.Answered)
 	return !answered || end.Status >= 500 || end.Late || end.Tries > 2 || end.Request.Hash%o.sample == 0
 }
 
-// allowed bounds the lines of each second.
-func (o *observer) allowed(lines int) bool {
-	now := time.Now().Unix()
-	if old := o.second.Load(); old != now && o.second.CompareAndSwap(old, now) {
-		o.written.Store(0)
-	}
-	if o.written.Add(int64(lines)) <= o.rate {
+// allowed bounds the lines of each second. Those that it refuses are counted.
+func (o *observer) allowed(end *gateway.Event, lines int) bool {
+	r, notRun := end.Outcome.(types.NotRun)
+	unrouted := notRun && r.Reason() == types.RefusedUnknownRoute
+	if (!unrouted || o.unrouted.take(lines)) && o.lines.take(lines) {
 		return true
 	}
 	o.dropped.Add(int64(lines))
 	return false
 }
 
+// lineLimit bounds log lines. It is safe for concurrent use.
+type lineLimit struct {
+	rate    int64        // lines a second
+	second  atomic.Int64 // that written counts
+	written atomic.Int64
+}
+
+// take reports whether some more lines may be written in this second.
+func (l *lineLimit) take(lines int) bool {
+	now := time.Now().Unix()
+	if old := l.second.Load(); old != now && l.second.CompareAndSwap(old, now) {
+		l.written.Store(0)
+	}
+	return l.written.Add(int64(lines)) <= l.rate
+}
+
 func outcomeOf(o types.Outcome) (name, reason string) {
 	switch v := o.(type) {
 	case types.NotRun:
--- a/server/node/observer_test.go
+++ b/server/node/observer_test.go
@@ -15,12 +15,12 @@
 	"github.com/lentilpick/lentilpick/types"
 )
 
-func newObserver(t *testing.T, w io.Writer, rate int64) *observer {
+func testObserver(t *testing.T, w io.Writer, rate int) *observer {
 	m, err := daemon.NewMetrics("test")
 	assert.NilError(t, err)
 	c, err := newCounters(m)
 	assert.NilError(t, err)
-	return &observer{log: daemon.NewLogger(w, "info", "node"), counters: c, sample: 8, rate: rate}
+	return newObserver(daemon.NewLogger(w, "info", "node"), c, 8, rate)
 }
 
 func trail(hash uint64, o types.Outcome, change func(e *gateway.Event)) []gateway.Event {
@@ -47,10 +47,10 @@
 		"late":              {trail(3, types.Answered{}, func(e *gateway.Event) { e.Late = true }), 2},
 		"retried":           {trail(3, types.Answered{}, func(e *gateway.Event) { e.Tries = 3 }), 2},
 		"failed answer":     {trail(3, types.Answered{}, func(e *gateway.Event) { e.Status = 500 }), 2},
-		"no route":          {trail(3, attempt.Refuse(types.RefusedUnknownRoute), nil), 0},
+		"no route":          {trail(3, attempt.Refuse(types.RefusedUnknownRoute), nil), 2},
 	} {
 		var out bytes.Buffer
-		newObserver(t, &out, 100).Ended(c.all)
+		testObserver(t, &out, 100).Ended(c.all)
 		assert.Equal(t, strings.Count(out.String(), "\n"), c.lines, name)
 	}
 }
@@ -58,10 +58,9 @@
 // Guards against a log that grows with the load, and drops that nobody counts.
 func TestLogRate(t *testing.T) {
 	var out bytes.Buffer
-	o := newObserver(t, &out, 10)
-	o.second.Store(time.Now().Add(time.Hour).Unix())
+	o := testObserver(t, &out, 10)
+	o.lines.second.Store(time.Now().Add(time.Hour).Unix())
 	for range 100 {
-		o.written.Add(0)
 		o.Ended(trail(8, types.Answered{}, nil))
 	}
 	lines := int64(strings.Count(out.String(), "\n"))
@@ -69,6 +68,24 @@
 	assert.Equal(t, lines+o.dropped.Load(), int64(200))
 }
 
+// Guards against a 404 of an older configuration that cannot be explained, and
+// against callers of unknown paths whose lines crowd out all others.
+func TestUnknownRoutesAreLoggedWithTheirConfiguration(t *testing.T) {
+	var out bytes.Buffer
+	o := testObserver(t, &out, 40)
+	var attempt types.Attempt
+	unknown := trail(3, attempt.Refuse(types.RefusedUnknownRoute), func(e *gateway.Event) { e.Config = 7 })
+	o.Ended(unknown)
+	assert.Assert(t, strings.Contains(out.String(), `"configuration":7`))
+	out.Reset()
+	for range 100 {
+		o.Ended(unknown)
+	}
+	assert.Assert(t, strings.Count(out.String(), "\n") <= 2*40/unroutedShare, "at most the rate of each of two seconds")
+	o.Ended(trail(3, attempt.Refuse(types.RefusedNoTarget), nil))
+	assert.Assert(t, strings.Contains(out.String(), types.RefusedNoTarget.String()))
+}
+
 // blocked is a writer that never returns.
 type blocked struct{ began chan struct{} }
 
