clock: pauses, silences and shares no longer follow the time of day

Callers saw targets out of use for as long as a clock was set back, and targets taken as silent when it was set forward. Cause: times in atomic variables were kept as UnixNano, which drops the monotonic reading: directory.Load (heard, away, kept, RetryAfter), routing.Counters.RetryAfter, the periods of admission. clock.Nanos keeps to the monotonic reading.

Found while looking for the cause of the late configurations elsewhere; it does not mend those.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/lentilpick/lentilpick/clock"
 	"github.com/lentilpick/lentilpick/types"
 )
 
@@ -125,7 +126,7 @@
 
 // activeWeight returns the sum of the weights of the active workspaces.
 func (c *Controller) activeWeight(w *Workspace, weight int64, now time.Time) int64 {
-	period := now.UnixNano() / int64(activePeriod)
+	period := clock.Nanos(now) / int64(activePeriod)
 	if old := c.period.Load(); period > old && c.period.CompareAndSwap(old, period) {
 		last := c.arriving.Swap(0)
 		if period > old+1 {
--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -8,6 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/lentilpick/lentilpick/clock/clocktest"
 	"github.com/lentilpick/lentilpick/types"
 )
 
@@ -135,3 +136,15 @@
 	assert.Assert(t, !ok)
 	assert.Equal(t, reason, types.RefusedOverload)
 }
+
+// Guards against shares that are not shared out anew because the time of day was
+// set back: a workspace that has gone would keep its share for that long.
+func TestClockStepsDoNotKeepShares(t *testing.T) {
+	now := time.Now()
+	c := NewController(Limits{MaxInFlight: 80, WorkspaceInFlight: 1000})
+	var gone, stays Workspace
+	c.activeWeight(&gone, 3, now)
+	c.activeWeight(&stays, 1, now)
+	at := clocktest.Step(now.Add(2*activePeriod), -60*time.Second)
+	assert.Equal(t, c.activeWeight(&stays, 1, at), int64(1))
+}
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -13,6 +13,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/lentilpick/lentilpick/clock"
 	"github.com/lentilpick/lentilpick/types"
 )
 
@@ -43,7 +44,7 @@
 
 // Usable reports whether the target may get new work at now.
 func (t *Target) Usable(now time.Time) bool {
-	return !t.Draining && !t.Load.Leaving.Load() && t.Load.RetryAfter.Load() <= now.UnixNano()
+	return !t.Draining && !t.Load.Leaving.Load() && t.Load.RetryAfter.Load() <= clock.Nanos(now)
 }
 
 // Leaving reports whether the target must get no new work.
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -6,6 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/lentilpick/lentilpick/clock/clocktest"
 	"github.com/lentilpick/lentilpick/types"
 )
 
@@ -167,3 +168,32 @@
 	assert.Equal(t, p.used(prefixBuckets), int64(0))
 	assert.Equal(t, p.used((prefixWays+1)*prefixBuckets), int64(prefixWays+1))
 }
+
+// Guards against targets that stay out of use, or count as silent, because the
+// time of day was set.
+func TestClockStepsDoNotPauseTargets(t *testing.T) {
+	now := time.Now()
+	for _, step := range []time.Duration{-6 * time.Second, 8 * time.Second} {
+		at := func(d time.Duration) time.Time { return clocktest.Step(now.Add(d), step) }
+		d := New()
+		d.Put(Entry{ID: "a", Service: "s"})
+		a := d.Load().Target("a")
+		a.Load.Begin(Work{Requests: 1}, now)
+		assert.Assert(t, !a.Load.Watch(at(10*time.Millisecond), time.Second, time.Second), "step %s", step)
+		assert.Assert(t, a.Load.Watch(at(2*time.Second), time.Second, time.Second))
+		assert.Assert(t, !a.Usable(at(2*time.Second)))
+		assert.Assert(t, a.Usable(at(3*time.Second)))
+		a.Load.Away(now.Add(5 * time.Second))
+		a.Load.Alive(at(4 * time.Second))
+		assert.Assert(t, a.Load.Suspect())
+		a.Load.Alive(at(5 * time.Second))
+		assert.Assert(t, !a.Load.Suspect())
+		a.Load.Keep(now.Add(time.Second))
+		assert.Assert(t, a.Load.Connected(at(500*time.Millisecond)))
+		assert.Assert(t, !a.Load.Connected(at(time.Second)))
+		a.Load.Failed(now)
+		a.Load.Failed(now)
+		assert.Assert(t, !a.Usable(at(0)))
+		assert.Assert(t, a.Usable(at(maxBackOff)))
+	}
+}
--- a/directory/load.go
+++ b/directory/load.go
@@ -3,6 +3,8 @@
 import (
 	"sync/atomic"
 	"time"
+
+	"github.com/lentilpick/lentilpick/clock"
 )
 
 // Work is an amount of work on one target.
@@ -81,7 +83,7 @@
 	Own, Peers Counters
 	// Leaving is set by the first sign that the target takes no new work.
 	Leaving atomic.Bool
-	// RetryAfter is the time in Unix nanoseconds before which the target gets
+	// RetryAfter is the time in nanoseconds of clock.Nanos before which the target gets
 	// no new work after failures.
 	RetryAfter atomic.Int64
 	// Cache is the prefix cache of an engine as far as this daemon knows.
@@ -90,10 +92,10 @@
 	failures atomic.Int64 // consecutive
 	failed   atomic.Int64 // failed share of recent requests, in 1/shareUnit
 	delay    atomic.Int64 // smoothed excess over predictions, in nanoseconds
-	heard    atomic.Int64 // last sign of life in Unix nanoseconds
+	heard    atomic.Int64 // last sign of life in nanoseconds of clock.Nanos
 	suspect  atomic.Bool  // this daemon finds the target silent or has ordered it away
-	away     atomic.Int64 // end of an ordered absence in Unix nanoseconds
-	kept     atomic.Int64 // until when a connection is expected to be open, in Unix nanoseconds
+	away     atomic.Int64 // end of an ordered absence in nanoseconds of clock.Nanos
+	kept     atomic.Int64 // until when a connection is expected to be open, in nanoseconds of clock.Nanos
 }
 
 // NewLoad returns the state of a target that has just been seen.
@@ -122,15 +124,15 @@
 // Begin records that own work of a request begins at now.
 func (l *Load) Begin(w Work, now time.Time) {
 	if l.Own.requests.Load() == 0 {
-		l.heard.Store(now.UnixNano())
+		l.heard.Store(clock.Nanos(now))
 	}
 	l.Own.Add(w)
 }
 
 // Alive records a sign of life at now.
 func (l *Load) Alive(now time.Time) {
-	l.heard.Store(now.UnixNano())
-	if l.suspect.Load() && l.away.Load() <= now.UnixNano() {
+	l.heard.Store(clock.Nanos(now))
+	if l.suspect.Load() && l.away.Load() <= clock.Nanos(now) {
 		l.suspect.Store(false)
 		l.RetryAfter.Store(0)
 	}
@@ -139,8 +141,8 @@
 // Watch reports whether the target has been silent for longer than limit on
 // work of this daemon, and takes it out of use for pause if so.
 func (l *Load) Watch(now time.Time, limit, pause time.Duration) bool {
-	silent := l.Own.requests.Load() > 0 && now.UnixNano()-l.heard.Load() > int64(limit)
-	silent = silent || now.UnixNano() < l.away.Load()
+	silent := l.Own.requests.Load() > 0 && clock.Nanos(now)-l.heard.Load() > int64(limit)
+	silent = silent || clock.Nanos(now) < l.away.Load()
 	l.suspect.Store(silent)
 	if silent {
 		l.Pause(now.Add(pause))
@@ -151,7 +153,7 @@
 // Away records that the target was ordered to do something during which it
 // takes no work, until the given time or until Returned.
 func (l *Load) Away(until time.Time) {
-	l.away.Store(until.UnixNano())
+	l.away.Store(clock.Nanos(until))
 	l.suspect.Store(true)
 	l.Pause(until)
 }
@@ -169,7 +171,7 @@
 
 // Pause takes the target out of use until the given time.
 func (l *Load) Pause(until time.Time) {
-	if n := until.UnixNano(); n > l.RetryAfter.Load() {
+	if n := clock.Nanos(until); n > l.RetryAfter.Load() {
 		l.RetryAfter.Store(n)
 	}
 }
@@ -196,10 +198,10 @@
 
 // Keep records that a connection to the target is open and expected to be usable
 // until the given time.
-func (l *Load) Keep(until time.Time) { l.kept.Store(until.UnixNano()) }
+func (l *Load) Keep(until time.Time) { l.kept.Store(clock.Nanos(until)) }
 
 // Connected reports whether a connection to the target is expected to be open.
-func (l *Load) Connected(now time.Time) bool { return now.UnixNano() < l.kept.Load() }
+func (l *Load) Connected(now time.Time) bool { return clock.Nanos(now) < l.kept.Load() }
 
 // Succeeded records an answer.
 func (l *Load) Succeeded() {
@@ -216,7 +218,7 @@
 		return
 	}
 	pause := min(backOff<<min(n-2, 8), maxBackOff)
-	l.RetryAfter.Store(now.Add(pause).UnixNano())
+	l.RetryAfter.Store(clock.Nanos(now.Add(pause)))
 }
 
 // Unreachable records that no connection could be opened at now.
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/lentilpick/lentilpick/admission"
+	"github.com/lentilpick/lentilpick/clock"
 	"github.com/lentilpick/lentilpick/directory"
 	"github.com/lentilpick/lentilpick/placement"
 	"github.com/lentilpick/lentilpick/routes"
@@ -174,7 +175,7 @@
 	case errors.Is(err, ErrMisdirected):
 		t.Load.Leaving.Store(true)
 	case errors.Is(err, ErrWrongRole):
-		t.Load.RetryAfter.Store(now.Add(wrongRolePause).UnixNano())
+		t.Load.RetryAfter.Store(clock.Nanos(now.Add(wrongRolePause)))
 	case errors.Is(err, ErrNotSent):
 		t.Load.Unreachable(now)
 	default:
--- a/routing/fleet.go
+++ b/routing/fleet.go
@@ -29,7 +29,7 @@
 	Decoding atomic.Int64
 	// Failures counts consecutive failed dispatches.
 	Failures atomic.Int64
-	// RetryAfter is the time in Unix nanoseconds before which the target gets
+	// RetryAfter is the time in nanoseconds of clock.Nanos before which the target gets
 	// no work after a failure.
 	RetryAfter atomic.Int64
 	// Limit is the adaptive concurrency limit for this daemon's requests on the
--- a/routing/load.go
+++ b/routing/load.go
@@ -1,6 +1,10 @@
 package routing
 
-import "time"
+import (
+	"time"
+
+	"github.com/lentilpick/lentilpick/clock"
+)
 
 // Load is work on one target: prompt tokens that wait for prefill, streams that
 // are generating, and requests in progress.
@@ -41,7 +45,7 @@
 	doublings := min(c.Failures.Add(1)-1, maxBackoffDoublings)
 	d := base << doublings
 	d += time.Duration(rnd.IntN(int(d/2) + 1))
-	c.RetryAfter.Store(now.Add(d).UnixNano())
+	c.RetryAfter.Store(clock.Nanos(now.Add(d)))
 	c.Limit.Store(recoveryLimit * LimitUnit)
 }
 
--- a/routing/router.go
+++ b/routing/router.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/lentilpick/lentilpick/clock"
 	"github.com/lentilpick/lentilpick/types"
 )
 
@@ -348,7 +349,7 @@
 	if t.Leaving || t.Changing || r.excludes(t.ID) {
 		return false
 	}
-	return t.Counters.RetryAfter.Load() <= now.UnixNano()
+	return t.Counters.RetryAfter.Load() <= clock.Nanos(now)
 }
 
 // ResidencyFilter drops engines that do not carry the requested adapter or
--- a/routing/router_test.go
+++ b/routing/router_test.go
@@ -6,6 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/lentilpick/lentilpick/clock/clocktest"
 	"github.com/lentilpick/lentilpick/types"
 )
 
@@ -235,3 +236,15 @@
 		assert.Equal(t, testing.AllocsPerRun(1000, func() { ro.Route(f, r, start, NewRand(1)) }), 0.0, "split or remote")
 	}
 }
+
+// Guards against a target whose back-off after a failure lasts as long as the
+// time of day was set back, or ends early because it was set forward.
+func TestClockStepsDoNotChangeTheBackOff(t *testing.T) {
+	now := time.Now()
+	for _, step := range []time.Duration{-6 * time.Second, 8 * time.Second} {
+		target := &Target{Counters: &Counters{}}
+		target.Counters.Fail(now, time.Second, NewRand(1))
+		assert.Assert(t, !AvailableFilter{}.Keep(&Request{}, target, clocktest.Step(now.Add(999*time.Millisecond), step)))
+		assert.Assert(t, AvailableFilter{}.Keep(&Request{}, target, clocktest.Step(now.Add(1500*time.Millisecond), step)))
+	}
+}
