feed: ages of reads count on the boot clock

Callers got 404 on routes of a configuration that the store had accepted up to 5 s before, on all nodes at once. Cause: loadshare.Progress kept the times of reads as nanoseconds of the time of day. After a clock had jumped back the own read lay in the future: the reader paused for the length of the jump and told the others an age of 0 all the while, so that nobody read.

Readings, ages and the schedule of reads are clock.Instant, which no clock step moves and which goes on while the machine is suspended. Three more ages were wrong in the same way and are mended with the type: a read with changes counted as fresh as a whole wait, a copy that a node had taken from another one was handed on with an age of 0, and a suspension did not count.

--- a/clock/clocktest/step.go
+++ b/clock/clocktest/step.go
@@ -4,6 +4,8 @@
 import (
 	"time"
 	"unsafe"
+
+	"github.com/lentilpick/lentilpick/clock"
 )
 
 // secondsShift is the position of the seconds in the first word of a time.Time
@@ -22,3 +24,6 @@
 	*(*uint64)(unsafe.Pointer(&out)) += uint64(int64(d/time.Second)) << secondsShift
 	return out
 }
+
+// Virtual returns an Instant that follows the time of a testing/synctest bubble.
+func Virtual() clock.Instant { return clock.Instant(time.Now().UnixNano()) }
--- a/cmd/internal/soak/soak.go
+++ b/cmd/internal/soak/soak.go
@@ -286,7 +286,7 @@
 	client := &http.Client{Timeout: 3 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	for _, n := range s.world.nodes {
 		for i, r := range standin.Routes {
-			for k := 0; !s.serves(client, n, fmt.Sprintf("c%d-%d-%d-%s", time.Now().UnixNano(), i, k, n.name), r); k++ {
+			for k := 0; !s.serves(client, n, fmt.Sprintf("c%d-%d-%d-%s", rand.Uint64(), i, k, n.name), r); k++ {
 				if time.Now().After(end) {
 					return false
 				}
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -7,6 +7,7 @@
 	"errors"
 	"time"
 
+	"github.com/lentilpick/lentilpick/clock"
 	"github.com/lentilpick/lentilpick/types"
 )
 
@@ -88,14 +89,28 @@
 	Records     []Record
 }
 
+// Reading is what a good call has shown of the source.
+type Reading struct {
+	// AsOf is a time at which everything up to Next was known at the latest: the
+	// source may have looked later.
+	AsOf clock.Instant
+	// Next is the offset that was reached.
+	Next types.Offset
+	// Changed is the offset after the last record that Changed has returned, 0
+	// without one. It is not known what has changed in a list.
+	Changed types.Offset
+	Listed  bool
+}
+
 // Schedule says when to read.
 type Schedule struct {
+	// Now returns the time; nil means clock.Now.
+	Now func() clock.Instant
 	// Due returns how long to wait before the next read, 0 to read now, and how
 	// long the read waits for changes. It is asked again after the wait.
-	Due func(now time.Time) (pause, wait time.Duration)
-	// Read, if not nil, is told after each good call as of when it is true at
-	// least, the offset that it reached, and what Changed returned.
-	Read func(asOf time.Time, next, changed types.Offset)
+	Due func(now clock.Instant) (pause, wait time.Duration)
+	// Read, if not nil, is told after each good call.
+	Read func(Reading)
 	// MinPause and MaxPause bound the pause after a failed read.
 	MinPause time.Duration
 	MaxPause func() time.Duration
@@ -104,8 +119,9 @@
 	// News, if not nil, receives what other daemons have read. Each item follows
 	// what is known, or overlaps it.
 	News <-chan News
-	// Told, if not nil, is told of the offset up to which all is known after news.
-	Told func(next types.Offset)
+	// Told, if not nil, is told of the offset up to which all is known after news,
+	// and Missed, if not nil, of the same when news could not be used.
+	Told, Missed func(next types.Offset)
 }
 
 // awayAfter is how long a source has to fail before its records count as
@@ -115,6 +131,9 @@
 // Follow reads until the context ends. The first reads list the keys and then
 // ask for changes at once.
 func Follow[T any](ctx context.Context, src Source[T], h Handler[T], s Schedule) {
+	if s.Now == nil {
+		s.Now = clock.Now
+	}
 	f := follower[T]{src: src, h: h, s: s}
 	for ctx.Err() == nil {
 		if f.step(ctx) {
@@ -147,41 +166,45 @@
 	if f.pause == 0 {
 		wait = f.await(ctx)
 	}
-	began := time.Now()
+	began, lost := f.s.Now(), time.Now()
 	items, next, err := f.src.Read(ctx, f.next, wait)
 	if errors.Is(err, ErrExpired) {
 		f.listed = false
 		return f.list(ctx)
 	}
 	if err != nil {
-		return f.failed(err, began)
+		return f.failed(err, lost)
+	}
+	r := Reading{AsOf: began, Next: next}
+	// A read without records has waited before it looked for the last time. One
+	// with records may have been answered at once and held up on its way.
+	if next == f.next && f.s.Now().Sub(began) >= wait {
+		r.AsOf = began.Add(wait)
 	}
 	f.next = next
-	var changed types.Offset
 	if c := f.h.Changed(items, f.back()); len(c) > 0 {
-		changed = c[len(c)-1].Next
+		r.Changed = c[len(c)-1].Next
 	}
-	// A read without changes has waited before it looked for the last time.
-	f.told(began.Add(min(wait, time.Since(began))), changed)
+	f.read(r)
 	return true
 }
 
 func (f *follower[T]) list(ctx context.Context) bool {
-	began := time.Now()
+	began, lost := f.s.Now(), time.Now()
 	l, err := f.src.List(ctx)
 	if err != nil {
-		return f.failed(err, began)
+		return f.failed(err, lost)
 	}
 	f.listed, f.next = true, l.Next
 	f.h.Listed(l, f.back())
-	f.told(began.Add(-l.Age), 0)
+	f.read(Reading{AsOf: began.Add(-l.Age), Next: l.Next, Listed: true})
 	return true
 }
 
 // await waits until a read is due and returns how long it may wait for changes.
 func (f *follower[T]) await(ctx context.Context) time.Duration {
 	for ctx.Err() == nil {
-		pause, wait := f.s.Due(time.Now())
+		pause, wait := f.s.Due(f.s.Now())
 		if pause <= 0 {
 			return wait
 		}
@@ -192,15 +215,16 @@
 	return 0
 }
 
-func (f *follower[T]) told(asOf time.Time, changed types.Offset) {
+func (f *follower[T]) read(r Reading) {
 	if f.s.Read != nil {
-		f.s.Read(asOf, f.next, changed)
+		f.s.Read(r)
 	}
 }
 
-func (f *follower[T]) failed(err error, began time.Time) bool {
+// failed notes a call that has failed. lost is when it began.
+func (f *follower[T]) failed(err error, lost time.Time) bool {
 	if f.lost.IsZero() {
-		f.lost = began
+		f.lost = lost
 	}
 	f.h.Failed(err, time.Since(f.lost))
 	return false
@@ -248,7 +272,7 @@
 	}
 	if n.Since > f.next {
 		// It followed news that was not usable.
-		f.reached()
+		f.missed()
 		return
 	}
 	var items []Item[T]
@@ -259,7 +283,7 @@
 		}
 		i, err := f.src.Item(r)
 		if err != nil {
-			f.reached()
+			f.missed()
 			return
 		}
 		items = append(items, i)
@@ -270,12 +294,14 @@
 		away = time.Since(f.lost)
 	}
 	f.h.Told(items, away)
-	f.reached()
-}
-
-// reached says how far the records are known after news, folded or not.
-func (f *follower[T]) reached() {
 	if f.s.Told != nil {
 		f.s.Told(f.next)
 	}
 }
+
+// missed says how far the records are known after news that was not usable.
+func (f *follower[T]) missed() {
+	if f.s.Missed != nil {
+		f.s.Missed(f.next)
+	}
+}
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -9,6 +9,8 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/lentilpick/lentilpick/clock"
+	"github.com/lentilpick/lentilpick/clock/clocktest"
 	"github.com/lentilpick/lentilpick/types"
 )
 
@@ -79,9 +81,9 @@
 func second() time.Duration { return time.Second }
 
 // every returns a schedule function that reads every interval.
-func every(interval, wait time.Duration) func(time.Time) (time.Duration, time.Duration) {
-	var last time.Time
-	return func(now time.Time) (time.Duration, time.Duration) {
+func every(interval, wait time.Duration) func(clock.Instant) (time.Duration, time.Duration) {
+	var last clock.Instant
+	return func(now clock.Instant) (time.Duration, time.Duration) {
 		if pause := last.Add(interval).Sub(now); pause > 0 {
 			return pause, wait
 		}
@@ -95,7 +97,7 @@
 	synctest.Test(t, func(*testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
 		s.done = cancel
-		Follow(ctx, s, h, Schedule{Due: every(100*time.Millisecond, 0), MinPause: 100 * time.Millisecond, MaxPause: second})
+		Follow(ctx, s, h, Schedule{Now: clocktest.Virtual, Due: every(100*time.Millisecond, 0), MinPause: 100 * time.Millisecond, MaxPause: second})
 	})
 	return h
 }
@@ -150,7 +152,7 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		s.done = cancel
 		began := time.Now()
-		Follow(ctx, s, &fakeHandler{}, Schedule{Due: every(time.Second, 0), Wake: wake, MinPause: 100 * time.Millisecond, MaxPause: second})
+		Follow(ctx, s, &fakeHandler{}, Schedule{Now: clocktest.Virtual, Due: every(time.Second, 0), Wake: wake, MinPause: 100 * time.Millisecond, MaxPause: second})
 		assert.Assert(t, time.Since(began) >= 7*time.Second, "10 failures took %s", time.Since(began))
 	})
 	assert.Equal(t, fails, 10)
@@ -163,7 +165,7 @@
 	record := func(key string, next types.Offset) Record { return Record{Key: key, Value: []byte("v"), Next: next} }
 	s := &fakeSource{end: 40, steps: []func() error{ok, ok, func() error { return errors.New("down") }, ok}}
 	h := &fakeHandler{}
-	var reached []types.Offset
+	var reached, missed []types.Offset
 	synctest.Test(t, func(*testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
 		s.done = cancel
@@ -176,12 +178,67 @@
 			news <- News{Since: 44, Next: 47, Records: []Record{record("away", 47)}}
 		})
 		Follow(ctx, s, h, Schedule{
+			Now: clocktest.Virtual,
 			Due: every(time.Second, 0), News: news, Told: func(o types.Offset) { reached = append(reached, o) },
+			Missed:   func(o types.Offset) { missed = append(missed, o) },
 			MinPause: time.Second, MaxPause: second,
 		})
 	})
 	assert.DeepEqual(t, h.told, []string{"new", "next", "away"})
-	assert.DeepEqual(t, reached, []types.Offset{42, 42, 42, 44, 47})
+	assert.DeepEqual(t, reached, []types.Offset{42, 44, 47})
+	assert.DeepEqual(t, missed, []types.Offset{42, 42})
 	assert.Equal(t, s.reads[1], types.Offset(44), "reads go on after the news")
 	assert.DeepEqual(t, h.toldAway, []time.Duration{0, 0, 500 * time.Millisecond})
 }
+
+// timedSource answers reads after delays.
+type timedSource struct {
+	fakeSource
+	delays  []time.Duration
+	records bool
+}
+
+func (s *timedSource) Read(_ context.Context, from types.Offset, _ time.Duration) ([]Item[string], types.Offset, error) {
+	if len(s.delays) == 0 {
+		s.done()
+		return nil, from, nil
+	}
+	time.Sleep(s.delays[0])
+	s.delays = s.delays[1:]
+	if s.records {
+		return []Item[string]{{Key: "k", Next: from + 1}}, from + 1, nil
+	}
+	return nil, from, nil
+}
+
+// Guards against a read that counts as fresher than it was when its answer, or
+// this node, was held up.
+func TestReadingsAreNotTooFresh(t *testing.T) {
+	const wait = 500 * time.Millisecond
+	for name, c := range map[string]struct {
+		delay   time.Duration
+		records bool
+		age     time.Duration
+	}{
+		"waited":                  {wait, false, 0},
+		"held up after the wait":  {5 * time.Second, false, 4500 * time.Millisecond},
+		"answered early":          {100 * time.Millisecond, false, 100 * time.Millisecond},
+		"records, held up or not": {5 * time.Second, true, 5 * time.Second},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			s := &timedSource{fakeSource: fakeSource{done: cancel, steps: []func() error{ok}}, delays: []time.Duration{c.delay}, records: c.records}
+			var readings []Reading
+			var ages []time.Duration
+			Follow(ctx, s, &fakeHandler{}, Schedule{
+				Now: clocktest.Virtual, Due: every(0, wait), MinPause: second(), MaxPause: second,
+				Read: func(r Reading) {
+					readings = append(readings, r)
+					ages = append(ages, clocktest.Virtual().Sub(r.AsOf))
+				},
+			})
+			assert.Assert(t, readings[0].Listed && !readings[1].Listed)
+			assert.Equal(t, ages[1], c.age, name)
+		})
+	}
+}
--- a/loadshare/message.go
+++ b/loadshare/message.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/lentilpick/lentilpick/directory"
-	"github.com/lentilpick/lentilpick/types"
 )
 
 // ErrMalformed reports a datagram that does not decode.
@@ -36,7 +35,7 @@
 	start  uint64 // identifies the run of the daemon
 	seq    uint64
 	relay  bool
-	feeds  [Feeds]state
+	claims [Feeds]claim
 	news   []feedNews
 	items  []item
 }
@@ -58,9 +57,10 @@
 	b = binary.BigEndian.AppendUint64(b, m.sender)
 	b = binary.BigEndian.AppendUint64(b, m.start)
 	b = binary.BigEndian.AppendUint64(b, m.seq)
-	for _, f := range m.feeds {
-		b = binary.AppendUvarint(b, uint64(f.age.Milliseconds()))
-		b = binary.AppendUvarint(b, uint64(f.changed))
+	for _, c := range m.claims {
+		// An age is rounded up: a feed must not look fresher than it is.
+		b = binary.AppendUvarint(b, uint64((c.age+time.Millisecond-1)/time.Millisecond))
+		b = binary.AppendUvarint(b, uint64(c.changed))
 	}
 	b = append(b, byte(len(m.news)))
 	for _, n := range m.news {
@@ -95,13 +95,13 @@
 		sender: binary.BigEndian.Uint64(b[3:]), start: binary.BigEndian.Uint64(b[11:]), seq: binary.BigEndian.Uint64(b[19:]),
 		relay: b[flagsAt]&flagRelay != 0,
 	}
-	b, ok := m.decodeFeeds(b[headerSize:])
-	if ok {
-		b, ok = m.decodeNews(b)
-	}
-	if !ok {
+	r := reader{b: b[headerSize:]}
+	m.decodeClaims(&r)
+	m.decodeNews(&r)
+	if r.bad {
 		return nil, ErrMalformed
 	}
+	b = r.b
 	for len(b) > 0 {
 		i, rest, ok := decodeItem(b)
 		if !ok {
@@ -112,21 +112,11 @@
 	return m, nil
 }
 
-// decodeFeeds decodes what the sender knows of the feeds.
-func (m *message) decodeFeeds(b []byte) ([]byte, bool) {
-	for i := range m.feeds {
-		age, n := binary.Uvarint(b)
-		if n <= 0 || age > maxValue {
-			return nil, false
-		}
-		changed, k := binary.Uvarint(b[n:])
-		if k <= 0 || changed > maxValue {
-			return nil, false
-		}
-		m.feeds[i] = state{time.Duration(age) * time.Millisecond, types.Offset(changed)}
-		b = b[n+k:]
+// decodeClaims decodes what the sender tells of its reads of the feeds.
+func (m *message) decodeClaims(r *reader) {
+	for i := range m.claims {
+		m.claims[i] = claim{time.Duration(r.number()) * time.Millisecond, r.offset()}
 	}
-	return b, true
 }
 
 // maxValue bounds a value of an item; a larger one is an error of the sender.
--- a/loadshare/news.go
+++ b/loadshare/news.go
@@ -115,18 +115,20 @@
 	return v
 }
 
-func (r *reader) offset() types.Offset {
+func (r *reader) number() uint64 {
 	v, n := binary.Uvarint(r.b)
 	if n <= 0 || v > maxValue {
 		r.bad = true
 		return 0
 	}
 	r.b = r.b[n:]
-	return types.Offset(v)
+	return v
 }
 
+func (r *reader) offset() types.Offset { return types.Offset(r.number()) }
+
 func (r *reader) bytes() []byte {
-	n := int(r.offset())
+	n := int(r.number())
 	if r.bad || n > len(r.b) {
 		r.bad = true
 		return nil
@@ -137,14 +139,16 @@
 }
 
 // decodeNews decodes what the sender has read from the store.
-func (m *message) decodeNews(b []byte) ([]byte, bool) {
-	r := reader{b: b}
+func (m *message) decodeNews(r *reader) {
 	for range r.byte() {
 		n := feedNews{index: int(r.byte())}
 		n.Since, n.Next = r.offset(), r.offset()
 		records := r.byte()
-		if r.bad || n.index >= Feeds || records > maxNewsRecords {
-			return nil, false
+		if n.index >= Feeds || records > maxNewsRecords {
+			r.bad = true
+		}
+		if r.bad {
+			return
 		}
 		for range records {
 			next, since := r.offset(), r.offset()
@@ -152,5 +156,4 @@
 		}
 		m.news = append(m.news, n)
 	}
-	return r.b, !r.bad
 }
--- a/loadshare/progress.go
+++ b/loadshare/progress.go
@@ -1,9 +1,10 @@
 package loadshare
 
 import (
-	"sync/atomic"
+	"sync"
 	"time"
 
+	"github.com/lentilpick/lentilpick/clock"
 	"github.com/lentilpick/lentilpick/feed"
 	"github.com/lentilpick/lentilpick/types"
 )
@@ -14,25 +15,34 @@
 // never is the age of a feed that was not read yet.
 const never = time.Hour
 
-// state is what a node tells of one feed: how long ago it was read to its end,
-// and the offset after the last record that changed something.
-type state struct {
-	age     time.Duration
+// claim is what a node tells of its reads of one feed: how long before the
+// message was made it has read the feed to the end.
+type claim struct {
+	age time.Duration
+	// changed is the offset after the last change that the node tells.
 	changed types.Offset
 }
 
 // Progress tells how far the nodes have read one feed, so that a few of them
 // read it for all. It is safe for concurrent use.
 type Progress struct {
-	own     atomic.Int64  // when this node read the end, in Unix nanoseconds
-	peers   atomic.Int64  // the same for the freshest other node
-	teller  atomic.Uint64 // hash of the name of that node
-	changed atomic.Int64  // offset after the last change that this node has read
-	next    atomic.Int64  // offset from which this node reads on
-	// queued is the offset that the news in the queue reaches.
-	queued atomic.Int64
-	wake   chan struct{}
-	news   chan feed.News
+	wake chan struct{}
+	news chan feed.News
+
+	mu sync.Mutex // not taken on the path of a request
+	// own is the last read of this node.
+	own     feed.Reading
+	hasRead bool
+	// changed is the offset after the last change that this node tells.
+	changed types.Offset
+	// next is the offset from which this node reads on, queued the one that the
+	// news in the queue reaches.
+	next, queued types.Offset
+	// told is when the freshest other node had read the feed, and teller the hash of
+	// its name.
+	told    clock.Instant
+	hasTold bool
+	teller  uint64
 }
 
 // newsQueue bounds the news that waits to be folded. What does not fit is read
@@ -43,100 +53,140 @@
 	return &Progress{wake: make(chan struct{}, 1), news: make(chan feed.News, newsQueue)}
 }
 
-// Read records that this node has read the feed at now, up to the offset next.
-// changed is the offset after the last record that changed something, 0 for none.
-func (p *Progress) Read(now time.Time, next, changed types.Offset) {
-	p.own.Store(now.UnixNano())
-	p.next.Store(int64(next))
-	if int64(changed) > p.changed.Load() {
-		p.changed.Store(int64(changed))
+// Read records a read of this node. told says that the other nodes are told of
+// what has changed in it.
+func (p *Progress) Read(r feed.Reading, told bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.own, p.hasRead = r, true
+	p.next = max(p.next, r.Next)
+	if told {
+		p.changed = max(p.changed, r.Changed)
 	}
 }
 
-// Told records that all is known up to the offset next after news, which may not
-// have been usable. The change is not told
-// again: the node that has read it says so, and a second node that did would
-// have the others read what is on its way to them.
+// Told records that all is known up to the offset next after news. The change is
+// not told again: the node that has read it says so, and a second node that did
+// would have the others read what is on its way to them.
 func (p *Progress) Told(next types.Offset) {
-	p.next.Store(int64(next))
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.next = max(p.next, next)
 	if len(p.news) == 0 {
-		p.queued.Store(int64(next))
+		p.queued = p.next
 	}
 }
 
+// Missed records that news could not be used, so that no more is known than up
+// to the offset next.
+func (p *Progress) Missed(next types.Offset) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.next, p.queued = next, next
+	p.ask()
+}
+
 // News receives what other nodes have read.
 func (p *Progress) News() <-chan feed.News { return p.news }
 
 // tell queues news that follows what is known or queued. It reports false if the
 // changes have to be read from the store instead.
 func (p *Progress) tell(n feed.News) bool {
-	known := max(p.next.Load(), p.queued.Load())
-	if int64(n.Next) <= known {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known := max(p.next, p.queued)
+	if n.Next <= known {
 		return true
 	}
-	if int64(n.Since) > known {
+	if n.Since > known {
 		return false
 	}
 	select {
 	case p.news <- n:
-		p.queued.Store(int64(n.Next))
+		p.queued = n.Next
 		return true
 	default:
 		return false
 	}
 }
 
-// Own returns when this node has last read the end of the feed.
-func (p *Progress) Own() time.Time { return time.Unix(0, p.own.Load()) }
-
-// Freshest returns when any node has last read the end of the feed, as far as
-// this node was told.
-func (p *Progress) Freshest() time.Time { return time.Unix(0, max(p.own.Load(), p.peers.Load())) }
+// OwnAge returns the time since this node has last read the end of the feed.
+func (p *Progress) OwnAge(now clock.Instant) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.ownAge(now)
+}
 
-// Knowledge says what a node's knowledge of a feed rests on.
-type Knowledge struct {
-	// Own is the time since the node's own last read of the end of the feed, and
-	// Told the same for the freshest other node, as far as this one was told.
-	Own, Told time.Duration
-	// Teller is that node; empty if it is not known by name.
-	Teller types.VMID
-	// Next is the offset up to which the node has read or was told of changes.
-	Next types.Offset
+func (p *Progress) ownAge(now clock.Instant) time.Duration {
+	if !p.hasRead {
+		return never
+	}
+	return min(now.Sub(p.own.AsOf), never)
 }
 
-// Knowledge returns what this node's knowledge of a feed rests on at now.
-func (s *Share) Knowledge(index int, now time.Time) Knowledge {
-	p := s.feeds[index]
-	return Knowledge{
-		Own: now.Sub(p.Own()), Told: now.Sub(time.Unix(0, p.peers.Load())),
-		Teller: s.peers.Load().name(p.teller.Load()), Next: types.Offset(p.next.Load()),
+func (p *Progress) toldAge(now clock.Instant) time.Duration {
+	if !p.hasTold {
+		return never
 	}
+	return min(now.Sub(p.told), never)
+}
+
+// Age returns the time since any node has last read the end of the feed, as far
+// as this node was told.
+func (p *Progress) Age(now clock.Instant) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return min(p.ownAge(now), p.toldAge(now))
 }
 
 // Wake receives a value when another node has read a change that this one has
 // not.
 func (p *Progress) Wake() <-chan struct{} { return p.wake }
 
-func (p *Progress) state(now time.Time) state {
-	age := never
-	if own := p.own.Load(); own > 0 {
-		age = min(max(now.Sub(time.Unix(0, own)), 0), never)
+func (p *Progress) ask() {
+	select {
+	case p.wake <- struct{}{}:
+	default:
 	}
-	return state{age, types.Offset(p.changed.Load())}
 }
 
-// hear folds what another node tells.
-func (p *Progress) hear(s state, sender uint64, now time.Time) {
-	if s.age < never {
-		if at := now.Add(-s.age).UnixNano(); at > p.peers.Load() {
-			p.peers.Store(at)
-			p.teller.Store(sender)
-		}
+// claim returns what this node tells of the feed at now.
+func (p *Progress) claim(now clock.Instant) claim {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return claim{p.ownAge(now), p.changed}
+}
+
+// hear folds what another node tells of a read at asOf.
+func (p *Progress) hear(c claim, asOf clock.Instant, sender uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c.changed > max(p.next, p.queued) {
+		p.ask()
 	}
-	if int64(s.changed) > max(p.next.Load(), p.queued.Load()) {
-		select {
-		case p.wake <- struct{}{}:
-		default:
-		}
+	if c.age >= never {
+		return
 	}
+	if !p.hasTold || asOf > p.told {
+		p.told, p.hasTold, p.teller = asOf, true, sender
+	}
+}
+
+// Knowledge says what a node's knowledge of a feed rests on.
+type Knowledge struct {
+	// Own is the time since the node's own last read of the end of the feed, and
+	// Told the same for the freshest other node, as far as this one was told.
+	Own, Told time.Duration
+	// Teller is that node; empty if it is not known by name.
+	Teller types.VMID
+	// Next is the offset up to which the node has read or was told of changes.
+	Next types.Offset
+}
+
+// Knowledge returns what this node's knowledge of a feed rests on at now.
+func (s *Share) Knowledge(index int, now clock.Instant) Knowledge {
+	p := s.feeds[index]
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return Knowledge{p.ownAge(now), p.toldAge(now), s.peers.Load().name(p.teller), p.next}
 }
--- a/loadshare/share.go
+++ b/loadshare/share.go
@@ -10,6 +10,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/lentilpick/lentilpick/clock"
 	"github.com/lentilpick/lentilpick/directory"
 )
 
@@ -45,6 +46,7 @@
 	conn      *net.UDPConn
 	peers     atomic.Pointer[peerList]
 	feeds     [Feeds]*Progress
+	now       func() clock.Instant
 	wake      chan struct{}
 	announce  atomic.Bool // the whole state is due now
 	used      chan usedParts
@@ -108,7 +110,7 @@
 	}
 	s := &Share{
 		self: xxhash.Sum64String(name), start: rand.Uint64(), directory: d, conn: conn,
-		wake: make(chan struct{}, 1), used: make(chan usedParts, partsQueue),
+		now: clock.Now, wake: make(chan struct{}, 1), used: make(chan usedParts, partsQueue),
 		from: map[uint64]*peerState{}, near: newAudience(), far: newAudience(),
 	}
 	for i := range s.feeds {
@@ -240,7 +242,7 @@
 	if len(items) == 0 && len(news) == 0 && !full {
 		return nil
 	}
-	return s.encode(news, items, now)
+	return s.encode(news, items)
 }
 
 func (s *Share) takeParts() {
@@ -264,18 +266,20 @@
 	}
 }
 
-func (s *Share) encode(news []feedNews, items []item, now time.Time) [][]byte {
+func (s *Share) encode(news []feedNews, items []item) [][]byte {
+	now := s.now()
 	var out [][]byte
 	header := func() []byte {
 		s.seq++
 		m := message{sender: s.self, start: s.start, seq: s.seq}
 		m.news, news = cutNews(news)
 		for i, f := range s.feeds {
-			m.feeds[i] = f.state(now)
+			m.claims[i] = f.claim(now)
 		}
 		// Changes whose news comes with the next message are not to be read.
 		for _, n := range news {
-			m.feeds[n.index].changed = min(m.feeds[n.index].changed, n.Since)
+			c := &m.claims[n.index]
+			c.changed = min(c.changed, n.Since)
 		}
 		return m.appendHeader(make([]byte, 0, 256))
 	}
@@ -311,12 +315,12 @@
 			buf[flagsAt] = 0
 			s.send(buf[:n], s.peers.Load().local)
 		}
-		s.fold(m, time.Now())
+		s.fold(m, time.Now(), s.now())
 	}
 }
 
 // fold adds what a daemon has told to the load of the targets.
-func (s *Share) fold(m *message, now time.Time) {
+func (s *Share) fold(m *message, now time.Time, at clock.Instant) {
 	if m.sender == s.self {
 		return
 	}
@@ -336,7 +340,7 @@
 		}
 	}
 	for i, f := range s.feeds {
-		f.hear(m.feeds[i], m.sender, now)
+		f.hear(m.claims[i], at.Add(-m.claims[i].age), m.sender)
 	}
 	if m.seq <= p.seq {
 		return
--- a/loadshare/share_test.go
+++ b/loadshare/share_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/lentilpick/lentilpick/clock"
 	"github.com/lentilpick/lentilpick/directory"
 	"github.com/lentilpick/lentilpick/feed"
 	"github.com/lentilpick/lentilpick/types"
@@ -20,15 +21,25 @@
 	s, err := New(name, "127.0.0.1:0", d)
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = s.conn.Close() })
+	s.now = func() clock.Instant { return instant(now) }
 	return s, d.Load().Target("a")
 }
 
+// instant returns the Instant of a time in these tests.
+func instant(t time.Time) clock.Instant { return clock.Instant(t.UnixNano()) }
+
+// read returns a reading at a time.
+func read(at time.Time, next, changed types.Offset) feed.Reading {
+	return feed.Reading{AsOf: instant(at), Next: next, Changed: changed}
+}
+
 // pass hands the messages of one share to another.
 func pass(t *testing.T, from, to *Share, full bool, at time.Time) {
+	from.now = func() clock.Instant { return instant(at) }
 	for _, b := range from.messages(&from.near, full) {
 		m, err := decode(b)
 		assert.NilError(t, err)
-		to.fold(m, at)
+		to.fold(m, at, instant(at))
 	}
 }
 
@@ -57,11 +68,11 @@
 	_ = s.messages(&s.near, false) // lost
 	old, err := decode(late)
 	assert.NilError(t, err)
-	r.fold(old, now)
+	r.fold(old, now, instant(now))
 	assert.Equal(t, b.Load.Peers.Load().Requests, int64(1))
 	pass(t, s, r, true, now)
 	assert.Equal(t, b.Load.Peers.Load().Requests, int64(0))
-	r.fold(old, now)
+	r.fold(old, now, instant(now))
 	assert.Equal(t, b.Load.Peers.Load().Requests, int64(0))
 }
 
@@ -122,7 +133,7 @@
 // Guards against a datagram that makes the decoder fail, read beyond its end or
 // accept values that overflow.
 func FuzzDecode(f *testing.F) {
-	m := message{sender: 1, start: 2, seq: 3, feeds: [Feeds]state{{age: time.Second, changed: 7}}}
+	m := message{sender: 1, start: 2, seq: 3, claims: [Feeds]claim{{age: time.Second, changed: 7}}}
 	good := appendItem(m.appendHeader(nil), &item{target: 4, work: directory.Work{Requests: 1, Read: 1 << 30}, parts: []uint64{5, 6}})
 	f.Add(good)
 	f.Add(good[:len(good)-1])
@@ -147,16 +158,14 @@
 func TestProgressIsTold(t *testing.T) {
 	s, _ := newShare(t, "one")
 	r, _ := newShare(t, "two")
-	s.Feed(1).Read(now.Add(-time.Second), 50, 40)
-	r.Feed(1).Read(now.Add(-time.Minute), 39, 0)
-	at := time.Now()
-	s.Feed(1).Read(at, 50, 40)
-	pass(t, s, r, true, at)
-	assert.Assert(t, at.Sub(r.Feed(1).Freshest()) < time.Minute)
+	r.Feed(1).Read(read(now.Add(-time.Minute), 39, 0), false)
+	s.Feed(1).Read(read(now, 50, 40), true)
+	pass(t, s, r, true, now)
 	assert.Equal(t, len(r.Feed(1).Wake()), 1)
 	<-r.Feed(1).Wake()
-	r.Feed(1).Read(now, 40, 0)
-	pass(t, s, r, true, at)
+	r.Feed(1).Read(read(now.Add(-time.Second), 40, 40), false)
+	pass(t, s, r, true, now)
+	assert.Equal(t, r.Feed(1).Age(instant(now)), time.Duration(0))
 	assert.Equal(t, len(r.Feed(1).Wake()), 0)
 	assert.Equal(t, len(r.Feed(0).Wake()), 0)
 }
@@ -172,21 +181,21 @@
 	s, _ := newShare(t, "one")
 	r, _ := newShare(t, "two")
 	behind, _ := newShare(t, "three")
-	r.Feed(1).Read(now, 40, 0)
-	behind.Feed(1).Read(now, 30, 0)
+	r.Feed(1).Read(read(now, 40, 0), false)
+	behind.Feed(1).Read(read(now, 30, 0), false)
 	s.Publish(1, news(40, 45, 600))
 	s.Publish(1, news(45, 50, 600))
 	s.Publish(0, news(0, 5, maxNews))
-	s.Feed(1).Read(now, 60, 50)
-	s.Feed(0).Read(now, 60, 5)
+	s.Feed(1).Read(read(now, 60, 50), true)
+	s.Feed(0).Read(read(now, 60, 5), true)
 	near := s.messages(&s.near, false)
 	assert.Equal(t, len(near), 2)
 	for _, b := range near {
 		m, err := decode(b)
 		assert.NilError(t, err)
 		assert.Assert(t, len(b) <= maxMessage)
-		r.fold(m, now)
-		behind.fold(m, now)
+		r.fold(m, now, instant(now))
+		behind.fold(m, now, instant(now))
 	}
 	assert.DeepEqual(t, <-r.Feed(1).News(), news(40, 45, 600))
 	assert.DeepEqual(t, <-r.Feed(1).News(), news(45, 50, 600))
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"github.com/lentilpick/lentilpick/clock"
 	"github.com/lentilpick/lentilpick/feed"
 	"github.com/lentilpick/lentilpick/types"
 )
@@ -23,7 +24,7 @@
 	Records []feed.Record
 	// Next is the offset after the newest record that was read.
 	Next types.Offset
-	// Age is the time since the last good read.
+	// Age is how long ago the daemon knew all that the store held, at most.
 	Age time.Duration
 }
 
@@ -34,20 +35,20 @@
 	// older holds the records that long ones have replaced lately, the newest last.
 	older map[string][]feed.Record
 	next  types.Offset
-	read  time.Time
+	asOf  clock.Instant // of the last read
 	// told is the offset through which nothing matters that was not published.
 	told types.Offset
 }
 
 // Copy returns the records. The error is ErrUnread if the feed was not listed
 // yet.
-func (f *Feed) Copy(now time.Time) (Copy, error) {
+func (f *Feed) Copy(now clock.Instant) (Copy, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.records == nil {
 		return Copy{}, ErrUnread
 	}
-	c := Copy{Records: make([]feed.Record, 0, len(f.records)), Next: f.next, Age: now.Sub(f.read)}
+	c := Copy{Records: make([]feed.Record, 0, len(f.records)), Next: f.next, Age: now.Sub(f.asOf)}
 	for _, r := range f.records {
 		c.Records = append(c.Records, r)
 	}
@@ -70,7 +71,6 @@
 // Listed implements feed.Handler.
 func (k *keeper[T]) Listed(l feed.Listing[T], away time.Duration) {
 	k.feed.list()
-	k.feed.wasRead()
 	keep(k.feed, l.Items)
 	k.feed.reach(l.Next)
 	k.Handler.Listed(l, away)
@@ -79,7 +79,6 @@
 // Changed implements feed.Handler.
 func (k *keeper[T]) Changed(items []feed.Item[T], away time.Duration) []feed.Item[T] {
 	before := pick(k.feed, items)
-	k.feed.wasRead()
 	keep(k.feed, items)
 	changed := k.Handler.Changed(items, away)
 	if len(changed) == 0 {
@@ -134,11 +133,12 @@
 	f.records, f.older = map[string]feed.Record{}, map[string][]feed.Record{}
 }
 
-// wasRead notes a read of the store, unlike news of another daemon's.
-func (f *Feed) wasRead() {
+// Read notes a read, of the store or of another daemon's copy, that was true as
+// of a time.
+func (f *Feed) Read(asOf clock.Instant) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.read = time.Now()
+	f.asOf = asOf
 }
 
 // reach notes that all that matters up to next is known, and returns the offset
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -12,6 +12,7 @@
 	"github.com/google/go-cmp/cmp/cmpopts"
 	"gotest.tools/v3/assert"
 
+	"github.com/lentilpick/lentilpick/clock/clocktest"
 	"github.com/lentilpick/lentilpick/feed"
 	"github.com/lentilpick/lentilpick/types"
 )
@@ -43,7 +44,7 @@
 
 func (p *peers) Fetch(context.Context) (Copy, error) {
 	p.asks++
-	return p.feed.Copy(time.Now())
+	return p.feed.Copy(clocktest.Virtual())
 }
 
 func (s *store) Item(r feed.Record) (feed.Item[string], error) {
@@ -78,7 +79,7 @@
 func TestKeep(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var f Feed
-		_, err := f.Copy(time.Now())
+		_, err := f.Copy(clocktest.Virtual())
 		assert.Equal(t, err, ErrUnread)
 		var news []feed.News
 		inner := &handler{}
@@ -87,14 +88,15 @@
 		alien := item("c", "?", 4)
 		alien.Err = errDown
 		h.Changed([]feed.Item[string]{item("a", "", 3), alien}, 0)
+		f.Read(clocktest.Virtual())
 		time.Sleep(time.Second)
-		c, err := f.Copy(time.Now())
+		c, err := f.Copy(clocktest.Virtual())
 		assert.NilError(t, err)
 		assert.Equal(t, len(c.Records), 2)
 		assert.Equal(t, c.Next, types.Offset(4))
 		assert.Equal(t, c.Age, time.Second)
 		h.Told([]feed.Item[string]{item("e", "6", 6)}, 0)
-		c, err = f.Copy(time.Now())
+		c, err = f.Copy(clocktest.Virtual())
 		assert.NilError(t, err)
 		assert.Equal(t, c.Age, time.Second, "news is no read")
 		assert.Equal(t, inner.told, 1)
@@ -105,7 +107,7 @@
 			{Since: 6, Next: 8, Records: []feed.Record{{Key: "f", Value: []byte("8"), Next: 8}}},
 		}, cmpopts.EquateEmpty())
 		h.Listed(listing(9, item("d", "5", 5)), 0)
-		c, err = f.Copy(time.Now())
+		c, err = f.Copy(clocktest.Virtual())
 		assert.NilError(t, err)
 		assert.DeepEqual(t, c.Records, []feed.Record{{Key: "d", Value: []byte("5"), Next: 5}})
 	})
--- a/server/node/node.go
+++ b/server/node/node.go
@@ -21,6 +21,7 @@
 
 	"github.com/lentilpick/lentilpick/admission"
 	"github.com/lentilpick/lentilpick/authority"
+	"github.com/lentilpick/lentilpick/clock"
 	"github.com/lentilpick/lentilpick/daemon"
 	"github.com/lentilpick/lentilpick/directory"
 	"github.com/lentilpick/lentilpick/gateway"
@@ -289,14 +290,14 @@
 	go n.watch(ctx)
 	go follow(ctx, n, feedConfig, n.store.Configurations(), &configFeed{
 		outage: source("configuration"), gateway: n.gateway, loaded: func() { n.configured.Store(true) },
-		knowledge: func() loadshare.Knowledge { return n.share.Knowledge(feedConfig, time.Now()) },
-	}, n.pace(feedConfig, 0, n.settings.ConfigurationWait), minPause, maxPause)
+		knowledge: func() loadshare.Knowledge { return n.share.Knowledge(feedConfig, clock.Now()) },
+	}, newPace(n.share, feedConfig, 0, n.settings.ConfigurationWait, n.placeAtHome), minPause, maxPause)
 	go follow(ctx, n, feedRegistrations, n.store.Registrations(), &registrationFeed{
 		outage: source("registrations"), directory: n.directory, loaded: func() { n.listed.Store(true) },
-	}, n.pace(feedRegistrations, n.settings.RegistrationInterval, 0), minPause, maxPause)
+	}, newPace(n.share, feedRegistrations, n.settings.RegistrationInterval, 0, n.placeAtHome), minPause, maxPause)
 	go join(ctx, n.store, n.self(), n.log)
 	go follow(ctx, n, feedMembers, platform.Keyed(n.store, membersTopic, DecodeMember), n.members,
-		n.pace(feedMembers, memberInterval, 0), joinPause, memberInterval)
+		newPace(n.share, feedMembers, memberInterval, 0, n.placeAtHome), joinPause, memberInterval)
 	if n.settings.PrefillShare > 0 {
 		holder := authority.Holder{VM: n.machine.VM, Incarnation: strconv.FormatUint(rand.Uint64(), 36)}
 		k := &roleKeeper{
@@ -308,22 +309,6 @@
 	}
 }
 
-// pace returns when the node reads a feed whose reader reads at interval and
-// waits for changes.
-func (n *Node) pace(index int, interval, wait time.Duration) *pace {
-	return &pace{
-		progress: n.share.Feed(index), interval: interval, wait: wait,
-		stale: max(interval+wait+tellTime, minStale), place: n.placeAtHome, announce: n.share.Announce,
-	}
-}
-
-const (
-	// tellTime is how long it takes until the others have heard of a read: a beat
-	// of the load messages and some more.
-	tellTime = 600 * time.Millisecond
-	minStale = 800 * time.Millisecond
-)
-
 func (n *Node) self() Member {
 	return Member{
 		VM: n.machine.VM, DataCentre: n.machine.DataCentre,
--- a/server/node/pace.go
+++ b/server/node/pace.go
@@ -3,9 +3,9 @@
 import (
 	"time"
 
+	"github.com/lentilpick/lentilpick/clock"
 	"github.com/lentilpick/lentilpick/feed"
 	"github.com/lentilpick/lentilpick/loadshare"
-	"github.com/lentilpick/lentilpick/types"
 )
 
 // Feeds of the store that the nodes follow together.
@@ -28,6 +28,7 @@
 	stale time.Duration
 	// place returns the place in line, 0 first.
 	place func() int
+	now   func() clock.Instant
 	// announce tells the other nodes of a read at once.
 	announce func()
 	// leads says that the last read was this node's turn: it reads for others. It
@@ -44,28 +45,40 @@
 	// rarely is the longest time between two reads of any node. It bounds how long
 	// an error in what another node has told can last.
 	rarely = 2 * time.Minute
+	// tellTime is how long it takes until the others have heard of a read: a beat
+	// of the load messages and some more.
+	tellTime = 600 * time.Millisecond
+	minStale = 800 * time.Millisecond
 )
 
+// newPace returns when a node reads a feed whose reader reads at interval and
+// waits for changes.
+func newPace(s *loadshare.Share, index int, interval, wait time.Duration, place func() int) *pace {
+	return &pace{
+		progress: s.Feed(index), interval: interval, wait: wait, now: clock.Now,
+		stale: max(interval+wait+tellTime, minStale), place: place, announce: s.Announce,
+	}
+}
+
 // due implements feed.Schedule.
-func (p *pace) due(now time.Time) (pause, wait time.Duration) {
+func (p *pace) due(now clock.Instant) (pause, wait time.Duration) {
 	place := p.place()
-	own := now.Sub(p.progress.Own())
+	own := p.progress.OwnAge(now)
 	if place == 0 {
 		p.leads = true
-		return p.interval - own, p.wait
+		// A read with changes is true as of its start only. The next one waits for
+		// less, so that the others do not find its claim stale before.
+		return p.interval - own, max(p.wait-max(own-p.interval, 0), 0)
 	}
 	limit := p.stale + staleTurn*time.Duration(min(place, maxTurns))
-	fresh := limit - now.Sub(p.progress.Freshest())
+	fresh := limit - p.progress.Age(now)
 	p.leads = fresh <= 0
 	return min(fresh, rarely-own), 0
 }
 
 // read records a read. Only nodes that read for others tell of what has changed.
-func (p *pace) read(asOf time.Time, next, changed types.Offset) {
-	if !p.leads {
-		changed = 0
-	}
-	p.progress.Read(asOf, next, changed)
+func (p *pace) read(r feed.Reading) {
+	p.progress.Read(r, p.leads)
 	if p.leads && p.place() > 0 {
 		p.announce()
 	}
@@ -78,7 +91,7 @@
 
 // maxPause returns the longest pause after a failed read.
 func (p *pace) maxPause(longest time.Duration) time.Duration {
-	if time.Since(p.progress.Freshest()) < p.stale {
+	if p.progress.Age(p.now()) < p.stale {
 		return max(longest, informedPause)
 	}
 	return longest
@@ -86,7 +99,8 @@
 
 func (p *pace) schedule(minPause, longest time.Duration) feed.Schedule {
 	return feed.Schedule{
-		Due: p.due, Read: p.read, Wake: p.progress.Wake(), News: p.progress.News(), Told: p.progress.Told,
+		Now: p.now, Due: p.due, Read: p.read, Wake: p.progress.Wake(), News: p.progress.News(),
+		Told: p.progress.Told, Missed: p.progress.Missed,
 		MinPause: minPause, MaxPause: func() time.Duration { return p.maxPause(longest) },
 	}
 }
--- a/server/node/pace_test.go
+++ b/server/node/pace_test.go
@@ -6,7 +6,9 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/lentilpick/lentilpick/clock"
 	"github.com/lentilpick/lentilpick/directory"
+	"github.com/lentilpick/lentilpick/feed"
 	"github.com/lentilpick/lentilpick/loadshare"
 	"github.com/lentilpick/lentilpick/platform"
 )
@@ -18,18 +20,48 @@
 	assert.NilError(t, err)
 	place := 0
 	p := &pace{progress: s.Feed(0), interval: 600 * time.Millisecond, stale: 1200 * time.Millisecond, place: func() int { return place }}
-	now := time.Now()
-	s.Feed(0).Read(now, 1, 0)
+	now := clock.Now()
+	s.Feed(0).Read(feed.Reading{AsOf: now, Next: 1}, false)
 	pause, _ := p.due(now.Add(100 * time.Millisecond))
-	assert.Equal(t, pause.Round(time.Millisecond), 500*time.Millisecond, "the reader reads at its interval")
+	assert.Equal(t, pause, 500*time.Millisecond, "the reader reads at its interval")
 	place = 2
 	pause, _ = p.due(now.Add(600 * time.Millisecond))
-	assert.Equal(t, pause.Round(time.Millisecond), 800*time.Millisecond, "others wait until the news is stale")
+	assert.Equal(t, pause, 800*time.Millisecond, "others wait until the news is stale")
 	pause, _ = p.due(now.Add(1400 * time.Millisecond))
 	assert.Assert(t, pause <= 0)
 	place = 1000
 	pause, _ = p.due(now)
-	assert.Equal(t, pause.Round(time.Millisecond), 1700*time.Millisecond, "the last in line is in time as well")
+	assert.Equal(t, pause, 1700*time.Millisecond, "the last in line is in time as well")
+}
+
+// Guards against a reader that pauses, and tells of fresh reads meanwhile, because
+// its own last read lies in the future after a clock step (mtc-lentil, clock
+// steps, seed 2: a configuration 5 s late on all nodes). Ages that count the time
+// of day cannot be passed here.
+func TestPausesRestOnTheBootClock(t *testing.T) {
+	s, err := loadshare.New("vm", "127.0.0.1:0", directory.New())
+	assert.NilError(t, err)
+	p := newPace(s, 0, 600*time.Millisecond, 0, func() int { return 0 })
+	now := clock.Now()
+	s.Feed(0).Read(feed.Reading{AsOf: now, Next: 1}, false)
+	assert.Assert(t, p.now().Sub(now) < time.Hour, "the pace has the clock of the readings")
+	pause, _ := p.due(now.Add(time.Second))
+	assert.Assert(t, pause <= 0)
+}
+
+// Guards against a reader whose claim is stale for the others before its next
+// read ends, because the last one had changes and is true as of its start only.
+func TestReadAfterChangesWaitsForLess(t *testing.T) {
+	s, err := loadshare.New("vm", "127.0.0.1:0", directory.New())
+	assert.NilError(t, err)
+	p := &pace{progress: s.Feed(0), wait: 500 * time.Millisecond, place: func() int { return 0 }}
+	now := clock.Now()
+	s.Feed(0).Read(feed.Reading{AsOf: now, Next: 2, Changed: 2}, true)
+	for age, left := range map[time.Duration]time.Duration{0: p.wait, 400 * time.Millisecond: 100 * time.Millisecond, time.Second: 0} {
+		pause, wait := p.due(now.Add(age))
+		assert.Assert(t, pause <= 0)
+		assert.Equal(t, wait, left)
+	}
 }
 
 // Guards against nodes that the store turns away and that ask it again and again,
@@ -38,9 +70,10 @@
 func TestPauseOfInformedNodes(t *testing.T) {
 	s, err := loadshare.New("vm", "127.0.0.1:0", directory.New())
 	assert.NilError(t, err)
-	p := &pace{progress: s.Feed(0), stale: 2 * time.Second}
+	now := clock.Now()
+	p := &pace{progress: s.Feed(0), stale: 2 * time.Second, now: func() clock.Instant { return now }}
 	assert.Equal(t, p.maxPause(maxPause), maxPause)
-	s.Feed(0).Read(time.Now(), 1, 0)
+	s.Feed(0).Read(feed.Reading{AsOf: now, Next: 1}, false)
 	assert.Equal(t, p.maxPause(maxPause), informedPause)
 	assert.Equal(t, p.maxPause(memberInterval), memberInterval)
 }
@@ -55,16 +88,16 @@
 		progress: s.Feed(0), interval: time.Second, stale: 2 * time.Second,
 		place: func() int { return place }, announce: func() { announced++ },
 	}
-	now := time.Now()
+	now := clock.Now()
 	p.due(now)
-	p.read(now, 10, 5)
+	p.read(feed.Reading{AsOf: now, Next: 10, Changed: 5})
 	assert.Equal(t, announced, 1)
 	p.due(now.Add(time.Second))
-	p.read(now, 20, 15) // woken by news, not in its turn
+	p.read(feed.Reading{AsOf: now, Next: 20, Changed: 15}) // woken by news, not in its turn
 	assert.Equal(t, announced, 1)
 	place = 0
 	p.due(now.Add(3 * time.Second))
-	p.read(now.Add(3*time.Second), 30, 0)
+	p.read(feed.Reading{AsOf: now.Add(3 * time.Second), Next: 30})
 	assert.Equal(t, announced, 1, "the first in line is not late")
 }
 
--- a/server/node/peerfeeds.go
+++ b/server/node/peerfeeds.go
@@ -13,6 +13,7 @@
 	nodev1 "github.com/lentilpick/lentilpick/api/node/v1"
 	"github.com/lentilpick/lentilpick/api/node/v1/nodev1connect"
 
+	"github.com/lentilpick/lentilpick/clock"
 	"github.com/lentilpick/lentilpick/feed"
 	"github.com/lentilpick/lentilpick/mirror"
 	"github.com/lentilpick/lentilpick/platform"
@@ -52,7 +53,7 @@
 		if f != req.Msg.GetFeed() {
 			continue
 		}
-		c, err := s.feeds[i].Copy(time.Now())
+		c, err := s.feeds[i].Copy(clock.Now())
 		if err != nil {
 			return nil, connect.NewError(connect.CodeUnavailable, err)
 		}
@@ -147,6 +148,11 @@
 			n.share.Publish(index, news)
 		}
 	}
-	feed.Follow(ctx, mirror.NewSource(src, newPeerFetcher(n.machine, wireFeeds[index], n.log), &n.mirrors[index]),
-		mirror.Keep(&n.mirrors[index], h, publish), p.schedule(minPause, maxPause))
+	m := &n.mirrors[index]
+	s := p.schedule(minPause, maxPause)
+	s.Read = func(r feed.Reading) {
+		m.Read(r.AsOf)
+		p.read(r)
+	}
+	feed.Follow(ctx, mirror.NewSource(src, newPeerFetcher(n.machine, wireFeeds[index], n.log), m), mirror.Keep(m, h, publish), s)
 }
--- a/tools/check.sh
+++ b/tools/check.sh
@@ -8,6 +8,14 @@
 	echo "$unformatted" >&2
 	exit 1
 fi
+# Times of day jump: ages and pauses are kept as clock.Instant or clock.Nanos. The
+# exceptions are the clock itself, the log's own times and simulated ones.
+wall=$(git grep -nE 'Unix(Nano|Milli|Micro)\(\)|time\.Unix(Milli|Micro)?\(' -- '*.go' ':!*_test.go' ':!clock' ':!standin' ':!measure/sim.go' ':!logclient/http.go' || true)
+if [ -n "$wall" ]; then
+	echo "times of day that are kept as numbers; use package clock:" >&2
+	echo "$wall" >&2
+	exit 1
+fi
 go vet work
 go run -C tools honnef.co/go/tools/cmd/staticcheck -version >/dev/null
 bin=$(mktemp)
