loadshare: a claim to have read a feed says up to which offset it holds

Nodes that kept running refused routes of an accepted configuration with 404 for up to 3 s after others had been killed and had started again. Cause: a node that lists a feed told a fresh age, but not what its list held that the others did not know; nobody told them, and its freshness kept them from reading until the next change. A node that read a change out of its turn, and one whose news had to wait for the next message, said too much in the same way.

A claim now has a base: whoever knows the feed up to it knows it up to the offset that the sender has read. A list sets the base to its end, an untold change to its offset. A node that knows less passes the claim over, counts it (lentilpick_claims_refused), and reads by itself when it is due; what it was told before stays. News that cannot be used takes back the claims that rested on it. The claims also say how far there is nothing more to know, so that a later claim can build on them: a list costs nobody a read then.

Message version 3: nodes of both versions read for themselves while they run together.

--- a/loadshare/message.go
+++ b/loadshare/message.go
@@ -17,7 +17,7 @@
 
 const (
 	magic      = 0x6c
-	version    = 2
+	version    = 3
 	headerSize = 3 + 8 + 8 + 8
 	// flagRelay asks the receiver to pass the message on in its data centre.
 	flagRelay = 1
@@ -61,6 +61,8 @@
 		// An age is rounded up: a feed must not look fresher than it is.
 		b = binary.AppendUvarint(b, uint64((c.age+time.Millisecond-1)/time.Millisecond))
 		b = binary.AppendUvarint(b, uint64(c.changed))
+		b = binary.AppendUvarint(b, uint64(c.base-c.changed))
+		b = binary.AppendUvarint(b, uint64(c.through-c.base))
 	}
 	b = append(b, byte(len(m.news)))
 	for _, n := range m.news {
@@ -115,7 +117,10 @@
 // decodeClaims decodes what the sender tells of its reads of the feeds.
 func (m *message) decodeClaims(r *reader) {
 	for i := range m.claims {
-		m.claims[i] = claim{time.Duration(r.number()) * time.Millisecond, r.offset()}
+		c := claim{age: time.Duration(r.number()) * time.Millisecond, changed: r.offset()}
+		c.base = c.changed + r.offset()
+		c.through = c.base + r.offset()
+		m.claims[i] = c
 	}
 }
 
--- a/loadshare/progress.go
+++ b/loadshare/progress.go
@@ -15,12 +15,18 @@
 // never is the age of a feed that was not read yet.
 const never = time.Hour
 
-// claim is what a node tells of its reads of one feed: how long before the
-// message was made it has read the feed to the end.
+// claim is what a node tells of its reads of one feed. It has read the feed up
+// to through. Whoever knows all that matters up to base knows all that matters
+// up to through as well, as of age before the message was made.
 type claim struct {
 	age time.Duration
 	// changed is the offset after the last change that the node tells.
 	changed types.Offset
+	// base is at least changed. It is higher after a list, whose changes to what
+	// was known before are told by nobody, and after changes that the node read
+	// without telling them.
+	base    types.Offset
+	through types.Offset
 }
 
 // Progress tells how far the nodes have read one feed, so that a few of them
@@ -33,16 +39,22 @@
 	// own is the last read of this node.
 	own     feed.Reading
 	hasRead bool
-	// changed is the offset after the last change that this node tells.
-	changed types.Offset
+	// changed and base are those of the claims of this node.
+	changed, base types.Offset
 	// next is the offset from which this node reads on, queued the one that the
 	// news in the queue reaches.
 	next, queued types.Offset
-	// told is when the freshest other node had read the feed, and teller the hash of
-	// its name.
+	// through is the offset up to which the claims of other nodes say that nothing
+	// matters beyond what this node knows.
+	through types.Offset
+	// told is when the freshest other node had read the feed, by claims that helped
+	// this node, and teller the hash of its name.
 	told    clock.Instant
 	hasTold bool
 	teller  uint64
+	// refused counts the claims that did not help this node, because it does not
+	// know the feed up to their base.
+	refused int64
 }
 
 // newsQueue bounds the news that waits to be folded. What does not fit is read
@@ -60,8 +72,14 @@
 	defer p.mu.Unlock()
 	p.own, p.hasRead = r, true
 	p.next = max(p.next, r.Next)
-	if told {
-		p.changed = max(p.changed, r.Changed)
+	switch {
+	case r.Listed:
+		p.base = max(p.base, r.Next)
+	case r.Changed > 0:
+		p.base = max(p.base, r.Changed)
+		if told {
+			p.changed = max(p.changed, r.Changed)
+		}
 	}
 }
 
@@ -78,11 +96,11 @@
 }
 
 // Missed records that news could not be used, so that no more is known than up
-// to the offset next.
+// to the offset next. What other nodes have claimed since rests on that news.
 func (p *Progress) Missed(next types.Offset) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.next, p.queued = next, next
+	p.next, p.queued, p.through, p.hasTold = next, next, 0, false
 	p.ask()
 }
 
@@ -132,13 +150,21 @@
 }
 
 // Age returns the time since any node has last read the end of the feed, as far
-// as this node was told.
+// as this node knows all that the other one had read.
 func (p *Progress) Age(now clock.Instant) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return min(p.ownAge(now), p.toldAge(now))
 }
 
+// Refused returns the number of claims of other nodes that did not help this
+// node, because they rest on changes that it does not know.
+func (p *Progress) Refused() int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.refused
+}
+
 // Wake receives a value when another node has read a change that this one has
 // not.
 func (p *Progress) Wake() <-chan struct{} { return p.wake }
@@ -154,19 +180,25 @@
 func (p *Progress) claim(now clock.Instant) claim {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return claim{p.ownAge(now), p.changed}
+	return claim{p.ownAge(now), p.changed, p.base, max(p.own.Next, p.base)}
 }
 
 // hear folds what another node tells of a read at asOf.
 func (p *Progress) hear(c claim, asOf clock.Instant, sender uint64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if c.changed > max(p.next, p.queued) {
+	known := max(p.next, p.queued, p.through)
+	if c.changed > known {
 		p.ask()
 	}
 	if c.age >= never {
 		return
 	}
+	if c.base > known {
+		p.refused++
+		return
+	}
+	p.through = max(p.through, c.through)
 	if !p.hasTold || asOf > p.told {
 		p.told, p.hasTold, p.teller = asOf, true, sender
 	}
@@ -175,12 +207,13 @@
 // Knowledge says what a node's knowledge of a feed rests on.
 type Knowledge struct {
 	// Own is the time since the node's own last read of the end of the feed, and
-	// Told the same for the freshest other node, as far as this one was told.
+	// Told the same for the freshest other node whose claim helped this one.
 	Own, Told time.Duration
 	// Teller is that node; empty if it is not known by name.
 	Teller types.VMID
-	// Next is the offset up to which the node has read or was told of changes.
-	Next types.Offset
+	// Next is the offset up to which the node has read or was told of changes, and
+	// Through the one up to which others have claimed that there are no more.
+	Next, Through types.Offset
 }
 
 // Knowledge returns what this node's knowledge of a feed rests on at now.
@@ -188,5 +221,5 @@
 	p := s.feeds[index]
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return Knowledge{p.ownAge(now), p.toldAge(now), s.peers.Load().name(p.teller), p.next}
+	return Knowledge{p.ownAge(now), p.toldAge(now), s.peers.Load().name(p.teller), p.next, p.through}
 }
--- a/loadshare/share.go
+++ b/loadshare/share.go
@@ -130,6 +130,15 @@
 	return len(s.from)
 }
 
+// Refused returns the number of claims to have read a feed that did not help this
+// daemon, because it did not know what they rest on.
+func (s *Share) Refused() (n int64) {
+	for _, f := range s.feeds {
+		n += f.Refused()
+	}
+	return n
+}
+
 // Malformed returns the number of datagrams that did not decode.
 func (s *Share) Malformed() int64 { return s.malformed.Load() }
 
@@ -276,7 +285,8 @@
 		for i, f := range s.feeds {
 			m.claims[i] = f.claim(now)
 		}
-		// Changes whose news comes with the next message are not to be read.
+		// Changes whose news comes with the next message are not to be read. The base
+		// stays: nobody may take the feed as known without them.
 		for _, n := range news {
 			c := &m.claims[n.index]
 			c.changed = min(c.changed, n.Since)
--- a/loadshare/share_test.go
+++ b/loadshare/share_test.go
@@ -133,7 +133,7 @@
 // Guards against a datagram that makes the decoder fail, read beyond its end or
 // accept values that overflow.
 func FuzzDecode(f *testing.F) {
-	m := message{sender: 1, start: 2, seq: 3, claims: [Feeds]claim{{age: time.Second, changed: 7}}}
+	m := message{sender: 1, start: 2, seq: 3, claims: [Feeds]claim{{age: time.Second, changed: 7, base: 9, through: 20}}}
 	good := appendItem(m.appendHeader(nil), &item{target: 4, work: directory.Work{Requests: 1, Read: 1 << 30}, parts: []uint64{5, 6}})
 	f.Add(good)
 	f.Add(good[:len(good)-1])
@@ -161,6 +161,7 @@
 	r.Feed(1).Read(read(now.Add(-time.Minute), 39, 0), false)
 	s.Feed(1).Read(read(now, 50, 40), true)
 	pass(t, s, r, true, now)
+	assert.Equal(t, r.Feed(1).Age(instant(now)), time.Minute, "the change is not known yet")
 	assert.Equal(t, len(r.Feed(1).Wake()), 1)
 	<-r.Feed(1).Wake()
 	r.Feed(1).Read(read(now.Add(-time.Second), 40, 40), false)
@@ -170,6 +171,72 @@
 	assert.Equal(t, len(r.Feed(0).Wake()), 0)
 }
 
+// Guards against a node that takes a feed as known because another one has
+// listed it (mtc-lentil, killed nodes, seed 21: routes of an accepted
+// configuration refused with 404 for 3 s).
+func TestListTellsNobodyWhatItShowed(t *testing.T) {
+	s, _ := newShare(t, "one")
+	r, _ := newShare(t, "two")
+	third, _ := newShare(t, "three")
+	list := read(now, 50, 0)
+	list.Listed = true
+	s.Feed(1).Read(list, true)
+	r.Feed(1).Read(read(now.Add(-time.Second), 49, 0), false)
+	third.Feed(1).Read(read(now.Add(-time.Second), 50, 0), false)
+	for range 2 {
+		pass(t, s, r, true, now)
+		pass(t, s, third, true, now)
+	}
+	assert.Equal(t, r.Feed(1).Age(instant(now)), time.Second)
+	assert.Equal(t, len(r.Feed(1).Wake()), 0, "a list of records that do not matter has nobody read")
+	assert.Equal(t, r.Refused(), int64(2))
+	assert.Equal(t, third.Feed(1).Age(instant(now)), time.Duration(0), "who knows as much may rely on it")
+	// The reader of another data centre has read on without a change, so that the
+	// list is no news either.
+	other, _ := newShare(t, "four")
+	other.Feed(1).Read(read(now.Add(-2*time.Second), 40, 0), false)
+	other.Feed(1).Read(read(now, 55, 0), false)
+	pass(t, other, r, true, now)
+	assert.Equal(t, r.Knowledge(1, instant(now)), Knowledge{Own: time.Second, Next: 49, Through: 55})
+	s.Feed(1).Read(read(now.Add(time.Second), 60, 0), false)
+	pass(t, s, r, true, now.Add(time.Second))
+	assert.Equal(t, r.Feed(1).Age(instant(now.Add(time.Second))), time.Duration(0))
+}
+
+// Guards against a node that takes a feed as known because another one has read
+// a change without telling it, or will tell it with its next message.
+func TestUntoldChangesAreNotKnown(t *testing.T) {
+	s, _ := newShare(t, "one")
+	r, _ := newShare(t, "two")
+	r.Feed(1).Read(read(now.Add(-time.Second), 40, 0), false)
+	s.Feed(1).Read(read(now, 50, 45), false)
+	pass(t, s, r, true, now)
+	assert.Equal(t, r.Feed(1).Age(instant(now)), time.Second)
+	assert.Equal(t, len(r.Feed(1).Wake()), 0)
+	c := s.Feed(1).claim(instant(now))
+	c.changed = min(c.changed, 40)
+	r.Feed(1).hear(c, instant(now), 7)
+	assert.Equal(t, r.Feed(1).Age(instant(now)), time.Second)
+}
+
+// Guards against a node that goes on to rely on claims which rested on news that
+// it could not use.
+func TestMissedNewsTakesBackClaims(t *testing.T) {
+	s, _ := newShare(t, "one")
+	r, _ := newShare(t, "two")
+	r.Feed(1).Read(read(now.Add(-time.Second), 40, 0), false)
+	s.Publish(1, feed.News{Since: 40, Next: 45, Records: []feed.Record{{Key: "k", Next: 45}}})
+	s.Feed(1).Read(read(now, 50, 45), true)
+	pass(t, s, r, true, now)
+	assert.Equal(t, r.Feed(1).Age(instant(now)), time.Duration(0), "the news is in the queue")
+	<-r.Feed(1).News()
+	r.Feed(1).Missed(40)
+	assert.Equal(t, r.Feed(1).Age(instant(now)), time.Second)
+	assert.Equal(t, len(r.Feed(1).Wake()), 1)
+	pass(t, s, r, true, now)
+	assert.Equal(t, r.Feed(1).Age(instant(now)), time.Second)
+}
+
 // Guards against a change that all nodes read from the store although one has
 // told it, against news that a node takes though it has missed what was before,
 // against news that is lost because one message has no room, and against news
--- a/server/node/feeds.go
+++ b/server/node/feeds.go
@@ -55,6 +55,9 @@
 	fieldOwnRead  = "own_read_ms"
 	fieldToldRead = "told_read_ms"
 	fieldTeller   = "teller"
+	// fieldThrough is the offset up to which other nodes have claimed that there is
+	// nothing more to know.
+	fieldThrough = "through_offset"
 )
 
 // configFeed puts configurations in force. It implements feed.Handler.
@@ -100,7 +103,7 @@
 			k := f.knowledge()
 			f.log.WithFields(logrus.Fields{
 				fieldConfig: (*i.Value).Version, "routes": (*i.Value).Routes(), fieldLearned: learned, fieldOffset: i.Next,
-				fieldKnown: k.Next, fieldOwnRead: millis(k.Own), fieldToldRead: millis(k.Told), fieldTeller: k.Teller,
+				fieldKnown: k.Next, fieldOwnRead: millis(k.Own), fieldToldRead: millis(k.Told), fieldTeller: k.Teller, fieldThrough: k.Through,
 			}).Info("configuration in force")
 			f.loaded()
 			changed = append(changed, i)
--- a/server/node/node.go
+++ b/server/node/node.go
@@ -177,6 +177,7 @@
 		n.metrics.Gauge("lentilpick_bad_messages", "Messages of other nodes that did not decode.", n.share.Malformed),
 		n.metrics.Gauge("lentilpick_news_told", "Changes of feeds that were told to other nodes.", n.share.NewsTold),
 		n.metrics.Gauge("lentilpick_news_missed", "Changes of feeds that were told and had to be read from the store.", n.share.NewsMissed),
+		n.metrics.Gauge("lentilpick_claims_refused", "Reads of feeds that other nodes have told and that did not help this node, because it did not know what they rest on.", n.share.Refused),
 		n.metrics.Gauge("lentilpick_log_dropped", "Log lines that were dropped.", o.dropped.Load),
 		n.metrics.Gauge("lentilpick_configuration", "Version of the configuration in force.", func() int64 {
 			if t := n.gateway.Table(); t != nil {
