directory: a registration that returns after a lapse is a change

After an outage of the store, nodes that do not read it lost a target for good that had registered again. The node that reads for them tells the lapse at once, but took the return for no change while its own grace period ran: the entry was the same. The others, whose grace period may be over or who had none, were not told.

TestReturnAfterALapseIsTold failed before (no item was told). Ruled out: the removal itself is told in every case (fold).

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -89,7 +89,10 @@
 
 // Kinds of change.
 const (
-	ChangeSeen     ChangeKind = "seen"
+	ChangeSeen ChangeKind = "seen"
+	// ChangeReturned is a target that registers again after a lapse, before the end
+	// of its grace period.
+	ChangeReturned ChangeKind = "returned"
 	ChangeDraining ChangeKind = "draining"
 	ChangeRole     ChangeKind = "role"
 	ChangeRemoved  ChangeKind = "removed"
@@ -128,9 +131,13 @@
 }
 
 func (d *Directory) put(e Entry, changes []Change) []Change {
+	_, lapsed := d.missing[e.ID]
 	delete(d.missing, e.ID)
 	old := d.current[e.ID]
 	if old != nil && old.Entry == e {
+		if lapsed {
+			changes = append(changes, Change{e.ID, e.Service, ChangeReturned})
+		}
 		return changes
 	}
 	t := &Target{Entry: e, Hash: xxhash.Sum64String(string(e.ID))}
--- a/server/node/feeds_test.go
+++ b/server/node/feeds_test.go
@@ -42,6 +42,20 @@
 	})
 }
 
+// Guards against a target that other nodes lose for good after an outage, because
+// the node that reads for them took its return for no change: they were told of
+// the lapse.
+func TestReturnAfterALapseIsTold(t *testing.T) {
+	d := directory.New()
+	f := &registrationFeed{outage: outage{log: daemon.NewLogger(io.Discard, "error", "node")}, directory: d, loaded: func() {}}
+	a := directory.Entry{ID: "a", Service: "s"}
+	back := []feed.Item[directory.Entry]{{Key: "a", Value: &a, Next: 8}}
+	f.Listed(feed.Listing[directory.Entry]{Items: []feed.Item[directory.Entry]{{Key: "a", Value: &a}}}, 0)
+	assert.Equal(t, len(f.Changed([]feed.Item[directory.Entry]{{Key: "a", Next: 7}}, time.Second)), 1)
+	assert.Equal(t, len(f.Changed(back, 0)), 1)
+	assert.Equal(t, len(f.Changed(back, 0)), 0, "a registration that is repeated is no change")
+}
+
 // Guards against a removal without an outage that is not believed at once.
 func TestRemovalCountsAtOnce(t *testing.T) {
 	d := directory.New()
