loadshare: a message that was held up does not make a feed fresh

A claim's age was that of the moment at which its message was made. A node that is frozen between making and sending a message, a link with a queue, or a node that wakes with messages in its socket made old reads count as new ones, for as long as the next read by turn takes (1.1 to 1.7 s on top).

Messages carry their sender's clock. What a message needed longer than the fastest one of the same run is added to the age; 1,000 ppm of drift are allowed for, and the first message of a run counts for nothing. TestHeldMessagesAreNotFresh fails without the comparison.

--- a/loadshare/message.go
+++ b/loadshare/message.go
@@ -9,6 +9,7 @@
 	"errors"
 	"time"
 
+	"github.com/lentilpick/lentilpick/clock"
 	"github.com/lentilpick/lentilpick/directory"
 )
 
@@ -17,7 +18,7 @@
 
 const (
 	magic      = 0x6c
-	version    = 3
+	version    = 4
 	headerSize = 3 + 8 + 8 + 8
 	// flagRelay asks the receiver to pass the message on in its data centre.
 	flagRelay = 1
@@ -34,6 +35,7 @@
 	sender uint64 // hash of the daemon's name
 	start  uint64 // identifies the run of the daemon
 	seq    uint64
+	sent   clock.Instant // on the sender's clock, in whole milliseconds
 	relay  bool
 	claims [Feeds]claim
 	news   []feedNews
@@ -57,6 +59,7 @@
 	b = binary.BigEndian.AppendUint64(b, m.sender)
 	b = binary.BigEndian.AppendUint64(b, m.start)
 	b = binary.BigEndian.AppendUint64(b, m.seq)
+	b = binary.AppendUvarint(b, uint64(m.sent)/uint64(time.Millisecond))
 	for _, c := range m.claims {
 		// An age is rounded up: a feed must not look fresher than it is.
 		b = binary.AppendUvarint(b, uint64((c.age+time.Millisecond-1)/time.Millisecond))
@@ -98,6 +101,7 @@
 		relay: b[flagsAt]&flagRelay != 0,
 	}
 	r := reader{b: b[headerSize:]}
+	m.sent = clock.Instant(time.Duration(r.number()) * time.Millisecond)
 	m.decodeClaims(&r)
 	m.decodeNews(&r)
 	if r.bad {
--- a/loadshare/share.go
+++ b/loadshare/share.go
@@ -56,9 +56,12 @@
 
 	mu   sync.Mutex // guards what follows; not taken on the path of a request
 	from map[uint64]*peerState
-	seq  uint64
-	near audience // the own data centre
-	far  audience // the other data centres
+	// transits outlive the states in from: what is late after a silence shows by
+	// what came before it.
+	transits map[uint64]*transit
+	seq      uint64
+	near     audience // the own data centre
+	far      audience // the other data centres
 }
 
 // audience is what one group of daemons was told, by target.
@@ -111,7 +114,7 @@
 	s := &Share{
 		self: xxhash.Sum64String(name), start: rand.Uint64(), directory: d, conn: conn,
 		now: clock.Now, wake: make(chan struct{}, 1), used: make(chan usedParts, partsQueue),
-		from: map[uint64]*peerState{}, near: newAudience(), far: newAudience(),
+		from: map[uint64]*peerState{}, transits: map[uint64]*transit{}, near: newAudience(), far: newAudience(),
 	}
 	for i := range s.feeds {
 		s.feeds[i] = newProgress()
@@ -280,7 +283,7 @@
 	var out [][]byte
 	header := func() []byte {
 		s.seq++
-		m := message{sender: s.self, start: s.start, seq: s.seq}
+		m := message{sender: s.self, start: s.start, seq: s.seq, sent: now}
 		m.news, news = cutNews(news)
 		for i, f := range s.feeds {
 			m.claims[i] = f.claim(now)
@@ -349,8 +352,13 @@
 			s.missed.Add(1)
 		}
 	}
+	late, known := s.held(m, at)
 	for i, f := range s.feeds {
-		f.hear(m.claims[i], at.Add(-m.claims[i].age), m.sender)
+		c := m.claims[i]
+		if !known {
+			c.age = never
+		}
+		f.hear(c, at.Add(-c.age-late), m.sender)
 	}
 	if m.seq <= p.seq {
 		return
@@ -401,4 +409,5 @@
 			delete(s.from, id)
 		}
 	}
+	s.forgetTransits(s.now())
 }
--- a/loadshare/share_test.go
+++ b/loadshare/share_test.go
@@ -33,6 +33,13 @@
 	return feed.Reading{AsOf: instant(at), Next: next, Changed: changed}
 }
 
+// meet makes a share know how long messages of others are on their way.
+func meet(t *testing.T, to *Share, from ...*Share) {
+	for _, s := range from {
+		pass(t, s, to, true, now.Add(-time.Minute/2))
+	}
+}
+
 // pass hands the messages of one share to another.
 func pass(t *testing.T, from, to *Share, full bool, at time.Time) {
 	from.now = func() clock.Instant { return instant(at) }
@@ -158,6 +165,7 @@
 func TestProgressIsTold(t *testing.T) {
 	s, _ := newShare(t, "one")
 	r, _ := newShare(t, "two")
+	meet(t, r, s)
 	r.Feed(1).Read(read(now.Add(-time.Minute), 39, 0), false)
 	s.Feed(1).Read(read(now, 50, 40), true)
 	pass(t, s, r, true, now)
@@ -178,6 +186,9 @@
 	s, _ := newShare(t, "one")
 	r, _ := newShare(t, "two")
 	third, _ := newShare(t, "three")
+	other, _ := newShare(t, "four")
+	meet(t, r, s, other)
+	meet(t, third, s)
 	list := read(now, 50, 0)
 	list.Listed = true
 	s.Feed(1).Read(list, true)
@@ -193,7 +204,6 @@
 	assert.Equal(t, third.Feed(1).Age(instant(now)), time.Duration(0), "who knows as much may rely on it")
 	// The reader of another data centre has read on without a change, so that the
 	// list is no news either.
-	other, _ := newShare(t, "four")
 	other.Feed(1).Read(read(now.Add(-2*time.Second), 40, 0), false)
 	other.Feed(1).Read(read(now, 55, 0), false)
 	pass(t, other, r, true, now)
@@ -208,6 +218,7 @@
 func TestUntoldChangesAreNotKnown(t *testing.T) {
 	s, _ := newShare(t, "one")
 	r, _ := newShare(t, "two")
+	meet(t, r, s)
 	r.Feed(1).Read(read(now.Add(-time.Second), 40, 0), false)
 	s.Feed(1).Read(read(now, 50, 45), false)
 	pass(t, s, r, true, now)
@@ -224,6 +235,7 @@
 func TestMissedNewsTakesBackClaims(t *testing.T) {
 	s, _ := newShare(t, "one")
 	r, _ := newShare(t, "two")
+	meet(t, r, s)
 	r.Feed(1).Read(read(now.Add(-time.Second), 40, 0), false)
 	s.Publish(1, feed.News{Since: 40, Next: 45, Records: []feed.Record{{Key: "k", Next: 45}}})
 	s.Feed(1).Read(read(now, 50, 45), true)
@@ -237,6 +249,37 @@
 	assert.Equal(t, r.Feed(1).Age(instant(now)), time.Second)
 }
 
+// Guards against a claim that was fresh when its message was made and that counts
+// as fresh although the message lay with a frozen sender, in a queue, or here.
+func TestHeldMessagesAreNotFresh(t *testing.T) {
+	s, _ := newShare(t, "one")
+	r, _ := newShare(t, "two")
+	const apart = 1000 * time.Second // the origins of the two clocks
+	made := func(at time.Time) *message {
+		s.now = func() clock.Instant { return instant(at).Add(-apart) }
+		m, err := decode(s.messages(&s.near, true)[0])
+		assert.NilError(t, err)
+		return m
+	}
+	arrive := func(m *message, at time.Time) { r.fold(m, at, instant(at)) }
+	arrive(made(now), now.Add(time.Second))
+	assert.Equal(t, r.Feed(0).Age(instant(now)), never, "nothing can be said of the first")
+	s.Feed(0).Read(feed.Reading{AsOf: instant(now).Add(-apart)}, false)
+	held := made(now)
+	arrive(made(now.Add(100*time.Millisecond)), now.Add(110*time.Millisecond))
+	assert.Equal(t, r.Feed(0).Age(instant(now.Add(110*time.Millisecond))), 100*time.Millisecond, "the fastest message counts without its way")
+	at := now.Add(5 * time.Second)
+	r.expire(at)
+	assert.Equal(t, r.Live(), 0)
+	before := r.Feed(0).Age(instant(at))
+	s.Feed(0).Read(feed.Reading{AsOf: instant(now.Add(time.Second)).Add(-apart)}, false)
+	arrive(held, at)
+	const drift = 20 * time.Millisecond // the shortest way, and what the clocks may have drifted apart
+	assert.Assert(t, r.Feed(0).Age(instant(at)) > before-drift)
+	arrive(made(now.Add(time.Second)), at)
+	assert.Assert(t, r.Feed(0).Age(instant(at)) > 4*time.Second-drift)
+}
+
 // Guards against a change that all nodes read from the store although one has
 // told it, against news that a node takes though it has missed what was before,
 // against news that is lost because one message has no room, and against news
