loadshare: the socket and the clock of a share come from its caller

A test of several nodes in virtual time needs a network and clocks of its own. follow takes what it needs of a node in one value, for the same reason. No change of behaviour; tests of loadshare and node as before.

--- a/loadshare/share.go
+++ b/loadshare/share.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -43,7 +44,7 @@
 	self      uint64
 	start     uint64
 	directory *directory.Directory
-	conn      *net.UDPConn
+	conn      Conn
 	peers     atomic.Pointer[peerList]
 	feeds     [Feeds]*Progress
 	now       func() clock.Instant
@@ -101,26 +102,36 @@
 	work directory.Work
 }
 
-// New returns a share that listens on address. name is the daemon's name.
-func New(name, address string, d *directory.Directory) (*Share, error) {
+// Conn carries datagrams. *net.UDPConn implements it.
+type Conn interface {
+	ReadFromUDPAddrPort(b []byte) (n int, from netip.AddrPort, err error)
+	WriteToUDPAddrPort(b []byte, to netip.AddrPort) (n int, err error)
+	Close() error
+}
+
+// Listen returns a socket for a share on a local address. The error is that of
+// the operating system.
+func Listen(address string) (*net.UDPConn, error) {
 	a, err := net.ResolveUDPAddr("udp4", address)
 	if err != nil {
 		return nil, err
 	}
-	conn, err := net.ListenUDP("udp4", a)
-	if err != nil {
-		return nil, err
-	}
+	return net.ListenUDP("udp4", a)
+}
+
+// New returns a share over a socket, which Run closes. name is the daemon's name,
+// now its clock.
+func New(name string, conn Conn, d *directory.Directory, now func() clock.Instant) *Share {
 	s := &Share{
 		self: xxhash.Sum64String(name), start: rand.Uint64(), directory: d, conn: conn,
-		now: clock.Now, wake: make(chan struct{}, 1), used: make(chan usedParts, partsQueue),
+		now: now, wake: make(chan struct{}, 1), used: make(chan usedParts, partsQueue),
 		from: map[uint64]*peerState{}, transits: map[uint64]*transit{}, near: newAudience(), far: newAudience(),
 	}
 	for i := range s.feeds {
 		s.feeds[i] = newProgress()
 	}
 	s.peers.Store(&peerList{})
-	return s, nil
+	return s
 }
 
 // Feed returns the progress of one feed.
--- a/loadshare/share_test.go
+++ b/loadshare/share_test.go
@@ -18,10 +18,10 @@
 func newShare(t *testing.T, name string) (*Share, *directory.Target) {
 	d := directory.New()
 	d.Put(directory.Entry{ID: "a", Service: "s", Born: 1})
-	s, err := New(name, "127.0.0.1:0", d)
+	conn, err := Listen("127.0.0.1:0")
 	assert.NilError(t, err)
-	t.Cleanup(func() { _ = s.conn.Close() })
-	s.now = func() clock.Instant { return instant(now) }
+	t.Cleanup(func() { _ = conn.Close() })
+	s := New(name, conn, d, func() clock.Instant { return instant(now) })
 	return s, d.Load().Target("a")
 }
 
--- a/server/node/node.go
+++ b/server/node/node.go
@@ -111,10 +111,11 @@
 	if err != nil {
 		return nil, err
 	}
-	n.share, err = loadshare.New(string(m.VM), n.internal(m.InternalPort), n.directory)
+	conn, err := loadshare.Listen(n.internal(m.InternalPort))
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrStart, err)
 	}
+	n.share = loadshare.New(string(m.VM), conn, n.directory, clock.Now)
 	o := newObserver(log, c, s.SampleOne, s.LogRate)
 	n.gateway = gateway.New(n.gatewaySettings(), n.directory, n.targets, n.share, o)
 	n.front, err = platform.NewFront(n.gateway, log, n.badInput(c))
@@ -289,16 +290,16 @@
 	source := func(name string) outage { return outage{log: n.log.WithField(fieldSource, name)} }
 	go n.share.Run(ctx)
 	go n.watch(ctx)
-	go follow(ctx, n, feedConfig, n.store.Configurations(), &configFeed{
+	go follow(ctx, n.followed(feedConfig, 0, n.settings.ConfigurationWait), n.store.Configurations(), &configFeed{
 		outage: source("configuration"), gateway: n.gateway, loaded: func() { n.configured.Store(true) },
 		knowledge: func() loadshare.Knowledge { return n.share.Knowledge(feedConfig, clock.Now()) },
-	}, newPace(n.share, feedConfig, 0, n.settings.ConfigurationWait, n.placeAtHome), minPause, maxPause)
-	go follow(ctx, n, feedRegistrations, n.store.Registrations(), &registrationFeed{
+	}, minPause, maxPause)
+	go follow(ctx, n.followed(feedRegistrations, n.settings.RegistrationInterval, 0), n.store.Registrations(), &registrationFeed{
 		outage: source("registrations"), directory: n.directory, loaded: func() { n.listed.Store(true) },
-	}, newPace(n.share, feedRegistrations, n.settings.RegistrationInterval, 0, n.placeAtHome), minPause, maxPause)
+	}, minPause, maxPause)
 	go join(ctx, n.store, n.self(), n.log)
-	go follow(ctx, n, feedMembers, platform.Keyed(n.store, membersTopic, DecodeMember), n.members,
-		newPace(n.share, feedMembers, memberInterval, 0, n.placeAtHome), joinPause, memberInterval)
+	go follow(ctx, n.followed(feedMembers, memberInterval, 0), platform.Keyed(n.store, membersTopic, DecodeMember), n.members,
+		joinPause, memberInterval)
 	if n.settings.PrefillShare > 0 {
 		holder := authority.Holder{VM: n.machine.VM, Incarnation: strconv.FormatUint(rand.Uint64(), 36)}
 		k := &roleKeeper{
--- a/server/node/pace.go
+++ b/server/node/pace.go
@@ -53,9 +53,9 @@
 
 // newPace returns when a node reads a feed whose reader reads at interval and
 // waits for changes.
-func newPace(s *loadshare.Share, index int, interval, wait time.Duration, place func() int) *pace {
+func newPace(s *loadshare.Share, index int, interval, wait time.Duration, place func() int, now func() clock.Instant) *pace {
 	return &pace{
-		progress: s.Feed(index), interval: interval, wait: wait, now: clock.Now,
+		progress: s.Feed(index), interval: interval, wait: wait, now: now,
 		stale: max(interval+wait+tellTime, minStale), place: place, announce: s.Announce,
 	}
 }
--- a/server/node/pace_test.go
+++ b/server/node/pace_test.go
@@ -16,8 +16,7 @@
 // Guards against nodes that all read the store, and against a data centre that
 // learns of changes too late because its reader has gone.
 func TestPace(t *testing.T) {
-	s, err := loadshare.New("vm", "127.0.0.1:0", directory.New())
-	assert.NilError(t, err)
+	s := loadshare.New("vm", nil, directory.New(), clock.Now)
 	place := 0
 	p := &pace{progress: s.Feed(0), interval: 600 * time.Millisecond, stale: 1200 * time.Millisecond, place: func() int { return place }}
 	now := clock.Now()
@@ -39,9 +38,8 @@
 // steps, seed 2: a configuration 5 s late on all nodes). Ages that count the time
 // of day cannot be passed here.
 func TestPausesRestOnTheBootClock(t *testing.T) {
-	s, err := loadshare.New("vm", "127.0.0.1:0", directory.New())
-	assert.NilError(t, err)
-	p := newPace(s, 0, 600*time.Millisecond, 0, func() int { return 0 })
+	s := loadshare.New("vm", nil, directory.New(), clock.Now)
+	p := newPace(s, 0, 600*time.Millisecond, 0, func() int { return 0 }, clock.Now)
 	now := clock.Now()
 	s.Feed(0).Read(feed.Reading{AsOf: now, Next: 1}, false)
 	assert.Assert(t, p.now().Sub(now) < time.Hour, "the pace has the clock of the readings")
@@ -52,8 +50,7 @@
 // Guards against a reader whose claim is stale for the others before its next
 // read ends, because the last one had changes and is true as of its start only.
 func TestReadAfterChangesWaitsForLess(t *testing.T) {
-	s, err := loadshare.New("vm", "127.0.0.1:0", directory.New())
-	assert.NilError(t, err)
+	s := loadshare.New("vm", nil, directory.New(), clock.Now)
 	p := &pace{progress: s.Feed(0), wait: 500 * time.Millisecond, place: func() int { return 0 }}
 	now := clock.Now()
 	s.Feed(0).Read(feed.Reading{AsOf: now, Next: 2, Changed: 2}, true)
@@ -68,8 +65,7 @@
 // though others tell them what they need (trouble-1 of mtc-lentil-grown: 50 calls
 // a second for 9 s), and against rare tries while nobody reads.
 func TestPauseOfInformedNodes(t *testing.T) {
-	s, err := loadshare.New("vm", "127.0.0.1:0", directory.New())
-	assert.NilError(t, err)
+	s := loadshare.New("vm", nil, directory.New(), clock.Now)
 	now := clock.Now()
 	p := &pace{progress: s.Feed(0), stale: 2 * time.Second, now: func() clock.Instant { return now }}
 	assert.Equal(t, p.maxPause(maxPause), maxPause)
@@ -81,8 +77,7 @@
 // Guards against all nodes of a data centre that read the store because the one
 // that took over tells them of its read with its next beat only.
 func TestTakeOverIsAnnounced(t *testing.T) {
-	s, err := loadshare.New("vm", "127.0.0.1:0", directory.New())
-	assert.NilError(t, err)
+	s := loadshare.New("vm", nil, directory.New(), clock.Now)
 	place, announced := 1, 0
 	p := &pace{
 		progress: s.Feed(0), interval: time.Second, stale: 2 * time.Second,
--- a/server/node/peerfeeds.go
+++ b/server/node/peerfeeds.go
@@ -15,6 +15,7 @@
 
 	"github.com/lentilpick/lentilpick/clock"
 	"github.com/lentilpick/lentilpick/feed"
+	"github.com/lentilpick/lentilpick/loadshare"
 	"github.com/lentilpick/lentilpick/mirror"
 	"github.com/lentilpick/lentilpick/platform"
 	"github.com/lentilpick/lentilpick/types"
@@ -140,19 +141,34 @@
 	return mirror.Copy{}, err
 }
 
+// followed is a feed that the nodes follow together.
+type followed struct {
+	index  int
+	share  *loadshare.Share
+	pace   *pace
+	mirror *mirror.Feed
+	peers  mirror.Fetcher
+}
+
+func (n *Node) followed(index int, interval, wait time.Duration) followed {
+	return followed{
+		index, n.share, newPace(n.share, index, interval, wait, n.placeAtHome, clock.Now), &n.mirrors[index],
+		newPeerFetcher(n.machine, wireFeeds[index], n.log),
+	}
+}
+
 // follow follows a feed of the store, tells the other nodes what it reads for
 // them, and keeps the records for nodes that start later.
-func follow[T any](ctx context.Context, n *Node, index int, src feed.Source[T], h feed.Handler[T], p *pace, minPause, maxPause time.Duration) {
+func follow[T any](ctx context.Context, f followed, src feed.Source[T], h feed.Handler[T], minPause, maxPause time.Duration) {
 	publish := func(news feed.News) {
-		if p.leads {
-			n.share.Publish(index, news)
+		if f.pace.leads {
+			f.share.Publish(f.index, news)
 		}
 	}
-	m := &n.mirrors[index]
-	s := p.schedule(minPause, maxPause)
+	s := f.pace.schedule(minPause, maxPause)
 	s.Read = func(r feed.Reading) {
-		m.Read(r.AsOf)
-		p.read(r)
+		f.mirror.Read(r.AsOf)
+		f.pace.read(r)
 	}
-	feed.Follow(ctx, mirror.NewSource(src, newPeerFetcher(n.machine, wireFeeds[index], n.log), m), mirror.Keep(m, h, publish), s)
+	feed.Follow(ctx, mirror.NewSource(src, f.peers, f.mirror), mirror.Keep(f.mirror, h, publish), s)
 }
