loadshare: a change that another node tells is no common knowledge

A node could miss a change for seconds when a datagram with news was lost: a third node that had got the news read the feed, found nothing new, and claimed that whoever knew the feed up to its old base knew it all. The base now rises with told changes as well.

TestChangesThatOthersToldAreNotKnownToAll failed before with age 0s. Ruled out: the queue of news (offsets rise with the fold) and the wake (the teller's own changed offset came with the lost message only once the loss had ended).

--- a/loadshare/progress.go
+++ b/loadshare/progress.go
@@ -23,8 +23,9 @@
 	// changed is the offset after the last change that the node tells.
 	changed types.Offset
 	// base is at least changed. It is higher after a list, whose changes to what
-	// was known before are told by nobody, and after changes that the node read
-	// without telling them.
+	// was known before are told by nobody, and after changes that another node
+	// tells or nobody: that the sender knows them does not mean that they have
+	// reached all.
 	base    types.Offset
 	through types.Offset
 }
@@ -85,11 +86,12 @@
 
 // Told records that all is known up to the offset next after news. The change is
 // not told again: the node that has read it says so, and a second node that did
-// would have the others read what is on its way to them.
+// would have the others read what is on its way to them. They may miss it there,
+// so that the claims of this node rest on it.
 func (p *Progress) Told(next types.Offset) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.next = max(p.next, next)
+	p.next, p.base = max(p.next, next), max(p.base, next)
 	if len(p.news) == 0 {
 		p.queued = p.next
 	}
--- a/loadshare/share_test.go
+++ b/loadshare/share_test.go
@@ -230,6 +230,21 @@
 	assert.Equal(t, r.Feed(1).Age(instant(now)), time.Second)
 }
 
+// Guards against a node that missed news and takes the feed as known because a
+// third one, which got the news, has read the feed since (a stateful test: 30% of
+// datagrams lost, a change unknown after 5 s).
+func TestChangesThatOthersToldAreNotKnownToAll(t *testing.T) {
+	s, _ := newShare(t, "one")
+	r, _ := newShare(t, "two")
+	meet(t, r, s)
+	r.Feed(1).Read(read(now.Add(-time.Second), 40, 0), false)
+	s.Feed(1).Read(read(now.Add(-time.Second), 40, 0), false)
+	s.Feed(1).Told(45)
+	s.Feed(1).Read(read(now, 50, 0), true)
+	pass(t, s, r, true, now)
+	assert.Equal(t, r.Feed(1).Age(instant(now)), time.Second)
+}
+
 // Guards against a node that goes on to rely on claims which rested on news that
 // it could not use.
 func TestMissedNewsTakesBackClaims(t *testing.T) {
