node: the check of the settings counts the turns of a data centre

A node reads by itself up to 0.5 s after the first in line, so that settings were accepted with which news comes later than the platform allows: interval 50 ms passed a bound of 1 s and takes up to 1.4 s when readers die. checkBounds takes the latest read and a margin for the call; the older condition on the registrations stays beside it.

--- a/server/node/node.go
+++ b/server/node/node.go
@@ -128,14 +128,19 @@
 	return n, n.registerGauges(o)
 }
 
+// callMargin is kept for the call itself when a bound on news of the store is
+// checked: several times the store's usual time.
+const callMargin = 100 * time.Millisecond
+
 // checkBounds refuses settings with which the news of the store comes later than
 // the platform allows.
 func checkBounds(s *Settings, m *platform.Settings) error {
-	if late := 2*s.RegistrationInterval + tellTime; late > m.DrainTime {
+	late := max(2*s.RegistrationInterval+tellTime, latestRead(s.RegistrationInterval, 0)+callMargin)
+	if late > m.DrainTime {
 		return fmt.Errorf("%w: registration_interval = %s: news of leaving targets takes up to %s, and the platform allows %s",
 			ErrStart, s.RegistrationInterval, late, m.DrainTime)
 	}
-	if late := s.ConfigurationWait + tellTime; late > m.ConfigTime {
+	if late := latestRead(0, s.ConfigurationWait) + callMargin; late > m.ConfigTime {
 		return fmt.Errorf("%w: configuration_wait = %s: news of a configuration takes up to %s, and the platform allows %s",
 			ErrStart, s.ConfigurationWait, late, m.ConfigTime)
 	}
--- a/server/node/pace.go
+++ b/server/node/pace.go
@@ -56,10 +56,22 @@
 func newPace(s *loadshare.Share, index int, interval, wait time.Duration, place func() int, now func() clock.Instant) *pace {
 	return &pace{
 		progress: s.Feed(index), interval: interval, wait: wait, now: now,
-		stale: max(interval+wait+tellTime, minStale), place: place, announce: s.Announce,
+		stale: staleAfter(interval, wait), place: place, announce: s.Announce,
 	}
 }
 
+// staleAfter returns the age of the freshest read of any node from which the next
+// node in line reads.
+func staleAfter(interval, wait time.Duration) time.Duration {
+	return max(interval+wait+tellTime, minStale)
+}
+
+// latestRead returns the time between two reads that a node knows of, its own or
+// another one's, while the store answers it.
+func latestRead(interval, wait time.Duration) time.Duration {
+	return staleAfter(interval, wait) + maxTurns*staleTurn
+}
+
 // due implements feed.Schedule.
 func (p *pace) due(now clock.Instant) (pause, wait time.Duration) {
 	place := p.place()
