node: a cluster in virtual time plays changes at many offsets from faults

The test runs the real pace, feed, mirror and load messages of 8 nodes in two data centres over a simulated store and network (testing/synctest): kills, freezes, cuts between nodes and to the store, held and lost datagrams, a store that is down, slow or has dropped its history. Checks: every node without a fault of its own knows a change by its latest read (1.7 s and 1.8 s of the platform's 2 s); a change at 36 offsets from each of 9 kinds, three groups of nodes, two lengths; series drawn by rapid, also in make fuzz.

--- a/Makefile
+++ b/Makefile
@@ -33,7 +33,7 @@
 	./$(BIN)/lentilpick-load latency --bin $(BIN) --out out
 
 fuzz:
-	go test ./proof/... -run Stateful -rapid.seed=$(SEED) -rapid.checks=$(CHECKS) -count=1 -v
+	go test ./proof/... ./server/node -run Stateful -rapid.seed=$(SEED) -rapid.checks=$(CHECKS) -count=1 -v
 
 mutations: ## Checks that the stateful tests find each deliberate fault.
 	go run ./tools/mutations --checks $(CHECKS)
