gateway, engine: answers without end are bounded and named

A server whose bytes do not end could take a node's memory: each request kept up to 8 MB of an answer, and each stream up to 1 MB of one event, so that some dozen requests to one such server exceed the memory of a VM. Its callers were told of a truncated answer, or of no target once the others had failed as well; a refusal with a long body held its caller until the deadline.

- Heads, interim ones included: 64 KB, and 8 KB for one that is decoded.
- Time: the request's deadline, as before.
- New reasons answer_too_long and too_long.
When no other target is left after a try that may have run, the caller is told of that failure instead of no_target.

The reason and the bound on all answers did not exist before. The engine test of an oversized event expects the new, more specific error. Ruled out: endless chunk extensions, trailers and interim heads, which the HTTP library ends by itself.

--- a/engine/client_test.go
+++ b/engine/client_test.go
@@ -137,7 +137,7 @@
 		"wrong checksum":         {answer{text: eventStream + whole + end("r", 2, "ax") + "0\r\n\r\n"}, ErrTruncated},
 		"token missing":          {answer{text: eventStream + token("r", 1, "b")}, ErrFailed},
 		"too many tokens":        {answer{text: eventStream + whole + token("r", 2, "c")}, ErrFailed},
-		"oversized event":        {answer{text: eventStream + token("r", 0, long)}, ErrFailed},
+		"oversized event":        {answer{text: eventStream + token("r", 0, long)}, ErrTooLong},
 		"event is not JSON":      {answer{text: eventStream + chunk("data: {\n\n")}, ErrFailed},
 		"only events of another": {answer{text: eventStream + strings.Repeat(token("other", 0, "z"), maxForeign+1)}, ErrMismatch},
 		"header of another":      {answer{text: strings.Replace(eventStream, "\r\n", "\r\nX-Request-Id: other\r\n", 1)}, ErrMismatch},
--- a/engine/errors.go
+++ b/engine/errors.go
@@ -24,6 +24,8 @@
 	ErrMismatch = errors.New("answer belongs to another request")
 	// ErrRefused reports that the target refused the request.
 	ErrRefused = errors.New("target refused the request")
+	// ErrTooLong reports a head, an event or an answer that is longer than one may be.
+	ErrTooLong = errors.New("answer is too long")
 	// ErrFailed reports any other failure after the request was sent.
 	ErrFailed = errors.New("exchange with the target failed")
 )
@@ -47,9 +49,12 @@
 func convert(err error) error {
 	var n net.Error
 	var broken fasthttp.ErrBrokenChunk
+	var small *fasthttp.ErrSmallBuffer // of the fields after the last chunk
 	switch {
 	case errors.As(err, &n) && n.Timeout(), errors.Is(err, fasthttp.ErrTimeout):
 		return fmt.Errorf("%w: %w", ErrSilent, err)
+	case errors.Is(err, transport.ErrTooLong), errors.As(err, &small):
+		return fmt.Errorf("%w: %w", ErrTooLong, err)
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &broken):
 		return fmt.Errorf("%w: %w", ErrTruncated, err)
 	}
--- a/engine/plain.go
+++ b/engine/plain.go
@@ -91,7 +91,7 @@
 		return nil, convert(err)
 	}
 	if int64(len(b)) > limit {
-		return nil, fmt.Errorf("answer over %d bytes: %w", limit, ErrFailed)
+		return nil, fmt.Errorf("answer over %d bytes: %w", limit, ErrTooLong)
 	}
 	return b, nil
 }
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"io"
 	"sync"
 )
@@ -10,8 +11,8 @@
 	// eventBytes is the initial size of an event buffer; most events are smaller
 	// than 100 bytes.
 	eventBytes = 4 << 10
-	// maxEventBytes bounds one event.
-	maxEventBytes = 1 << 20
+	// maxEventBytes bounds one event: some thousand tokens. Each stream may hold one.
+	maxEventBytes = 64 << 10
 )
 
 // eventBuffer collects the bytes of a stream of server-sent events and tells
@@ -36,7 +37,7 @@
 func (b *eventBuffer) fill(r io.Reader) (int, error) {
 	if len(b.data) == cap(b.data) {
 		if len(b.data) >= maxEventBytes {
-			return 0, ErrBroken
+			return 0, fmt.Errorf("event over %d bytes: %w", maxEventBytes, ErrTooLong)
 		}
 		b.data = append(make([]byte, 0, 2*cap(b.data)), b.data...)
 	}
@@ -80,12 +81,3 @@
 	}
 	return old
 }
-
-// readWhole reads an answer to its end within maxWhole bytes.
-func readWhole(a Answer) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(a, maxWhole+1))
-	if err == nil && len(body) > maxWhole {
-		err = ErrBroken
-	}
-	return body, err
-}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -36,6 +36,7 @@
 	first      time.Duration
 	status     int // of the answer that was passed to the caller
 	retryAfter time.Duration
+	held       int64 // bytes of answers that wait for their end
 	trail      []Event
 	lastTarget types.TargetID
 	lastErr    error
@@ -63,6 +64,7 @@
 	e.Outcome, e.First, e.Status, e.Tries = o, x.first, x.status, x.tries+x.prefills
 	e.Late = x.route != nil && x.first > x.route.Objective
 	x.decided(e)
+	x.release()
 	x.g.observer.Ended(x.trail)
 	return Result{Outcome: o, Started: x.started, RetryAfter: x.retryAfter}
 }
@@ -154,6 +156,8 @@
 		return failure{types.RetryTargetRefused, types.RefusedTargetFailed, true, false}
 	case errors.Is(err, ErrSilent):
 		return failure{types.RetryTargetSilent, types.RefusedTargetSilent, false, false}
+	case errors.Is(err, ErrTooLong):
+		return failure{types.RetryTooLong, types.RefusedAnswerTooLong, false, false}
 	case errors.Is(err, ErrBroken):
 		return failure{types.RetryTruncated, types.RefusedAnswerTruncated, false, false}
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -34,6 +34,9 @@
 	ErrSilent = errors.New("target made no progress")
 	// ErrBroken reports an answer that is not whole, or not the request's own.
 	ErrBroken = errors.New("answer is not usable")
+	// ErrTooLong reports an answer, a head or an event that is longer than one may
+	// be, or more bytes than all answers together may hold in memory.
+	ErrTooLong = errors.New("answer is too long")
 	// ErrCanceled reports that the request's context ended.
 	ErrCanceled = errors.New("request was canceled")
 )
@@ -156,6 +159,8 @@
 	MovedToken time.Duration
 	// CopiedToken is the cost of holding a shared token on one more engine.
 	CopiedToken time.Duration
+	// MaxHeld bounds the bytes of all answers that wait in memory for their end.
+	MaxHeld int64
 	// Now returns the time.
 	Now func() time.Time
 }
@@ -169,6 +174,7 @@
 	share     Sharer
 	observer  Observer
 	budgets   budgets
+	held      atomic.Int64 // bytes of answers that wait for their end
 }
 
 // New returns a gateway without a configuration; it refuses all requests.
@@ -192,6 +198,9 @@
 // Table returns the configuration in force, or nil.
 func (g *Gateway) Table() *routes.Table { return g.table.Load() }
 
+// Held returns the bytes of answers that wait in memory for their end.
+func (g *Gateway) Held() int64 { return g.held.Load() }
+
 // SetRetryLimits replaces the limits of the retry budgets of all services.
 func (g *Gateway) SetRetryLimits(l admission.RetryLimits) { g.budgets.setLimits(l) }
 
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -100,6 +100,9 @@
 func (quiet) Changed(*directory.Target)                {}
 func (quiet) Used(*directory.Target, []directory.Part) {}
 
+// maxHeld bounds the answers that wait for their end in these tests.
+const maxHeld = 64 << 10
+
 type world struct {
 	g       *Gateway
 	d       *directory.Directory
@@ -119,7 +122,7 @@
 	w.d.Put(directory.Entry{ID: "b", Service: "desk", Slots: 2})
 	w.targets.prefill = func(c *Call) (Handle, error) { return Handle{c.Target, "h"}, nil }
 	speed := placement.EngineSpeed{PrefillPerMs: 50, Setup: 8 * time.Millisecond, Step: 6 * time.Millisecond}
-	w.g = New(Settings{Speed: speed, Costs: placement.Costs{Failure: time.Second}, Now: time.Now}, w.d, w.targets, quiet{}, quiet{})
+	w.g = New(Settings{Speed: speed, Costs: placement.Costs{Failure: time.Second}, MaxHeld: maxHeld, Now: time.Now}, w.d, w.targets, quiet{}, quiet{})
 	w.g.SetTable(routes.NewTable(1, routes.Limits{}, []routes.Route{
 		route("once", routes.KindOnce, 1, "desk"), route("read", routes.KindIdempotent, 2, "desk"),
 		route("chat", routes.KindStream, 1, "llm"), route("resume", routes.KindStream, 2, "llm"),
@@ -447,3 +450,47 @@
 		_, _ = w.serve(context.Background(), "/chat/x")
 	}
 }
+
+// endlessAnswer never ends. Before each piece it waits for a value, if it can.
+type endlessAnswer struct {
+	fakeAnswer
+	next chan struct{}
+}
+
+func (a *endlessAnswer) Read(p []byte) (int, error) {
+	if a.next != nil {
+		<-a.next
+	}
+	return len(p), nil
+}
+
+// Guards against answers of many requests that take the process's memory together
+// although each of them is short enough, and against memory that counts as taken
+// after the end of a request.
+func TestAnswersInMemoryAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld()
+		const requests = maxHeld / pieceBytes
+		next := make(chan struct{})
+		w.targets.send = func(context.Context, *Call) (Answer, error) {
+			return &endlessAnswer{fakeAnswer{status: 200}, next}, nil
+		}
+		outcomes := make(chan types.Outcome, requests)
+		for range requests {
+			go func() {
+				r, _ := w.serve(context.Background(), "/once/x")
+				outcomes <- r.Outcome
+			}()
+		}
+		synctest.Wait()
+		assert.Equal(t, w.g.Held(), int64(maxHeld))
+		r, _ := w.serve(context.Background(), "/once/x")
+		assert.Equal(t, r.Outcome.(types.Unknown).Reason(), types.RefusedAnswerTooLong)
+		close(next)
+		for range requests {
+			o := <-outcomes
+			assert.Equal(t, o.(types.Unknown).Reason(), types.RefusedAnswerTooLong)
+		}
+		assert.Equal(t, w.g.Held(), int64(0))
+	})
+}
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -15,8 +15,6 @@
 	// plainWork is the assumed time of one request of a plain service, until an
 	// answer has shown it. It is the users' figure for their booking services.
 	plainWork = 15 * time.Millisecond
-	// maxWhole bounds an answer that is kept in memory before it is passed on.
-	maxWhole = 8 << 20
 	// silentShare is the part of the time left that a target may stay silent on
 	// a request that can still go elsewhere.
 	silentShare = 0.4
@@ -27,7 +25,7 @@
 	for {
 		c := x.pick(placement.Available{}, placement.PlainScorer{Costs: x.g.settings.Costs, Work: plainWork})
 		if c.Target == nil {
-			return x.refuse(types.RefusedNoTarget, x.route.Objective)
+			return x.noTarget()
 		}
 		a, body, err := x.callPlain(c)
 		if err == nil && (a.Status() < http.StatusInternalServerError || !x.mayRetry(failedAnswer, false)) {
@@ -67,6 +65,16 @@
 	return x.attempt.Refuse(reason)
 }
 
+// noTarget ends a request that finds no target. After a try that may have run,
+// the failure of the last one tells the caller more than that there is no other.
+func (x *exchange) noTarget() types.Outcome {
+	reason := types.RefusedNoTarget
+	if x.attempt.Sent() && x.lastErr != nil {
+		reason = classify(x.lastErr).refusal
+	}
+	return x.refuse(reason, x.route.Objective)
+}
+
 // callPlain sends the request to a target and reads the whole answer.
 func (x *exchange) callPlain(c placement.Choice) (Answer, []byte, error) {
 	t := c.Target
@@ -85,7 +93,7 @@
 		return nil, nil, err
 	}
 	defer a.Close()
-	body, err := readWhole(a)
+	body, err := x.readWhole(a)
 	if err != nil {
 		return nil, nil, err
 	}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -203,7 +203,7 @@
 		Costs: s.costs(), Speed: s.g.settings.Speed, Engine: *s.service.Engine, Link: s.link(), Source: h.Target.DataCentre,
 	})
 	if d.Target == nil {
-		return &ended{s.refuse(types.RefusedNoTarget, s.route.Objective)}
+		return &ended{s.noTarget()}
 	}
 	c := s.call(d.Target, StageDecode)
 	c.Source = h
@@ -222,7 +222,7 @@
 func (s *stream) whole(f placement.Filter, sc placement.Scorer) error {
 	c := s.pick(f, sc)
 	if c.Target == nil {
-		return &ended{s.refuse(types.RefusedNoTarget, s.route.Objective)}
+		return &ended{s.noTarget()}
 	}
 	if s.r.Prompt != nil && s.service != nil && s.service.Engine != nil {
 		if s.events == 0 {
@@ -288,7 +288,7 @@
 
 // failed passes a target's own failure to the caller.
 func (s *stream) failed(a Answer) error {
-	body, err := readWhole(a)
+	body, err := s.readWhole(a)
 	if err != nil {
 		return err
 	}
--- a/server/entry/answer.go
+++ b/server/entry/answer.go
@@ -116,6 +116,7 @@
 	types.RefusedTargetFailed:      "the target failed",
 	types.RefusedTargetSilent:      "the target stopped answering",
 	types.RefusedAnswerTruncated:   "the answer ended early",
+	types.RefusedAnswerTooLong:     "the answer was longer than answers may be",
 	types.RefusedCallerGone:        "the caller closed the connection",
 	types.RefusedTargetLimit:       "all targets have as many requests as they can serve in time; send it again later",
 }
--- a/server/entry/call.go
+++ b/server/entry/call.go
@@ -57,10 +57,11 @@
 	if c.Affinity != "" {
 		r.AffinityKey = routing.HashKey(c.Affinity)
 	}
+	var last failure
 	for retries := 0; ; retries++ {
 		dec := d.router.Route(d.views.Load().Fleet, &r, time.Now(), seed())
 		if dec.Target == nil {
-			return nil, a.Refuse(dec.Reason)
+			return nil, last.refuse(a, dec.Reason)
 		}
 		reply, err := d.callTarget(c, dec.Target, a)
 		if err == nil {
@@ -68,6 +69,7 @@
 		}
 		d.failed(dec.Target, c.ID, err)
 		f := classify(err)
+		last = f
 		if retries == d.settings.MaxRetries || (c.Class != types.ClassIdempotent && a.Sent()) {
 			return nil, a.Refuse(f.refusal)
 		}
--- a/server/entry/daemon_test.go
+++ b/server/entry/daemon_test.go
@@ -49,6 +49,14 @@
 }
 
 func newHarness(t *testing.T, eng, plain fasthttp.RequestHandler) *harness {
+	t.Helper()
+	engineAddress, _ := serve(t, &fasthttp.Server{Handler: eng})
+	plainAddress, _ := serve(t, &fasthttp.Server{Handler: plain})
+	return newHarnessOf(t, engineAddress, plainAddress)
+}
+
+// newHarnessOf is newHarness for targets at given addresses.
+func newHarnessOf(t *testing.T, engineAddress, plainAddress string) *harness {
 	t.Helper()
 	s := DefaultSettings()
 	s.VM, s.DataCentre, s.Control, s.MaxBodyBytes = "vm", "a", []string{"127.0.0.1:1"}, 4<<10
@@ -56,8 +64,6 @@
 	d, err := New(s, daemon.NewLogger(io.Discard, "error", "test"))
 	assert.NilError(t, err)
 	h := &harness{Daemon: d}
-	engineAddress, _ := serve(t, &fasthttp.Server{Handler: eng})
-	plainAddress, _ := serve(t, &fasthttp.Server{Handler: plain})
 	c := configuration.New()
 	c.Revision = 1
 	c.Services["llm"] = configuration.Entry[configuration.Service]{Value: configuration.Service{ID: "llm", Kind: types.KindEngine}}
--- a/server/entry/exchange.go
+++ b/server/entry/exchange.go
@@ -83,10 +83,11 @@
 
 func (x *exchange) serve() types.Outcome {
 	x.budget.Earn()
+	var last failure
 	for retries := 0; ; retries++ {
-		t, o := x.choose()
-		if o != nil {
-			return o
+		t, reason := x.choose()
+		if t == nil {
+			return last.refuse(&x.attempt, reason)
 		}
 		err := x.dispatch(t)
 		if err == nil {
@@ -96,6 +97,7 @@
 			return x.attempt.Refuse(types.RefusedCallerGone)
 		}
 		f := classify(err)
+		last = f
 		x.daemon.failed(t, x.request.ID, err)
 		if retries == x.daemon.settings.MaxRetries {
 			return x.attempt.Refuse(f.refusal)
@@ -108,7 +110,8 @@
 	}
 }
 
-func (x *exchange) choose() (*routing.Target, types.Outcome) {
+// choose returns a target, or the reason why there is none.
+func (x *exchange) choose() (*routing.Target, types.RefusalReason) {
 	v := x.daemon.views.Load()
 	if x.tokens > 0 {
 		// The first token is out, so that only the end matters now. The KV cache
@@ -118,10 +121,10 @@
 	dec := x.daemon.router.Route(v.Fleet, &x.route, time.Now(), seed())
 	x.countDemand(dec.Prediction.Prefill)
 	if dec.Target == nil {
-		return nil, x.attempt.Refuse(dec.Reason)
+		return nil, dec.Reason
 	}
 	x.prediction, x.prefill = dec.Prediction, dec.Prefill
-	return dec.Target, nil
+	return dec.Target, 0
 }
 
 // countDemand adds the request to the demand for its model once. prefill is the
--- a/server/entry/failure.go
+++ b/server/entry/failure.go
@@ -19,6 +19,15 @@
 	refusal types.RefusalReason
 }
 
+// refuse ends a request that finds no target. After a try that may have run, the
+// failure of the last one tells the caller more than that there is no other.
+func (f failure) refuse(a *types.Attempt, reason types.RefusalReason) types.Outcome {
+	if a.Sent() {
+		reason = f.refusal
+	}
+	return a.Refuse(reason)
+}
+
 // classify converts an error of the engine client.
 func classify(err error) failure {
 	switch {
@@ -28,6 +37,8 @@
 		return failure{types.RetryTargetSilent, types.RefusedTargetSilent}
 	case errors.Is(err, engine.ErrTruncated):
 		return failure{types.RetryTruncated, types.RefusedAnswerTruncated}
+	case errors.Is(err, engine.ErrTooLong):
+		return failure{types.RetryTooLong, types.RefusedAnswerTooLong}
 	case errors.Is(err, engine.ErrRefused):
 		return failure{types.RetryTargetRefused, types.RefusedTargetFailed}
 	}
--- a/server/node/node.go
+++ b/server/node/node.go
@@ -39,6 +39,10 @@
 	// memoryShare is the share of the platform's memory limit at which the
 	// runtime collects garbage as hard as it can.
 	memoryShare = 0.8
+	// heldPart is the part of the platform's memory limit that answers may take which
+	// wait for their end: an eighth leaves room for the rest under a server that
+	// sends without end.
+	heldPart = 8
 	// minPause and maxPause bound the pause after a failed read of the store.
 	minPause = 100 * time.Millisecond
 	maxPause = 700 * time.Millisecond
@@ -160,7 +164,7 @@
 		Speed: placement.EngineSpeed{
 			PrefillPerMs: float64(n.settings.PrefillTokensPerMs), PairsPerToken: float64(n.settings.PairsPerToken), Setup: setupTime, Step: stepTime, StreamStep: streamTime,
 		},
-		MovedToken: movedToken, CopiedToken: copiedToken, Now: time.Now,
+		MovedToken: movedToken, CopiedToken: copiedToken, MaxHeld: n.machine.MemoryBytes / heldPart, Now: time.Now,
 	}
 }
 
@@ -178,6 +182,7 @@
 func (n *Node) registerGauges(o *observer) error {
 	return errors.Join(
 		n.metrics.Gauge("lentilpick_in_flight", "Requests in progress.", func() int64 { return int64(n.front.InFlight()) }),
+		n.metrics.Gauge("lentilpick_held_bytes", "Bytes of answers that wait in memory for their end.", n.gateway.Held),
 		n.metrics.Gauge("lentilpick_peers", "Other nodes that were heard lately.", func() int64 { return int64(n.share.Live()) }),
 		n.metrics.Gauge("lentilpick_targets", "Known targets.", func() int64 { return int64(n.directory.Load().Len()) }),
 		n.metrics.Gauge("lentilpick_bad_messages", "Messages of other nodes that did not decode.", n.share.Malformed),
--- a/transport/conn.go
+++ b/transport/conn.go
@@ -7,6 +7,7 @@
 	"bufio"
 	"errors"
 	"fmt"
+	"math"
 	"net"
 	"syscall"
 	"time"
@@ -14,12 +15,21 @@
 	"github.com/valyala/fasthttp"
 )
 
-// ErrNotSent reports a failure before the first byte of the request was written.
-var ErrNotSent = errors.New("request was not sent")
+var (
+	// ErrNotSent reports a failure before the first byte of the request was written.
+	ErrNotSent = errors.New("request was not sent")
+	// ErrTooLong reports an answer that is longer than SetMost allows, or whose head
+	// is longer than one may be.
+	ErrTooLong = errors.New("answer is too long")
+)
 
 const (
+	// readBufBytes is the longest head that can be decoded.
 	readBufBytes  = 8 << 10
 	writeBufBytes = 4 << 10
+	// maxHeadBytes bounds all heads before an answer's body, interim ones as well,
+	// and what is read ahead of the body.
+	maxHeadBytes = 8 * readBufBytes
 )
 
 // Conn is a connection to a target that carries one request at a time. It ends
@@ -36,6 +46,7 @@
 	progress time.Duration
 	bound    time.Time // end of the request at the latest
 	sent     bool      // a byte of the request was written
+	left     int64     // bytes that may still be read
 }
 
 func newConn(c net.Conn) *Conn {
@@ -45,12 +56,18 @@
 	return cn
 }
 
-// Read implements net.Conn within the progress deadline.
+// Read implements net.Conn within the progress deadline. The error wraps
+// ErrTooLong when no more bytes may be read.
 func (c *Conn) Read(b []byte) (int, error) {
+	if c.left <= 0 {
+		return 0, ErrTooLong
+	}
 	if err := c.SetReadDeadline(c.deadline()); err != nil {
 		return 0, err
 	}
-	return c.Conn.Read(b)
+	n, err := c.Conn.Read(b[:min(int64(len(b)), c.left)])
+	c.left -= int64(n)
+	return n, err
 }
 
 // Write implements net.Conn within the progress deadline.
@@ -77,6 +94,10 @@
 // SetBound sets the time at which the request ends at the latest.
 func (c *Conn) SetBound(t time.Time) { c.bound = t }
 
+// SetMost bounds the bytes that are read from now on until the next request, those
+// of the encoding included.
+func (c *Conn) SetMost(n int64) { c.left = n }
+
 // Sent reports whether a byte of the current request was written.
 func (c *Conn) Sent() bool { return c.sent }
 
@@ -88,7 +109,7 @@
 
 // Begin starts a new request within the given limits.
 func (c *Conn) Begin(progress time.Duration, bound time.Time) {
-	c.progress, c.bound, c.sent = progress, bound, false
+	c.progress, c.bound, c.sent, c.left = progress, bound, false, maxHeadBytes
 }
 
 // WriteAll writes a whole message. The error wraps ErrNotSent when no byte of
@@ -123,11 +144,19 @@
 	return c.ReadHead(resp, req.Header.IsHead())
 }
 
-// ReadHead reads the header of an answer; its body is left as a stream.
+// ReadHead reads the header of an answer; its body is left as a stream, of which
+// all may be read until SetMost says less. The error wraps ErrTooLong if the
+// header is longer than one may be.
 func (c *Conn) ReadHead(resp *fasthttp.Response, skipBody bool) error {
 	resp.StreamBody = true
 	resp.SkipBody = skipBody
-	return resp.Read(c.r)
+	err := resp.Read(c.r)
+	c.left = math.MaxInt64
+	var small *fasthttp.ErrSmallBuffer
+	if errors.As(err, &small) {
+		return fmt.Errorf("%w: %w", ErrTooLong, err)
+	}
+	return err
 }
 
 // Quiet reports whether the connection is open and has nothing to read. Data
--- a/types/outcome.go
+++ b/types/outcome.go
@@ -32,6 +32,7 @@
 	RefusedNoConfiguration
 	RefusedUnknownRoute
 	RefusedTimeout
+	RefusedAnswerTooLong
 	// RefusalReasonCount is the number of reasons; it is not a reason.
 	RefusalReasonCount
 )
@@ -43,6 +44,7 @@
 	"key_unavailable", "retry_budget", "target_unreachable",
 	"target_failed", "target_silent", "answer_truncated", "caller_gone",
 	"target_limit", "no_configuration", "unknown_route", "timeout",
+	"answer_too_long",
 }
 
 // String returns the name used in answers, logs and metrics.
@@ -64,12 +66,13 @@
 	RetryTruncated
 	RetryTargetRefused
 	RetryAnswerFailed
+	RetryTooLong
 	// RetryReasonCount is the number of reasons; it is not a reason.
 	RetryReasonCount
 )
 
 var retryNames = [RetryReasonCount]string{
-	"unreachable", "target_failed", "target_silent", "truncated", "target_refused", "answer_failed",
+	"unreachable", "target_failed", "target_silent", "truncated", "target_refused", "answer_failed", "too_long",
 }
 
 // String returns the name used in logs and metrics.
