transport: a refusal is not lost to a reset

A caller that was still sending a header or a body that is refused could get "connection reset by peer" instead of the answer: closing a connection with unread bytes resets it.

--- a/server/entry/daemon.go
+++ b/server/entry/daemon.go
@@ -24,6 +24,7 @@
 	"github.com/lentilpick/lentilpick/idempotency"
 	"github.com/lentilpick/lentilpick/routing"
 	"github.com/lentilpick/lentilpick/server/localview"
+	"github.com/lentilpick/lentilpick/transport"
 	"github.com/lentilpick/lentilpick/types"
 )
 
@@ -197,6 +198,8 @@
 
 // protocolError answers what is not a valid HTTP request.
 func (d *Daemon) protocolError(ctx *fasthttp.RequestCtx, err error) {
+	// The server closes the connection after this answer.
+	transport.Drain(ctx.Conn())
 	var header *fasthttp.ErrSmallBuffer
 	var network net.Error
 	switch {
--- a/server/entry/daemon_test.go
+++ b/server/entry/daemon_test.go
@@ -142,6 +142,26 @@
 
 const good = `{"model":"m","prompt":"p","max_tokens":2}`
 
+// Guards against a caller whose connection is reset by a refusal, because bytes of
+// its request were not read: it may lose the answer (TestBadInput, large header,
+// once beside other tests: write: connection reset by peer).
+func TestRefusalsReachCallersThatStillSend(t *testing.T) {
+	h := newHarness(t, nil, booked)
+	for name, text := range map[string]string{
+		"header": "GET /v1/services/book/x HTTP/1.1\r\nHost: h\r\nX-A: " + strings.Repeat("a", 100_000) + "\r\n\r\n",
+		"body":   "POST /v1/services/book/x HTTP/1.1\r\nHost: h\r\nContent-Length: 100000\r\n\r\n" + strings.Repeat("a", 100_000),
+	} {
+		conn, err := net.Dial("tcp4", h.address)
+		assert.NilError(t, err)
+		_, err = io.WriteString(conn, text)
+		assert.NilError(t, err)
+		answer, err := io.ReadAll(conn)
+		assert.NilError(t, err, name)
+		assert.Assert(t, strings.HasPrefix(string(answer), "HTTP/1.1 4"), name)
+		assert.NilError(t, conn.Close())
+	}
+}
+
 // Guards against bad input that stops the daemon, reaches a target, or is
 // refused without naming its field.
 func TestBadInput(t *testing.T) {
