logclient: a silent connection to the log hides a change for under three seconds

On the own front end a control daemon waits for records on an open connection. When that goes silent for good it waited 2 s for records and 5 s for the answer, then tried the next silent connection of its pool: a change could be unknown for 7 s and more, and the bound is 3 s. A read now waits 1 s and 1.5 s, and all idle connections are dropped after a call without an answer. Appends keep their 5 s.

--- a/logclient/follow.go
+++ b/logclient/follow.go
@@ -24,8 +24,10 @@
 
 // Limits of a follower.
 const (
-	followBatch    = 512
-	followWait     = 2 * time.Second
+	followBatch = 512
+	// followWait and readTimeout add up to less than the time in which a change has
+	// to be in force everywhere.
+	followWait     = time.Second
 	followMinPause = 50 * time.Millisecond
 	followMaxPause = time.Second
 )
--- a/logclient/http.go
+++ b/logclient/http.go
@@ -52,6 +52,10 @@
 const (
 	maxAnswerBytes = 64 << 20
 	requestTimeout = 5 * time.Second
+	// readTimeout bounds a read besides the time that it waits for records, so that
+	// a change that a silent connection hides is read in time by a new one. A slow
+	// log answers in half a second.
+	readTimeout = 1500 * time.Millisecond
 )
 
 // Client is the HTTP client of the platform. It is safe for concurrent use.
@@ -103,7 +107,7 @@
 		"&max=" + strconv.Itoa(limit) +
 		"&wait_ms=" + strconv.FormatInt(wait.Milliseconds(), 10)
 	var out ReadResponse
-	if err := c.call(ctx, fasthttp.MethodGet, path, nil, requestTimeout+wait, &out); err != nil {
+	if err := c.call(ctx, fasthttp.MethodGet, path, nil, readTimeout+wait, &out); err != nil {
 		return Batch{}, err
 	}
 	return out.batch(from)
@@ -151,6 +155,8 @@
 		deadline = d
 	}
 	if err := c.http.DoDeadline(req, resp, deadline); err != nil {
+		// What has silenced one connection may have silenced them all; new ones work.
+		c.http.CloseIdleConnections()
 		return callError(method, err)
 	}
 	return decodeAnswer(method, resp, out)
--- /dev/null
+++ b/server/control/configlog_faults_test.go
@@ -0,0 +1,124 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lentilpick/lentilpick/configuration"
+	"github.com/lentilpick/lentilpick/daemon"
+	"github.com/lentilpick/lentilpick/logclient"
+	"github.com/lentilpick/lentilpick/records"
+	"github.com/lentilpick/lentilpick/types"
+)
+
+// inForce is the time in which an accepted change has to be in force everywhere.
+const inForce = 3 * time.Second
+
+// faultyLog is a log in virtual time with one fault. It implements logclient.Log
+// for one stream.
+type faultyLog struct {
+	mu       sync.Mutex
+	records  []logclient.Record
+	changed  chan struct{}
+	kind     string
+	from, to time.Time
+}
+
+// The faults of a faultyLog. A silent connection is found after the time that the
+// client waits for an answer.
+const (
+	faultDown   = "down"
+	faultSlow   = "slow"
+	faultSilent = "silent"
+)
+
+const silentFor = 1500 * time.Millisecond
+
+func (l *faultyLog) active(kind string) bool {
+	now := time.Now()
+	return l.kind == kind && !now.Before(l.from) && now.Before(l.to)
+}
+
+func (l *faultyLog) Append(_ context.Context, _ string, data [][]byte) (types.Offset, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	first := types.Offset(len(l.records))
+	for _, d := range data {
+		l.records = append(l.records, logclient.Record{Offset: types.Offset(len(l.records)), At: time.Now(), Data: d})
+	}
+	close(l.changed)
+	l.changed = make(chan struct{})
+	return first, nil
+}
+
+func (l *faultyLog) Read(ctx context.Context, _ string, from types.Offset, _ int, wait time.Duration) (logclient.Batch, error) {
+	if l.active(faultDown) {
+		return logclient.Batch{}, logclient.ErrUnavailable
+	}
+	end := time.After(wait)
+	for {
+		l.mu.Lock()
+		b := logclient.Batch{Next: types.Offset(len(l.records)), Records: append([]logclient.Record(nil), l.records[min(int(from), len(l.records)):]...)}
+		changed := l.changed
+		l.mu.Unlock()
+		if len(b.Records) > 0 || wait == 0 {
+			if l.active(faultSlow) {
+				time.Sleep(500 * time.Millisecond)
+			}
+			if l.active(faultSilent) {
+				time.Sleep(silentFor)
+				return logclient.Batch{}, logclient.ErrUnavailable
+			}
+			return b, ctx.Err()
+		}
+		select {
+		case <-ctx.Done():
+			return logclient.Batch{}, ctx.Err()
+		case <-changed:
+		case <-end:
+			wait = 0
+		}
+	}
+}
+
+// Guards against a daemon on which an accepted change is in force too late, or not
+// at all, because of a fault of the log around it: a change at each of many offsets
+// from the beginning of the fault.
+func TestChangesAtManyOffsetsFromLogFaults(t *testing.T) {
+	data, err := records.EncodeChange(&configuration.Change{
+		ID: "c", Kind: configuration.ObjectWorkspace, ObjectID: "club", Workspace: &configuration.Workspace{ID: "club", Share: 1},
+	})
+	assert.NilError(t, err)
+	const faultAt, step, steps = 5 * time.Second, 70 * time.Millisecond, 120
+	for _, kind := range []string{faultDown, faultSlow, faultSilent} {
+		for _, length := range []time.Duration{300 * time.Millisecond, 2 * time.Second} {
+			t.Run(fmt.Sprintf("%s for %s", kind, length), func(t *testing.T) {
+				for k := range steps {
+					synctest.Test(t, func(t *testing.T) {
+						ctx, cancel := context.WithCancel(t.Context())
+						defer cancel()
+						begin := time.Now().Add(faultAt)
+						l := &faultyLog{changed: make(chan struct{}), kind: kind, from: begin, to: begin.Add(length)}
+						c := NewConfigLog(l, daemon.NewLogger(io.Discard, "error", "test"))
+						go logclient.Follow(ctx, l, logclient.StreamConfig, c)
+						time.Sleep(faultAt - 2*time.Second + time.Duration(k)*step)
+						_, err := l.Append(ctx, logclient.StreamConfig, [][]byte{data})
+						assert.NilError(t, err)
+						// The fault itself excuses a change that comes before its end.
+						time.Sleep(max(time.Until(l.to), 0) + inForce)
+						assert.Assert(t, c.Config().Workspaces["club"].Value.Share == 1, "a change at %s from the fault", time.Duration(k)*step-2*time.Second)
+						cancel()
+						synctest.Wait()
+					})
+				}
+			})
+		}
+	}
+}
