--- a/tools/mutations/faults.go
+++ b/tools/mutations/faults.go
@@ -12,9 +12,13 @@
 	engine    = "standin/modelengine/order.go"
 	fold      = "configuration/fold.go"
 	configlog = "server/control/configlog.go"
+	progress  = "loadshare/progress.go"
+	share     = "loadshare/share.go"
+	follower  = "feed/feed.go"
 
 	authorityTest     = "proof TestStatefulAuthority"
 	configurationTest = "proof TestStatefulConfiguration"
+	clusterTest       = "server/node TestStatefulChangesAmongFaults"
 )
 
 // knownSeeds are tried first; without an entry it is seed 1.
@@ -64,4 +68,11 @@
 	{"configuration log: snapshot of the future", configlog, "if rec.Snapshot != nil && rec.Snapshot.Next > r.Offset {", "if false {", configurationTest},
 	{"configuration log: age is lost with a peer's snapshot", configlog, "if s.LoggedAt.After(c.loggedAt) {", "if false {", configurationTest},
 	{"configuration log: any snapshot resets the age", configlog, "return s != nil && s.Config.Revision >= c.fold.Config().Revision", "return s != nil", "server/control TestLaggingSnapshotDoesNotResetAge"},
+	{"claims: no base", progress, "if c.base > known {", "if false {", clusterTest},
+	{"claims: base without lists", progress, "p.base = max(p.base, r.Next)", "p.base = max(p.base, r.Next-r.Next)", clusterTest},
+	{"claims: base without told changes", progress, "max(p.next, next), max(p.base, next)", "max(p.next, next), p.base", clusterTest},
+	{"claims: base without untold changes", progress, "p.base = max(p.base, r.Changed)", "p.base = max(p.base, 0)", "loadshare TestUntoldChangesAreNotKnown"},
+	{"claims: kept after news that was missed", progress, "p.next, p.queued, p.through, p.hasTold = next, next, 0, false", "p.next, p.queued = next, next", "loadshare TestMissedNewsTakesBackClaims"},
+	{"claims: messages that were held up are fresh", share, "at.Add(-c.age-late)", "at.Add(-c.age-0*late)", "server/node TestClaimsOfFrozenReadersAreNotFresh"},
+	{"claims: read with changes is true as of its end", follower, "if next == f.next && f.s.Now().Sub(began) >= wait {", "if true {", clusterTest},
 }
--- a/tools/mutations/main.go
+++ b/tools/mutations/main.go
@@ -90,7 +90,7 @@
 func run(overlay, test string, seed int) (string, error) {
 	pkg, name, _ := strings.Cut(test, " ")
 	args := []string{"test", "-overlay", overlay, "./" + pkg, "-run", "^" + name + "$", "-count=1"}
-	if pkg == "proof" {
+	if strings.HasPrefix(name, "TestStateful") {
 		args = append(args, fmt.Sprintf("-rapid.seed=%d", seed), fmt.Sprintf("-rapid.checks=%d", cli.Checks), "-rapid.shrinktime=0s")
 	}
 	out, err := exec.Command("go", args...).CombinedOutput()
