--- a/server/node/cluster_faults_test.go
+++ b/server/node/cluster_faults_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -47,12 +48,13 @@
 		c.store.harmed.extend(end)
 		return
 	}
-	for i := range c.machines {
-		c.machines[i].side = false
+	if f.Kind == "peers cut" {
+		for i := range c.machines {
+			c.machines[i].side = slices.Contains(f.Nodes, i)
+		}
 	}
 	for _, i := range f.Nodes {
 		m := &c.machines[i]
-		m.side = true
 		switch f.Kind {
 		case "freeze":
 			m.frozen.extend(end)
--- a/server/node/cluster_test.go
+++ b/server/node/cluster_test.go
@@ -74,7 +74,6 @@
 	key   string
 	state string
 	acked time.Time
-	next  types.Offset
 }
 
 // value returns a record's value: the state that matters and a number that does
@@ -89,7 +88,7 @@
 
 func stateOf(value []byte) string { return string(value[:strings.IndexByte(string(value), '/')]) }
 
-func (s *simStore) put(index int, key, state string) types.Offset {
+func (s *simStore) put(index int, key, state string) {
 	t := &s.topics[index]
 	s.heartbeats++
 	next := t.first + types.Offset(len(t.records)) + 1
@@ -98,7 +97,6 @@
 	t.newest[key] = r
 	close(t.changed)
 	t.changed = make(chan struct{})
-	return next
 }
 
 // change makes a change of one feed that has to be known everywhere in time.
@@ -111,7 +109,8 @@
 		key = fmt.Sprintf("target-%d", s.version%targets)
 	}
 	state := fmt.Sprintf("v%03d", s.version)
-	s.changes = append(s.changes, simChange{index, key, state, time.Now(), s.put(index, key, state)})
+	s.put(index, key, state)
+	s.changes = append(s.changes, simChange{index, key, state, time.Now()})
 }
 
 // compact drops the history but for the newest record of each key.
