gateway: the end of an event is searched in new bytes only

A server that sends an event without end in small chunks cost a search of up to 64 KB for each of them, some seconds of processor time in all. Found by the race detector's build, in which TestEndlessAnswers/event ended by its deadline (504 for 502); the search starts two bytes before the new ones now.

--- a/gateway/events.go
+++ b/gateway/events.go
@@ -17,13 +17,17 @@
 
 // eventBuffer collects the bytes of a stream of server-sent events and tells
 // whole events from a part of one.
-type eventBuffer struct{ data []byte }
+type eventBuffer struct {
+	data []byte
+	// searched is how much of data was searched for ends of events.
+	searched int
+}
 
-var eventBuffers = sync.Pool{New: func() any { return &eventBuffer{make([]byte, 0, eventBytes)} }}
+var eventBuffers = sync.Pool{New: func() any { return &eventBuffer{data: make([]byte, 0, eventBytes)} }}
 
 func newEventBuffer() *eventBuffer {
 	b := eventBuffers.Get().(*eventBuffer)
-	b.data = b.data[:0]
+	b.data, b.searched = b.data[:0], 0
 	return b
 }
 
@@ -49,20 +53,24 @@
 // complete returns the whole events at the start of the buffer. An event ends
 // with an empty line.
 func (b *eventBuffer) complete() []byte {
-	end := bytes.LastIndex(b.data, []byte("\n\n"))
-	crlf := bytes.LastIndex(b.data, []byte("\n\r\n"))
+	// What was searched before may hold the begin of an end of up to three bytes.
+	from := max(b.searched-2, 0)
+	end := bytes.LastIndex(b.data[from:], []byte("\n\n"))
+	crlf := bytes.LastIndex(b.data[from:], []byte("\n\r\n"))
+	b.searched = len(b.data)
 	switch {
 	case end < 0 && crlf < 0:
 		return nil
 	case crlf > end:
-		return b.data[:crlf+3]
+		return b.data[:from+crlf+3]
 	}
-	return b.data[:end+2]
+	return b.data[:from+end+2]
 }
 
 // drop removes n bytes at the start of the buffer.
 func (b *eventBuffer) drop(n int) {
 	b.data = b.data[:copy(b.data, b.data[n:])]
+	b.searched = len(b.data)
 }
 
 func (b *eventBuffer) rest() []byte { return b.data }
