--- a/server/node/path_test.go
+++ b/server/node/path_test.go
@@ -36,11 +36,19 @@
 	stop    func()
 }
 
+// freePort returns a port that is free for TCP and for datagrams.
 func freePort(t *testing.T) int {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).Port
+	for {
+		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		assert.NilError(t, err)
+		port := l.Addr().(*net.TCPAddr).Port
+		u, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1), Port: port})
+		assert.NilError(t, l.Close())
+		if err == nil {
+			assert.NilError(t, u.Close())
+			return port
+		}
+	}
 }
 
 // newWorld starts the stand-ins and a node. The node's planner is off unless a
