gateway, node: log lines of streams have their prompt parts and received events

Hypotheses about engines that crash one after the other could not be told apart: no line said which parts a prompt has, or whether the caller of a broken stream had received an event.

Lines about the end or a failed call of a request with a prompt have parts (the IDs of its shared parts, as callers write them) and events; explain prints both. A prompt part carries its own ID beside the key that chains it to the parts before it.

TestFailedStreamsAreLoggedWithTheirPromptParts and TestExplainNamesPromptParts fail without the change.

--- a/cmd/internal/ctl/explain.go
+++ b/cmd/internal/ctl/explain.go
@@ -43,6 +43,8 @@
 	UncachedTokens int       `json:"uncached_tokens"`
 	Attempts       int       `json:"tries"`
 	Status         int       `json:"status"`
+	Parts          string    `json:"parts"`
+	Events         int       `json:"events"`
 }
 
 // Run implements the command.
@@ -159,9 +161,9 @@
 		fmt.Fprintf(&b, "sent to %s of %s (%s), first result predicted in %.1f ms, %d tokens to read; route %s, configuration %d",
 			l.Target, l.Service, l.Stage, l.PredictedMs, l.UncachedTokens, l.Route, l.Configuration)
 	case "retry":
-		fmt.Fprintf(&b, "%s failed (%s), tried again", l.Target, l.cause())
+		fmt.Fprintf(&b, "%s failed (%s)%s, tried again", l.Target, l.cause(), l.describePrompt())
 	case "no_retry":
-		fmt.Fprintf(&b, "%s failed (%s), not tried again", l.Target, l.cause())
+		fmt.Fprintf(&b, "%s failed (%s)%s, not tried again", l.Target, l.cause(), l.describePrompt())
 	case "outcome":
 		b.WriteString(l.describeOutcome())
 	default:
@@ -177,6 +179,15 @@
 	return l.Reason + ": " + l.Error
 }
 
+// describePrompt describes how far the stream of a request with a prompt had come, or returns
+// an empty string for other requests.
+func (l *logLine) describePrompt() string {
+	if l.Parts == "" {
+		return ""
+	}
+	return fmt.Sprintf(" after %d events, prompt parts %s", l.Events, l.Parts)
+}
+
 func (l *logLine) describeOutcome() string {
 	switch l.Outcome {
 	case "answered":
--- a/cmd/internal/ctl/explain_test.go
+++ b/cmd/internal/ctl/explain_test.go
@@ -13,6 +13,7 @@
    1.1 front-1 {"msg":"send","request_id":"r1","vm":"front-1","time":"2026-07-20T10:00:01Z","elapsed_ms":0.2,"target":"i-1","service":"desk","stage":"whole","predicted_ms":15,"route":"once","configuration":7}
    1.3 front-1 {"msg":"send","request_id":"r12","vm":"front-1","time":"2026-07-20T10:00:01Z"}
    1.4 front-1 {"msg":"no_retry","request_id":"r1","vm":"front-1","time":"2026-07-20T10:00:01.5Z","elapsed_ms":500,"target":"i-1","reason":"target_silent","error":"made no progress"}
+   1.5 front-1 {"msg":"no_retry","request_id":"r2","vm":"front-1","time":"2026-07-20T10:00:01.5Z","elapsed_ms":500,"target":"i-1","reason":"truncated","error":"EOF","events":0,"parts":"5c1e07a2,91bd3f06"}
 {"msg":"send","request_id":"r1"
 `
 
@@ -31,6 +32,15 @@
 	assert.ErrorContains(t, err, "r9")
 }
 
+// Guards against a broken stream that is explained without its prompt parts, so that requests
+// that crash engines cannot be told from those that are in progress beside them.
+func TestExplainNamesPromptParts(t *testing.T) {
+	var out bytes.Buffer
+	c := ExplainCmd{ID: "r2", in: strings.NewReader(logs)}
+	assert.NilError(t, c.Run(&Globals{out: &out}))
+	assert.Equal(t, strings.TrimSpace(out.String()), "10:00:01.500 front-1 +500.0 ms: i-1 failed (truncated: EOF) after 0 events, prompt parts 5c1e07a2,91bd3f06, not tried again")
+}
+
 // Guards against a missing request that is explained only as answered although its
 // node was killed, and against a planned stop that counts as a kill.
 func TestExplainNamesKilledNodes(t *testing.T) {
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -147,11 +147,11 @@
 // against counting parts once the capacity of the cache has been inserted after them.
 func TestCachedTokens(t *testing.T) {
 	l := NewLoad()
-	parts := []Part{{1, 100}, {2, 50}}
+	parts := []Part{{Key: 1, Tokens: 100}, {Key: 2, Tokens: 50}}
 	assert.Equal(t, l.CachedTokens(parts, 1000), 0)
 	l.RecordPrefill(parts, 150)
 	assert.Equal(t, l.CachedTokens(parts, 1000), 150)
-	l.RecordPrefill([]Part{{3, 900}}, 900)
+	l.RecordPrefill([]Part{{Key: 3, Tokens: 900}}, 900)
 	l.RecordPrefill(parts[1:], 0)
 	assert.Equal(t, l.CachedTokens(parts, 1000), 150)
 	l.Peers.Add(Work{KVInserted: 100})
--- a/directory/prefix.go
+++ b/directory/prefix.go
@@ -11,9 +11,10 @@
 )
 
 // Part is a part of a prompt that other prompts may share. Key identifies the part
-// together with all parts before it.
+// together with all parts before it, and ID the part alone.
 type Part struct {
 	Key    uint64
+	ID     uint64
 	Tokens int
 }
 
--- a/gateway/event.go
+++ b/gateway/event.go
@@ -44,6 +44,9 @@
 	Status int
 	// Late reports whether the response, or its first event, missed the objective.
 	Late bool
+	// Events is the number of reads with complete events that were passed to the caller so
+	// far, for all kinds except KindSend.
+	Events int
 	// Attempts is the number of requests sent to targets, including prefills.
 	Attempts int
 	Err      error
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -33,6 +33,7 @@
 	runs          int  // attempts that may have run
 	prefills      int  // prefill requests that may have reached an engine
 	started       bool // the head of a response was passed to the caller
+	events        int  // reads with complete events that were passed to the caller
 	timeToFirst   time.Duration
 	status        int // of the response that was passed to the caller
 	retryAfter    time.Duration
@@ -62,7 +63,7 @@
 // end reports the outcome to the observer and releases the buffers.
 func (x *exchange) end(o types.Outcome) Result {
 	e := x.newEvent(KindOutcome)
-	e.Outcome, e.TimeToFirst, e.Status, e.Attempts = o, x.timeToFirst, x.status, x.attempts+x.prefills
+	e.Outcome, e.TimeToFirst, e.Status, e.Attempts, e.Events = o, x.timeToFirst, x.status, x.attempts+x.prefills, x.events
 	e.Late = x.route != nil && x.timeToFirst > x.route.Objective
 	if reason, failed := types.ReasonOf(o); failed && reason == types.RefusedInternal {
 		e.Err = x.lastErr
@@ -217,7 +218,7 @@
 	if !ok {
 		e.Kind = KindNoRetry
 	}
-	e.RetryReason, e.Target, e.Err = f.retry, x.lastTarget, x.lastErr
+	e.RetryReason, e.Target, e.Err, e.Events = f.retry, x.lastTarget, x.lastErr, x.events
 	x.recordDecision(e)
 	return ok
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -84,7 +84,6 @@
 type stream struct {
 	*exchange
 	lastEvent string
-	events    int
 	pace      pace
 	handle    Handle
 	// prefillFailed reports whether the last error is that of a prefill.
--- a/server/node/observer.go
+++ b/server/node/observer.go
@@ -2,12 +2,14 @@
 
 import (
 	"io"
+	"strconv"
 	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"github.com/lentilpick/lentilpick/daemon"
+	"github.com/lentilpick/lentilpick/directory"
 	"github.com/lentilpick/lentilpick/gateway"
 	"github.com/lentilpick/lentilpick/types"
 )
@@ -24,6 +26,10 @@
 	fieldTries     = "tries"
 	fieldOutcome   = "outcome"
 	fieldStatus    = "status"
+	// fieldParts holds the IDs of the parts of a prompt that other prompts may share, and
+	// fieldEvents how much of a stream its caller has received.
+	fieldParts  = "parts"
+	fieldEvents = "events"
 )
 
 var stageNames = [...]string{"whole", "prefill", "decode"}
@@ -67,6 +73,9 @@
 	if e.Route != "" {
 		f[fieldRoute], f[daemon.FieldService] = e.Route, e.Service
 	}
+	if p := e.Request.Prompt; p != nil && len(p.Parts) > 0 && e.Kind != gateway.KindSend {
+		f[fieldParts], f[fieldEvents] = partIDs(p.Parts), e.Events
+	}
 	if e.ConfigVersion != 0 {
 		f[fieldConfig] = e.ConfigVersion
 	}
@@ -134,6 +143,18 @@
 	return "answered", ""
 }
 
+// partIDs formats the IDs of prompt parts as on the wire: in hexadecimal, separated by commas.
+func partIDs(parts []directory.Part) string {
+	var b []byte
+	for i, p := range parts {
+		if i > 0 {
+			b = append(b, ',')
+		}
+		b = strconv.AppendUint(b, p.ID, 16)
+	}
+	return string(b)
+}
+
 func millis(d time.Duration) float64 {
 	return float64(d.Round(100*time.Microsecond)) / float64(time.Millisecond)
 }
--- a/server/node/observer_test.go
+++ b/server/node/observer_test.go
@@ -11,7 +11,9 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/lentilpick/lentilpick/daemon"
+	"github.com/lentilpick/lentilpick/directory"
 	"github.com/lentilpick/lentilpick/gateway"
+	"github.com/lentilpick/lentilpick/placement"
 	"github.com/lentilpick/lentilpick/types"
 )
 
@@ -108,3 +110,20 @@
 	}
 	assert.Equal(t, w.dropped.Load(), int64(lineQueueLength))
 }
+
+// Guards against a failed stream whose log lines do not show which parts its prompt has and
+// whether the target had generated anything.
+func TestFailedStreamsAreLoggedWithTheirPromptParts(t *testing.T) {
+	var out bytes.Buffer
+	var attempt types.Attempt
+	attempt.Begin()
+	all := eventsOf(3, attempt.Refuse(types.RefusedAnswerTruncated), func(e *gateway.Event) {
+		e.Request.Prompt = &placement.Prompt{Parts: []directory.Part{{Key: 7, ID: 0x5c1e07a2}, {Key: 9, ID: 0x91bd3f06}}}
+		e.Events = 4
+	})
+	testObserver(t, &out, 100).ObserveEnd(all)
+	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	assert.Assert(t, !strings.Contains(lines[0], "parts"))
+	assert.Assert(t, strings.Contains(lines[1], `"events":4`))
+	assert.Assert(t, strings.Contains(lines[1], `"parts":"5c1e07a2,91bd3f06"`))
+}
