crashguard, gateway, node: parts of prompts that crash engines are blocked on all nodes

Callers saw streams break off and 503 for most requests of a service while its engines crashed one after the other: each request with one prompt part crashed the engine that began to generate for it, requests with the part arrive at any node, and nothing related the crashes to the part.

A request whose connection breaks before its first event is now a suspect once its target accepts no connections. Nodes exchange with their load messages which lifetimes of engines crashed under which parts, and which parts were answered. A part under which three lifetimes have crashed, and that no request was answered with since two seconds before, is blocked: the gateway refuses its requests before each send, with the rest of the block as Retry-After. Crashes that a blocked part explains count against no other part; among equal ones the part whose last answer is oldest is blocked. A block lasts a minute, twice as long after each further crash; an answer lifts it.

Without the check in the gateway TestPartThatCrashesEnginesIsRefused fails; the mutations 'crashes' undo twelve parts of the change, and a test finds each.

--- a/cmd/internal/soak/soak.go
+++ b/cmd/internal/soak/soak.go
@@ -299,7 +299,8 @@
 	t.SetBehaviour(b)
 	s.afterFault(d, func() {
 		t.SetBehaviour(healthyBehaviour)
-		t.Restart()
+		// It has not crashed, so that it does not listen again, which could fail.
+		_ = t.Restart()
 	})
 }
 
--- /dev/null
+++ b/crashguard/fleet_test.go
@@ -0,0 +1,150 @@
+package crashguard
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lentilpick/lentilpick/clock"
+	"github.com/lentilpick/lentilpick/directory"
+)
+
+// fleet is a number of daemons with their guards, before engines that crash under one part and
+// sometimes by themselves. Its time advances in steps.
+type fleet struct {
+	*rand.Rand
+	guards  []*Guard
+	engines []fleetEngine
+	now     clock.Instant
+	loss    float64 // share of updates that do not arrive
+	badSent []clock.Instant
+	crashes int // under the bad part
+}
+
+// fleetEngine is an engine with the requests that have received no event yet.
+type fleetEngine struct {
+	started  int64
+	downTill clock.Instant
+	waiting  []fleetRequest
+}
+
+type fleetRequest struct {
+	daemon int
+	parts  []directory.Part
+}
+
+const (
+	fleetStep     = 50 * time.Millisecond
+	fleetSubjects = 40
+)
+
+// send sends a request to a random engine, unless the daemon knows that its part is blocked.
+func (f *fleet) send(daemon int, part uint64) {
+	parts := prompt(shared, part)
+	if f.guards[daemon].Blocked(parts, f.now) > 0 {
+		return
+	}
+	if part == bad {
+		f.badSent = append(f.badSent, f.now)
+	}
+	e := &f.engines[f.IntN(len(f.engines))]
+	if e.downTill <= f.now {
+		e.waiting = append(e.waiting, fleetRequest{daemon, parts})
+	}
+}
+
+// run answers the waiting requests of an engine, or crashes it.
+func (f *fleet) run(i int, spontaneous bool) {
+	e := &f.engines[i]
+	deadly := slices.ContainsFunc(e.waiting, func(r fleetRequest) bool { return r.parts[1].ID == bad })
+	if deadly {
+		f.crashes++
+	}
+	for _, r := range e.waiting {
+		if deadly || spontaneous {
+			f.guards[r.daemon].RecordCrash(directory.Lifetime{Target: uint64(i), StartedAt: e.started}, r.parts, f.now)
+		} else {
+			f.guards[r.daemon].RecordAnswer(r.parts, f.now)
+		}
+	}
+	e.waiting = nil
+	if deadly || spontaneous {
+		e.started++
+		e.downTill = f.now.Add(3 * time.Second)
+	}
+}
+
+// exchange delivers the updates of all daemons to the others, except those that are lost.
+func (f *fleet) exchange(full bool) {
+	for i, g := range f.guards {
+		if !full && !g.Pending() {
+			continue
+		}
+		u := g.Outgoing(full, f.now)
+		for k, other := range f.guards {
+			if k != i && f.Float64() >= f.loss {
+				other.Apply(&u, f.now)
+			}
+		}
+	}
+}
+
+func (f *fleet) step(n int) {
+	f.now = f.now.Add(fleetStep)
+	for range 4 {
+		f.send(f.IntN(len(f.guards)), uint64(1+f.IntN(fleetSubjects)))
+	}
+	if f.Float64() < 0.7*fleetStep.Seconds() {
+		f.send(f.IntN(len(f.guards)), bad)
+	}
+	for i := range f.engines {
+		f.run(i, f.Float64() < 0.02*fleetStep.Seconds())
+	}
+	f.exchange(n%20 == 0)
+	for i, g := range f.guards {
+		if n%4 == i%4 {
+			g.Evaluate(f.now)
+		}
+	}
+}
+
+// Guards against requests that reach engines although five engines have crashed under their
+// part, and against sound parts that are blocked beside it, while the requests arrive at any
+// daemon, engines also crash by themselves, messages are lost and a daemon restarts.
+func TestFleetBlocksTheBadPartOnly(t *testing.T) {
+	// After the fifth crash and the window no more than three such requests may be sent.
+	const maxCrashesBefore, maxSentAfter = 5, 3
+	const window = 3 * time.Second
+	for seed := range uint64(60) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			f := &fleet{Rand: rand.New(rand.NewPCG(seed, 1)), engines: make([]fleetEngine, 5), now: start, loss: 0.05}
+			for range 13 {
+				f.guards = append(f.guards, New())
+			}
+			fifth := clock.Instant(0)
+			for n := range 800 {
+				f.step(n)
+				if fifth == 0 && f.crashes >= maxCrashesBefore {
+					fifth = f.now
+				}
+				if n%100 == 49 {
+					f.guards[f.IntN(len(f.guards))] = New()
+				}
+			}
+			if fifth != 0 {
+				after := slices.DeleteFunc(f.badSent, func(at clock.Instant) bool { return at <= fifth.Add(window) })
+				assert.Assert(t, len(after) <= maxSentAfter, "%d requests after the fifth crash", len(after))
+			}
+			for _, g := range f.guards {
+				assert.Assert(t, g.Blocked(prompt(bad), f.now) > 0)
+				for p := range uint64(fleetSubjects) {
+					assert.Equal(t, g.Blocked(prompt(shared, 1+p), f.now), time.Duration(0), "part %d", 1+p)
+				}
+			}
+		})
+	}
+}
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -163,10 +163,10 @@
 func TestPrefixTableEvictsTheOldest(t *testing.T) {
 	var p PrefixTable
 	for i := range int64(prefixWays + 1) {
-		p.use(uint64(i+1)*prefixBuckets, i+1)
+		p.Touch(uint64(i+1)*prefixBuckets, i+1)
 	}
-	assert.Equal(t, p.lastUse(prefixBuckets), int64(0))
-	assert.Equal(t, p.lastUse((prefixWays+1)*prefixBuckets), int64(prefixWays+1))
+	assert.Equal(t, p.LastUse(prefixBuckets), int64(0))
+	assert.Equal(t, p.LastUse((prefixWays+1)*prefixBuckets), int64(prefixWays+1))
 }
 
 // Guards against targets that stay paused, or count as unresponsive, because the wall
--- a/directory/prefix.go
+++ b/directory/prefix.go
@@ -37,7 +37,7 @@
 func (p *PrefixTable) Cached(parts []Part, evictedBefore int64) int {
 	tokens := 0
 	for _, part := range parts {
-		if last := p.lastUse(part.Key); last == 0 || last <= evictedBefore {
+		if last := p.LastUse(part.Key); last == 0 || last <= evictedBefore {
 			break
 		}
 		tokens += part.Tokens
@@ -45,7 +45,8 @@
 	return tokens
 }
 
-func (p *PrefixTable) lastUse(key uint64) int64 {
+// LastUse returns the time of the last use of a key, or 0 if the table does not hold it.
+func (p *PrefixTable) LastUse(key uint64) int64 {
 	table := p.buckets.Load()
 	if table == nil {
 		return 0
@@ -63,11 +64,12 @@
 // clock.
 func (p *PrefixTable) Use(parts []Part, now int64) {
 	for _, part := range parts {
-		p.use(part.Key, now)
+		p.Touch(part.Key, now)
 	}
 }
 
-func (p *PrefixTable) use(key uint64, now int64) {
+// Touch records that a key is used at the given time.
+func (p *PrefixTable) Touch(key uint64, now int64) {
 	table := p.buckets.Load()
 	if table == nil {
 		p.buckets.CompareAndSwap(nil, new(prefixBucketArray))
--- /dev/null
+++ b/gateway/crashes_test.go
@@ -0,0 +1,89 @@
+package gateway
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lentilpick/lentilpick/directory"
+)
+
+// fakeGuard blocks all prompts while blocked is not 0, and counts what is reported to it.
+type fakeGuard struct {
+	blocked          time.Duration
+	broken, answered int
+}
+
+func (f *fakeGuard) Blocked([]directory.Part) time.Duration { return f.blocked }
+func (f *fakeGuard) RecordAnswer([]directory.Part)          { f.answered++ }
+
+func (f *fakeGuard) RecordBroken(*directory.Target, []directory.Part) { f.broken++ }
+
+func newGuardedGateway() (*testGateway, *fakeGuard) {
+	w, f := newTestGateway(), &fakeGuard{}
+	w.g.settings.Crashes = f
+	return w, f
+}
+
+// Guards against requests with a blocked part that reach engines: at all, after their prefill,
+// or as a retry.
+func TestBlockedPromptReachesNoEngine(t *testing.T) {
+	w, f := newGuardedGateway()
+	f.blocked = time.Minute
+	res, _ := w.serve(context.Background(), "/chat/x")
+	assert.Equal(t, outcomeText(res.Outcome), "not_run prompt_crashes_targets")
+	assert.Equal(t, res.RetryAfter, time.Minute)
+	assert.Equal(t, w.targets.stages(), "")
+
+	w, f = newGuardedGateway()
+	w.targets.prefill = func(c *Call) (Handle, error) {
+		f.blocked = time.Minute
+		return Handle{c.Target, "h"}, nil
+	}
+	res, _ = w.serve(context.Background(), "/chat/x")
+	assert.Equal(t, outcomeText(res.Outcome), "not_run prompt_crashes_targets")
+	assert.Equal(t, w.targets.stages(), "p")
+	assert.Equal(t, len(w.targets.released), 1)
+
+	w, f = newGuardedGateway()
+	w.targets.send = func(context.Context, *Call) (Response, error) {
+		f.blocked = time.Minute
+		return nil, ErrInvalidResponse
+	}
+	res, _ = w.serve(context.Background(), "/resume/x")
+	assert.Equal(t, outcomeText(res.Outcome), "unknown prompt_crashes_targets")
+	assert.Equal(t, w.targets.stages(), "pd")
+}
+
+// Guards against sound prompts that count as the cause of a crash in the middle of their
+// streams, and against causes that are not recorded.
+func TestOnlyStreamsWithoutEventsAreSuspects(t *testing.T) {
+	for name, c := range map[string]struct {
+		err              error
+		resp             *fakeResponse
+		broken, answered int
+	}{
+		"no head":           {err: ErrInvalidResponse, broken: 1},
+		"no event":          {resp: &fakeResponse{status: 200, err: ErrInvalidResponse}, broken: 1},
+		"part of an event":  {resp: &fakeResponse{status: 200, pieces: []string{"id: 1\nda"}, err: ErrInvalidResponse}, broken: 1},
+		"after an event":    {resp: &fakeResponse{status: 200, pieces: []string{"id: 1\ndata: a\n\n"}, err: ErrInvalidResponse}},
+		"stalled":           {err: ErrStalled},
+		"refused":           {err: ErrRefused},
+		"not sent":          {err: ErrNotSent},
+		"complete":          {resp: &fakeResponse{status: 200, pieces: []string{"id: 1\ndata: a\n\n"}}, answered: 1},
+		"an error response": {resp: &fakeResponse{status: 500, pieces: []string{"no"}}},
+	} {
+		w, f := newGuardedGateway()
+		w.targets.send = func(context.Context, *Call) (Response, error) {
+			if c.err != nil {
+				return nil, c.err
+			}
+			return c.resp, nil
+		}
+		w.serve(context.Background(), "/chat/x")
+		assert.Equal(t, f.broken > 0, c.broken > 0, name)
+		assert.Equal(t, f.answered, c.answered, name)
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -163,6 +163,25 @@
 	NotifyPartsUsed(t *directory.Target, parts []directory.Part)
 }
 
+// CrashGuard knows the prompt parts whose requests crash engines. Its methods must not block.
+type CrashGuard interface {
+	// Blocked returns how much longer requests with any of the parts are refused, 0 if they
+	// are not.
+	Blocked(parts []directory.Part) time.Duration
+	// RecordBroken reports that the connection of a request broke before its first event. The
+	// target may have crashed.
+	RecordBroken(t *directory.Target, parts []directory.Part)
+	// RecordAnswer reports that a request was answered in full.
+	RecordAnswer(parts []directory.Part)
+}
+
+// noCrashGuard blocks nothing.
+type noCrashGuard struct{}
+
+func (noCrashGuard) Blocked([]directory.Part) time.Duration           { return 0 }
+func (noCrashGuard) RecordBroken(*directory.Target, []directory.Part) {}
+func (noCrashGuard) RecordAnswer([]directory.Part)                    {}
+
 // Settings are the settings of a Gateway.
 type Settings struct {
 	Costs placement.Costs
@@ -177,6 +196,8 @@
 	MaxBufferedBytes int64
 	// Demand receives the work that callers offer to engines.
 	Demand *demand.Table
+	// Crashes decides which prompts are refused because they crash engines. With nil none are.
+	Crashes CrashGuard
 	// Now returns the current time.
 	Now func() time.Time
 }
@@ -196,6 +217,9 @@
 
 // New returns a gateway without a configuration. It refuses all requests until SetTable.
 func New(s Settings, d *directory.Directory, t Targets, publisher LoadPublisher, o Observer) *Gateway {
+	if s.Crashes == nil {
+		s.Crashes = noCrashGuard{}
+	}
 	return &Gateway{settings: s, directory: d, targets: t, publisher: publisher, observer: o}
 }
 
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -52,7 +52,10 @@
 	s := stream{exchange: x, lastEvent: x.r.ResumeAfter}
 	defer s.release()
 	for {
-		err := s.sendOnce()
+		err := s.checkCrashes()
+		if err == nil {
+			err = s.sendOnce()
+		}
 		if err == nil {
 			return types.Answered{}
 		}
@@ -123,9 +126,24 @@
 		s.prefillFailed = true
 		return err
 	}
+	// The part may have been blocked during the prefill.
+	if err := s.checkCrashes(); err != nil {
+		return err
+	}
 	return s.decode()
 }
 
+// checkCrashes refuses a request whose prompt has a part that crashes engines.
+func (s *stream) checkCrashes() error {
+	if s.r.Prompt == nil {
+		return nil
+	}
+	if blocked := s.g.settings.Crashes.Blocked(s.r.Prompt.Parts); blocked > 0 {
+		return &outcomeError{s.refuse(types.RefusedCrashingPrompt, blocked)}
+	}
+	return nil
+}
+
 // offer records the request as demand, once, whether it is served or refused afterwards.
 func (s *stream) offer(p placement.Choice) {
 	if s.offered {
@@ -310,7 +328,7 @@
 	resp, err := s.g.targets.Send(s.ctx, call)
 	s.recordAttempt(err, d)
 	if err != nil {
-		s.recordFailure(t, err)
+		s.recordRunFailure(t, err)
 		return err
 	}
 	defer resp.Close()
@@ -328,9 +346,12 @@
 		}
 	})
 	if err != nil {
-		s.recordFailure(t, err)
+		s.recordRunFailure(t, err)
 		return err
 	}
+	if s.r.Prompt != nil {
+		s.g.settings.Crashes.RecordAnswer(s.r.Prompt.Parts)
+	}
 	t.Load.RecordSuccess()
 	t.Load.SetConnectedUntil(s.now().Add(connectionReuseTime))
 	if call.Stage == StageDecode {
@@ -342,6 +363,16 @@
 	return nil
 }
 
+// recordRunFailure records a failed run in the load of the target, and a connection that broke
+// before the first event as a possible crash: an engine that crashes on a prompt does so when it
+// begins to generate.
+func (s *stream) recordRunFailure(t *directory.Target, err error) {
+	if errors.Is(err, ErrInvalidResponse) && s.events == 0 && s.r.Prompt != nil && s.callerCtx.Err() == nil {
+		s.g.settings.Crashes.RecordBroken(t, s.r.Prompt.Parts)
+	}
+	s.recordFailure(t, err)
+}
+
 // maxFirstEventTime bounds the time to the first event that counts as use of a slot. A longer
 // one includes the wait for a slot.
 const maxFirstEventTime = 150 * time.Millisecond
--- a/loadshare/message.go
+++ b/loadshare/message.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/lentilpick/lentilpick/clock"
+	"github.com/lentilpick/lentilpick/crashguard"
 	"github.com/lentilpick/lentilpick/demand"
 	"github.com/lentilpick/lentilpick/directory"
 )
@@ -20,7 +21,7 @@
 
 const (
 	magic      = 0x6c
-	version    = 5
+	version    = 6
 	headerSize = 3 + 8 + 8
 	// flagsAt is the index of the flags byte in a datagram.
 	flagsAt = 2
@@ -64,6 +65,7 @@
 	claims    [Feeds]claim
 	updates   []feedUpdate
 	leaving   []directory.Lifetime
+	crashes   crashguard.Update
 	demand    []serviceDemand
 	loads     []targetLoad
 }
@@ -104,6 +106,7 @@
 		b = binary.BigEndian.AppendUint64(b, l.Target)
 		b = binary.BigEndian.AppendUint64(b, uint64(l.StartedAt))
 	}
+	b = appendCrashes(b, &m.crashes)
 	b = append(b, byte(len(m.demand)))
 	for _, d := range m.demand {
 		b = binary.BigEndian.AppendUint64(b, d.service)
@@ -181,6 +184,7 @@
 	}
 	m.decodeUpdates(&r)
 	m.decodeLeaving(&r)
+	m.crashes = decodeCrashes(&r)
 	m.decodeDemand(&r)
 	if r.malformed {
 		return ErrMalformed
--- a/loadshare/share.go
+++ b/loadshare/share.go
@@ -13,6 +13,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/lentilpick/lentilpick/clock"
+	"github.com/lentilpick/lentilpick/crashguard"
 	"github.com/lentilpick/lentilpick/demand"
 	"github.com/lentilpick/lentilpick/directory"
 	"github.com/lentilpick/lentilpick/types"
@@ -68,6 +69,7 @@
 	updatesPublished   atomic.Int64  // fragments
 	updatesMissed      atomic.Int64  // fragments
 	demand             *demand.Table // of this daemon
+	crashes            CrashEvidence
 	hubs               *hubSelector
 	relay              *relay
 
@@ -146,7 +148,7 @@
 		self: xxhash.Sum64String(name), start: rand.Uint64(), directory: d, conn: conn,
 		now: now, wake: make(chan struct{}, 1), changed: make(chan uint64, changesQueueLength), used: make(chan usedParts, partsQueueLength),
 		hubs: newHubSelector(), peerStates: map[uint64]*peerState{}, transits: map[uint64]*transit{}, outbox: newOutbox(),
-		demand: work, peerDemand: map[uint64]demand.Work{},
+		demand: work, crashes: noCrashEvidence{}, peerDemand: map[uint64]demand.Work{},
 	}
 	e.relay = newRelay(e)
 	e.datagramRate.Store(DefaultDatagramRate)
@@ -372,7 +374,7 @@
 	for h := range o.parts {
 		o.changed[h] = struct{}{}
 	}
-	if len(o.changed) == 0 && len(o.updates) == 0 && len(o.leaving) == 0 && !full {
+	if len(o.changed) == 0 && len(o.updates) == 0 && len(o.leaving) == 0 && !e.crashes.Pending() && !full {
 		return nil
 	}
 	var loads []targetLoad
@@ -446,6 +448,7 @@
 	updates, leaving := e.outbox.updates, e.outbox.leaving
 	e.outbox.updates, e.outbox.leaving = nil, nil
 	now := e.now()
+	crashes := e.crashes.Outgoing(full, now)
 	var claims [Feeds]claim
 	for i, f := range e.feeds {
 		claims[i] = f.claim(now)
@@ -454,6 +457,9 @@
 		e.seq++
 		m := message{sender: e.self, start: e.start, seq: e.seq, sent: now, claims: claims}
 		m.updates, updates = takeUpdates(updates)
+		if len(m.updates) == 0 { // both may not fit into one message
+			m.crashes, crashes = crashes, crashguard.Update{}
+		}
 		m.leaving = leaving[:min(len(leaving), maxLeaving)]
 		leaving = leaving[len(m.leaving):]
 		m.hasClaims = full || len(m.updates) > 0
@@ -470,8 +476,11 @@
 		return m.appendHeader(make([]byte, 0, 256))
 	}
 	b := header()
-	for len(updates) > 0 || len(leaving) > 0 {
+	for len(updates) > 0 || len(leaving) > 0 || !crashes.Empty() || e.crashes.Pending() {
 		out = append(out, b)
+		if crashes.Empty() {
+			crashes = e.crashes.Outgoing(false, now)
+		}
 		b = header()
 	}
 	for i := range loads {
@@ -587,6 +596,7 @@
 	if m.hasClaims {
 		e.applyClaims(m, at)
 	}
+	e.crashes.Apply(&m.crashes, at)
 	snapshot := e.directory.Load()
 	for _, l := range m.leaving {
 		if t := snapshot.ByHash(l.Target); t == nil || t.Lifetime() != l || !t.Load.DeclaredLeaving() {
--- a/loadshare/share_test.go
+++ b/loadshare/share_test.go
@@ -198,6 +198,8 @@
 	f.Add(good[:len(good)-1])
 	m.updates = []feedUpdate{{1, feed.Update{Since: 3, Next: 9, Records: []feed.Record{{Key: "k", Value: []byte("v"), Next: 9}}}}}
 	f.Add(m.appendHeader(nil))
+	m.crashes = fillUpdate()
+	f.Add(m.appendHeader(nil))
 	f.Add([]byte{magic, version})
 	f.Add([]byte(nil))
 	f.Fuzz(func(t *testing.T, b []byte) {
--- a/server/entry/answer.go
+++ b/server/entry/answer.go
@@ -122,6 +122,7 @@
 	types.RefusedAnswerTooLong:     "the answer was longer than answers may be",
 	types.RefusedCallerGone:        "the caller closed the connection",
 	types.RefusedInternal:          "the daemon failed to serve the request",
+	types.RefusedCrashingPrompt:    "a part of the prompt crashes targets; send it again later",
 	types.RefusedTargetsPaused:     "all targets have asked for a pause; send it again later",
 	types.RefusedTargetLimit:       "all targets have as many requests as they can serve in time; send it again later",
 }
--- a/server/node/counters.go
+++ b/server/node/counters.go
@@ -27,6 +27,8 @@
 	storeCalls *daemon.ReasonCounter
 	// leaving, pauses and invalidPauses count what targets report about themselves.
 	leaving, pauses, invalidPauses metric.Int64Counter
+	// crashes counts the crashes of targets under a request without an event.
+	crashes metric.Int64Counter
 }
 
 // firstEventBuckets are the bucket bounds of the time to the first event or the complete response,
@@ -89,6 +91,9 @@
 	if c.leaving, err = m.Meter.Int64Counter("lentilpick_targets_leaving", metric.WithDescription("Targets that declared in a response that they are leaving.")); err != nil {
 		return nil, err
 	}
+	if c.crashes, err = m.Meter.Int64Counter("lentilpick_crashes", metric.WithDescription("Requests without an event whose target crashed.")); err != nil {
+		return nil, err
+	}
 	if c.pauses, err = m.Meter.Int64Counter("lentilpick_pauses", metric.WithDescription("Refusals with which a target requested a pause.")); err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/server/node/crashes.go
@@ -0,0 +1,92 @@
+package node
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/panjf2000/ants/v2"
+	"github.com/sirupsen/logrus"
+
+	"github.com/lentilpick/lentilpick/clock"
+	"github.com/lentilpick/lentilpick/crashguard"
+	"github.com/lentilpick/lentilpick/daemon"
+	"github.com/lentilpick/lentilpick/directory"
+)
+
+// maxReachabilityChecks bounds the concurrent checks whether a target has crashed. Further
+// broken requests are not recorded; the other requests of a crash are evidence enough.
+const maxReachabilityChecks = 16
+
+// Fields of log lines about crashes.
+const (
+	fieldPart    = "part"
+	fieldCrashes = "crashes"
+)
+
+// crashDetector tells crashed engines from broken connections and feeds the crashes to a guard,
+// which it evaluates and whose decisions it logs. It implements gateway.CrashGuard.
+type crashDetector struct {
+	log      *logrus.Entry
+	counters *counters
+	guard    *crashguard.Guard
+	checks   *ants.Pool
+	// reachable reports whether a target accepts connections.
+	reachable func(*directory.Target) bool
+	// notify publishes new evidence to the other nodes.
+	notify func()
+	limit  lineLimit
+}
+
+func newCrashDetector(log *logrus.Entry, c *counters, notify func()) (*crashDetector, error) {
+	checks, err := ants.NewPool(maxReachabilityChecks, ants.WithNonblocking(true), ants.WithDisablePurge(true))
+	if err != nil {
+		return nil, err
+	}
+	return &crashDetector{log: log, counters: c, guard: crashguard.New(), checks: checks, notify: notify, limit: lineLimit{rate: signalLogRate}}, nil
+}
+
+// Blocked implements gateway.CrashGuard.
+func (d *crashDetector) Blocked(parts []directory.Part) time.Duration {
+	return d.guard.Blocked(parts, clock.Now())
+}
+
+// RecordAnswer implements gateway.CrashGuard.
+func (d *crashDetector) RecordAnswer(parts []directory.Part) {
+	d.guard.RecordAnswer(parts, clock.Now())
+}
+
+// RecordBroken implements gateway.CrashGuard. A target that accepts connections has not crashed:
+// it has reset one connection or truncated one response.
+func (d *crashDetector) RecordBroken(t *directory.Target, parts []directory.Part) {
+	at := clock.Now()
+	_ = d.checks.Submit(func() {
+		if !d.guard.KnownCrash(t.Lifetime()) && d.reachable(t) {
+			return
+		}
+		d.counters.crashes.Add(context.Background(), 1)
+		if !d.guard.RecordCrash(t.Lifetime(), parts, at) {
+			return
+		}
+		d.notify()
+		if d.limit.take(1) {
+			d.log.WithFields(logrus.Fields{daemon.FieldTarget: t.ID, daemon.FieldService: t.Service, fieldParts: partIDs(parts)}).
+				Warn("target crashed under a request without an event")
+		}
+	})
+}
+
+// run evaluates the evidence until the context ends.
+func (d *crashDetector) run(ctx context.Context) {
+	defer d.checks.Release()
+	for daemon.Sleep(ctx, crashguard.EvaluateInterval) {
+		for _, b := range d.guard.Evaluate(clock.Now()) {
+			d.log.WithFields(logrus.Fields{
+				fieldPart: strconv.FormatUint(b.Part, 16), fieldCrashes: b.Crashes, fieldPause: millis(b.For),
+			}).Warn("prompt part blocked: engines crash under its requests")
+		}
+		if d.guard.Pending() {
+			d.notify()
+		}
+	}
+}
--- /dev/null
+++ b/server/node/crashes_test.go
@@ -0,0 +1,87 @@
+package node
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/lentilpick/lentilpick/daemon"
+	"github.com/lentilpick/lentilpick/directory"
+	"github.com/lentilpick/lentilpick/platform/standin"
+)
+
+const (
+	soundParts = "5c1e07a2:800,11:400,e4402b7d:250"
+	badParts   = "5c1e07a2:800,bad:400,e4402b7d:250"
+)
+
+// waitFor waits until a condition holds.
+func (w *testEnv) waitFor(what string, condition func() bool) {
+	w.t.Helper()
+	poll.WaitOn(w.t, func(poll.LogT) poll.Result {
+		if condition() {
+			return poll.Success()
+		}
+		return poll.Continue("%s", what)
+	}, poll.WithDelay(5*time.Millisecond))
+}
+
+// crashDecodeEngine sends a request with the bad part, and restarts the engine that crashes.
+func (w *testEnv) crashDecodeEngine(id string) {
+	w.t.Helper()
+	w.parts = badParts
+	assert.Equal(w.t, w.send(id, "/chat/x", "prompt").status, http.StatusBadGateway)
+	engine := w.node.directory.Load().Target("i-d")
+	w.waitFor("the crash is not known", func() bool { return w.node.crashes.guard.KnownCrash(engine.Lifetime()) })
+	assert.NilError(w.t, w.decode.Restart())
+	w.waitFor("the engine that has restarted is not known", func() bool {
+		return w.node.directory.Load().Target("i-d").Lifetime() != engine.Lifetime()
+	})
+}
+
+// Guards against requests with one prompt part that crash one engine after another (users' day
+// tainted, 13 engines in 18 s), and against sound requests that are refused with them.
+func TestPartThatCrashesEnginesIsRefused(t *testing.T) {
+	w := newEnvWithNode(t, 0)
+	w.configure()
+	w.awaitReady()
+	w.decode.SetBehaviour(standin.Behaviour{CrashOnPart: "bad"})
+	for i := range 3 {
+		w.parts = soundParts
+		assert.Equal(t, w.send(fmt.Sprintf("s%d", i), "/chat/x", "prompt").status, http.StatusOK)
+		w.crashDecodeEngine(fmt.Sprintf("b%d", i))
+	}
+	w.waitFor("the part is not blocked", func() bool {
+		return w.node.crashes.Blocked([]directory.Part{{ID: 0xbad}}) > 0
+	})
+	requests := w.decode.Requests() + w.prefill.Requests()
+	r := w.send("again", "/chat/x", "prompt")
+	assert.Equal(t, r.status, http.StatusServiceUnavailable)
+	assert.Equal(t, r.header.Get("X-Refusal-Reason"), "prompt_crashes_targets")
+	assert.Assert(t, r.header.Get("Retry-After") != "")
+	assert.Equal(t, w.decode.Requests()+w.prefill.Requests(), requests)
+	w.parts = soundParts
+	assert.Equal(t, w.send("sound", "/chat/x", "prompt").status, http.StatusOK)
+}
+
+// Guards against a broken connection that counts as a crash although the engine goes on.
+func TestBrokenConnectionIsNoCrash(t *testing.T) {
+	m, err := daemon.NewMetrics("test")
+	assert.NilError(t, err)
+	c, err := newCounters(m)
+	assert.NilError(t, err)
+	for _, reachable := range []bool{true, false} {
+		d, err := newCrashDetector(daemon.NewLogger(io.Discard, "error", "node"), c, func() {})
+		assert.NilError(t, err)
+		d.reachable = func(*directory.Target) bool { return reachable }
+		engine := &directory.Target{Hash: 7}
+		d.RecordBroken(engine, []directory.Part{{ID: 0xbad}})
+		assert.NilError(t, d.checks.ReleaseTimeout(10*time.Second))
+		assert.Equal(t, d.guard.KnownCrash(engine.Lifetime()), !reachable)
+	}
+}
--- a/server/node/node.go
+++ b/server/node/node.go
@@ -93,6 +93,7 @@
 	gateway   *gateway.Gateway
 	front     *platform.Front
 	targets   *platform.Targets
+	crashes   *crashDetector
 	members   *memberHandler
 	peers     atomic.Pointer[[]Member] // nil until the member list is loaded
 	// mirrors holds the newest records of each feed, for nodes that start during an outage of
@@ -129,8 +130,13 @@
 	}
 	n.exchanger = loadshare.New(string(m.VM), conn, n.directory, &n.demand, clock.Now)
 	n.exchanger.SetDatagramRate(s.LoadDatagrams)
+	if n.crashes, err = newCrashDetector(log, c, n.exchanger.NotifyCrashEvidence); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrStart, err)
+	}
+	n.exchanger.ExchangeCrashes(n.crashes.guard)
 	o := newObserver(log, c, s.SampleEvery, s.LogRate)
 	n.targets = platform.NewTargets(newTargetSignals(log, c, n.directory, n.exchanger.NotifyLeaving))
+	n.crashes.reachable = n.targets.Reachable
 	n.gateway = gateway.New(n.gatewaySettings(), n.directory, n.targets, n.exchanger, o)
 	n.front, err = platform.NewFront(n.gateway, log, n.badInput(c))
 	if err != nil {
@@ -173,7 +179,7 @@
 		Speed: placement.EngineSpeed{
 			PrefillTokensPerMs: float64(n.settings.PrefillTokensPerMs), PairsPerToken: float64(n.settings.PairsPerToken), PrefillSetup: prefillSetupTime, IterationTime: iterationTime, IterationTimePerStream: iterationTimePerStream,
 		},
-		TransferCostPerToken: transferCostPerToken, FetchCostPerToken: fetchCostPerToken, MaxBufferedBytes: n.machine.MemoryBytes / bufferDivisor, Demand: &n.demand, Now: time.Now,
+		TransferCostPerToken: transferCostPerToken, FetchCostPerToken: fetchCostPerToken, MaxBufferedBytes: n.machine.MemoryBytes / bufferDivisor, Demand: &n.demand, Crashes: n.crashes, Now: time.Now,
 	}
 }
 
@@ -199,6 +205,7 @@
 		n.metrics.Gauge("lentilpick_bad_messages", "Messages from other nodes that could not be decoded.", n.exchanger.Malformed),
 		n.metrics.Gauge("lentilpick_hub_takeovers", "Hubs of the exchange of load that this node has passed over because they were silent.", n.exchanger.HubTakeovers),
 		n.metrics.Gauge("lentilpick_relay_dropped", "Messages of other nodes that were not forwarded because too many were pending.", n.exchanger.RelayDropped),
+		n.metrics.Gauge("lentilpick_blocked_parts", "Prompt parts whose requests are refused because they crash engines.", func() int64 { return int64(n.crashes.guard.BlockedParts(clock.Now())) }),
 		n.metrics.Gauge("lentilpick_news_told", "Feed updates that were published to other nodes.", n.exchanger.UpdatesPublished),
 		n.metrics.Gauge("lentilpick_news_missed", "Feed updates from other nodes that could not be applied, so that the changes were read from the store.", n.exchanger.UpdatesMissed),
 		n.metrics.Gauge("lentilpick_claims_refused", "Claims of other nodes that could not be used, because this node had not applied the feed up to their base.", n.exchanger.ClaimsRefused),
@@ -336,6 +343,7 @@
 	source := func(name string) outageLogger { return outageLogger{log: n.log.WithField(fieldSource, name)} }
 	go n.exchanger.Run(ctx)
 	go n.watchTargets(ctx)
+	go n.crashes.run(ctx)
 	go followFeed(ctx, n.newSharedFeed(feedConfig, 0, n.settings.ConfigurationWait), n.store.Configurations(), &configHandler{
 		outageLogger: source("configuration"), gateway: n.gateway, onLoaded: func() { n.configLoaded.Store(true) },
 		readState: func() loadshare.ReadState { return n.exchanger.ReadState(feedConfig, clock.Now()) },
--- a/server/node/path_test.go
+++ b/server/node/path_test.go
@@ -35,6 +35,7 @@
 	plain   [2]*standin.Target
 	version int
 	seeds   []string   // of the next node
+	parts   string     // of the prompts of the next requests, instead of the default
 	vm      types.VMID // of the next node
 	stop    func()
 	// runError is the first error that Run of a node returned.
@@ -203,6 +204,9 @@
 	for k, v := range standin.Headers(id, prompted) {
 		req.Header.Set(k, v)
 	}
+	if prompted && w.parts != "" {
+		req.Header.Set("X-Prompt-Prefix", w.parts)
+	}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return response{err: err}
--- a/server/node/signals_test.go
+++ b/server/node/signals_test.go
@@ -44,7 +44,7 @@
 			}
 			assert.Equal(t, w.plain[0].Requests(), before)
 			w.plain[0].SetBehaviour(standin.Behaviour{})
-			w.plain[0].Restart()
+			assert.NilError(t, w.plain[0].Restart())
 			w.plain[1].SetBehaviour(standin.Behaviour{Leaving: true})
 			poll.WaitOn(t, func(poll.LogT) poll.Result {
 				w.send("again", "/read/x", "")
--- a/tools/mutations/faults.go
+++ b/tools/mutations/faults.go
@@ -15,6 +15,7 @@
 	progress  = "loadshare/progress.go"
 	share     = "loadshare/share.go"
 	follower  = "feed/feed.go"
+	crashes   = "crashguard/guard.go"
 
 	authorityTest     = "proof TestStatefulAuthority"
 	configurationTest = "proof TestStatefulConfiguration"
@@ -90,4 +91,16 @@
 	{"claims: kept after news that was missed", progress, "p.next, p.queuedUpTo, p.claimedUpTo, p.hasPeerRead = next, next, 0, false", "p.next, p.queuedUpTo = next, next", "loadshare TestMissedNewsTakesBackClaims"},
 	{"claims: messages that were held up are fresh", share, "at.Add(-c.age-delay)", "at.Add(-c.age-0*delay)", "server/node TestClaimsOfFrozenReadersAreNotFresh"},
 	{"claims: read with changes is true as of its end", follower, "if next == f.next && f.s.Now().Sub(began) >= wait {", "if true {", clusterTest},
+	{"crashes: part is never blocked", "gateway/stream.go", "if blocked := s.g.settings.Crashes.Blocked(s.r.Prompt.Parts); blocked > 0 {", "if blocked := time.Duration(0); blocked > 0 {", "server/node TestPartThatCrashesEnginesIsRefused"},
+	{"crashes: not checked after the prefill", "gateway/stream.go", "	if err := s.checkCrashes(); err != nil {\n		return err\n	}\n	return s.decode()", "	return s.decode()", "gateway TestBlockedPromptReachesNoEngine"},
+	{"crashes: streams with events are suspects", "gateway/stream.go", "errors.Is(err, ErrInvalidResponse) && s.events == 0", "errors.Is(err, ErrInvalidResponse)", "gateway TestOnlyStreamsWithoutEventsAreSuspects"},
+	{"crashes: broken connection counts", "server/node/crashes.go", "!d.guard.KnownCrash(t.Lifetime()) && d.reachable(t)", "!d.guard.KnownCrash(t.Lifetime()) && !d.reachable(t)", "server/node TestBrokenConnectionIsNoCrash"},
+	{"crashes: answers prove nothing", crashes, "return answer != 0 && answer >= crash.Add(-answerMargin)", "return answer > 1<<62 && crash > 0", "crashguard TestSoundPartIsNotBlocked"},
+	{"crashes: explained crashes count", crashes, "|| g.explained(c) {", "{", "crashguard TestPartBesideABlockedOneIsNotBlocked"},
+	{"crashes: shared part is blocked", crashes, "last < best || last == best && p < part", "last > best || last == best && p > part", "crashguard TestSharedPartIsNotBlockedDuringOutage"},
+	{"crashes: answer does not lift a block", crashes, "if g.lastAnswer(p) > b.lastCrash {", "if g.lastAnswer(p) > b.lastCrash+1<<62 {", "crashguard TestAnswerLiftsBlock"},
+	{"crashes: block is extended by exchange", "crashguard/update.go", "old != nil && old.count >= b.Count", "old != nil && old.count > b.Count", "crashguard TestBlockEndsAndReturnsAfterOneCrash"},
+	{"crashes: blocks are not repeated", "crashguard/update.go", "	if full {\n		u.Blocks", "	if false {\n		u.Blocks", "crashguard TestNewDaemonLearnsBlocks"},
+	{"crashes: evidence is not exchanged", share, "	e.crashes.Apply(&m.crashes, at)\n", "", "loadshare TestCrashEvidenceReachesOthers"},
+	{"crashes: reports are not repeated", "crashguard/update.go", "r := &o.reports[i]; full || r.published == 0", "r := &o.reports[i]; r.published == 0", "loadshare TestCrashEvidenceReachesOthers"},
 }
--- a/transport/conn.go
+++ b/transport/conn.go
@@ -16,6 +16,8 @@
 )
 
 var (
+	// ErrConnLimit reports that the limit of open connections to a target is reached.
+	ErrConnLimit = errors.New("too many open connections")
 	// ErrNotSent reports a failure before the first byte of the request was written.
 	ErrNotSent = errors.New("no byte of the request was written")
 	// ErrTooLarge reports a response that exceeds the limit of SetReadLimit, or a response
--- a/transport/pool.go
+++ b/transport/pool.go
@@ -107,11 +107,11 @@
 }
 
 // Dial opens a connection within DialTimeout and before the deadline. The error wraps
-// ErrNotSent.
+// ErrNotSent, and ErrConnLimit if MaxConns is reached.
 func (p *Pool) Dial(address string, deadline time.Time) (*Conn, error) {
 	h := p.host(address)
 	if !h.reserve(p.settings.MaxConns) {
-		return nil, fmt.Errorf("limit of %d open connections to %s reached: %w", p.settings.MaxConns, address, ErrNotSent)
+		return nil, fmt.Errorf("limit of %d open connections to %s reached: %w: %w", p.settings.MaxConns, address, ErrConnLimit, ErrNotSent)
 	}
 	timeout := min(p.settings.DialTimeout, time.Until(deadline))
 	if timeout <= 0 {
--- a/types/outcome.go
+++ b/types/outcome.go
@@ -37,6 +37,8 @@
 	RefusedTargetsPaused
 	// RefusedInternal means that the request failed because of a fault of the daemon.
 	RefusedInternal
+	// RefusedCrashingPrompt means that the prompt has a part whose requests crash engines.
+	RefusedCrashingPrompt
 	// RefusalReasonCount is the number of reasons, not a reason itself.
 	RefusalReasonCount
 )
@@ -48,7 +50,7 @@
 	"key_unavailable", "retry_budget", "target_unreachable",
 	"target_failed", "target_silent", "answer_truncated", "caller_gone",
 	"target_limit", "no_configuration", "unknown_route", "timeout",
-	"answer_too_long", "targets_paused", "internal_error",
+	"answer_too_long", "targets_paused", "internal_error", "prompt_crashes_targets",
 }
 
 // String returns the name used in responses, logs and metrics.
