crashguard, node: log lines for blocks that a node learns and that end

Evaluate returns all decisions since the last call; the node logs those taken over and the ends of blocks.

--- a/crashguard/guard.go
+++ b/crashguard/guard.go
@@ -55,6 +55,8 @@
 	crashes map[directory.Lifetime]*crash
 	blocks  map[uint64]*block
 	outbox  outbox
+	// decisions are those since the last call to Evaluate.
+	decisions Decisions
 }
 
 // crash is the end of one lifetime of an engine under requests without an event.
@@ -70,6 +72,8 @@
 	count int
 	// lastCrash is the latest crash that counted against the part.
 	lastCrash clock.Instant
+	// ended is set once the end of the current block was returned as a decision.
+	ended bool
 }
 
 // New returns a Guard without evidence.
@@ -197,17 +201,28 @@
 	}
 }
 
-// Blocking describes a part that Evaluate has blocked.
+// Blocking describes a block.
 type Blocking struct {
-	Part    uint64
+	Part uint64
+	// Crashes is the number of crashes that led to the block, 0 if they are not known.
 	Crashes int
-	For     time.Duration
+	// Count is the number of blocks of the part so far.
+	Count int
+	For   time.Duration
+}
+
+// Decisions are what a Guard has decided.
+type Decisions struct {
+	// Blocked are the blocks by the evidence of this daemon, Learned those taken over.
+	Blocked, Learned []Blocking
+	// Ended are the parts whose blocks have ended or were lifted.
+	Ended []uint64
 }
 
 // Evaluate blocks the parts against which there is enough evidence, lifts the blocks of parts
-// that were answered after their last crash, and returns the newly blocked parts. It has to be
-// called each EvaluateInterval.
-func (g *Guard) Evaluate(now clock.Instant) (blocked []Blocking) {
+// that were answered after their last crash, and returns all decisions since the last call. It
+// has to be called each EvaluateInterval.
+func (g *Guard) Evaluate(now clock.Instant) Decisions {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.clearAnswered(now)
@@ -219,13 +234,21 @@
 		}
 		b := g.block(part, now)
 		g.outbox.newBlocks = append(g.outbox.newBlocks, part)
-		blocked = append(blocked, Blocking{part, crashes, b.until.Sub(now)})
+		g.decisions.Blocked = append(g.decisions.Blocked, Blocking{part, crashes, b.count, b.until.Sub(now)})
 		changed = true
 	}
+	for p, b := range g.blocks {
+		if b.until <= now && !b.ended {
+			b.ended = true
+			g.decisions.Ended = append(g.decisions.Ended, p)
+		}
+	}
 	if changed {
 		g.publishBlocks(now)
 	}
-	return blocked
+	d := g.decisions
+	g.decisions = Decisions{}
+	return d
 }
 
 // clearAnswered removes the parts from the crashes that an answer proves to be sound, and
@@ -299,8 +322,9 @@
 		b = &block{}
 		g.blocks[part] = b
 	}
-	b.until = now.Add(min(firstBlock<<min(b.count, 8), maxBlock))
+	b.until = now.Add(blockTime(b.count))
 	b.count++
+	b.ended = false
 	for _, c := range g.crashes {
 		if _, ok := c.parts[part]; ok {
 			b.lastCrash = max(b.lastCrash, c.at)
@@ -309,6 +333,9 @@
 	return b
 }
 
+// blockTime returns the length of a block after the given number of earlier ones.
+func blockTime(earlier int) time.Duration { return min(firstBlock<<min(earlier, 8), maxBlock) }
+
 // forgetBlocks makes room for a block.
 func (g *Guard) forgetBlocks() {
 	if len(g.blocks) < maxBlocks {
@@ -327,6 +354,7 @@
 	for p, b := range g.blocks {
 		if g.lastAnswer(p) > b.lastCrash {
 			delete(g.blocks, p)
+			g.decisions.Ended = append(g.decisions.Ended, p)
 			changed = true
 		}
 	}
--- a/crashguard/guard_test.go
+++ b/crashguard/guard_test.go
@@ -41,13 +41,13 @@
 func TestPartUnderCrashesIsBlocked(t *testing.T) {
 	g := New()
 	at := crashAll(g, minCrashes-1, start, shared, bad)
-	assert.Equal(t, len(g.Evaluate(at)), 0)
+	assert.Equal(t, len(g.Evaluate(at).Blocked), 0)
 	g.RecordAnswer(prompt(shared), at)
 	g.RecordCrash(engine(99), prompt(shared, bad), at)
-	assert.Equal(t, len(g.Evaluate(at.Add(settleTime/2))), 0, "answers of other daemons may be on their way")
+	assert.Equal(t, len(g.Evaluate(at.Add(settleTime/2)).Blocked), 0, "answers of other daemons may be on their way")
 	at = at.Add(settleTime)
-	blocked := g.Evaluate(at)
-	assert.DeepEqual(t, blocked, []Blocking{{bad, minCrashes, firstBlock}})
+	blocked := g.Evaluate(at).Blocked
+	assert.DeepEqual(t, blocked, []Blocking{{bad, minCrashes, 1, firstBlock}})
 	assert.Equal(t, g.Blocked(prompt(7, bad), at), firstBlock)
 	assert.Equal(t, g.Blocked(prompt(shared), at), time.Duration(0))
 	assert.Equal(t, g.BlockedParts(at), 1)
@@ -61,12 +61,12 @@
 	for range minCrashes {
 		g.RecordCrash(engine(int(start)), prompt(bad), at)
 	}
-	assert.Equal(t, len(g.Evaluate(at)), 0)
+	assert.Equal(t, len(g.Evaluate(at).Blocked), 0)
 	g.RecordAnswer(prompt(bad), at)
 	at = crashAll(g, 1, at.Add(answerMargin+time.Second), bad)
-	assert.Equal(t, len(g.Evaluate(at)), 0)
+	assert.Equal(t, len(g.Evaluate(at).Blocked), 0)
 	at = crashAll(g, minCrashes-1, at, bad)
-	assert.Equal(t, len(g.Evaluate(at)), 1, "it turned bad after its answer")
+	assert.Equal(t, len(g.Evaluate(at).Blocked), 1, "it turned bad after its answer")
 }
 
 // Guards against a block of the part that all prompts share while no engine is left to answer
@@ -76,7 +76,7 @@
 		g := New()
 		g.RecordAnswer(prompt(shared), start.Add(-time.Minute))
 		at := crashAll(g, minCrashes+2, start, ids...)
-		blocked := g.Evaluate(at)
+		blocked := g.Evaluate(at).Blocked
 		assert.Equal(t, len(blocked), 1)
 		assert.Equal(t, blocked[0].Part, uint64(bad))
 	}
@@ -86,7 +86,7 @@
 func TestAnswerLiftsBlock(t *testing.T) {
 	g, other := New(), New()
 	at := crashAll(g, minCrashes, start, bad)
-	assert.Equal(t, len(g.Evaluate(at)), 1)
+	assert.Equal(t, len(g.Evaluate(at).Blocked), 1)
 	exchange(g, other, at)
 	assert.Assert(t, other.Blocked(prompt(bad), at) > 0)
 	other.RecordAnswer(prompt(bad), at)
@@ -104,7 +104,7 @@
 func TestBlockEndsAndReturnsAfterOneCrash(t *testing.T) {
 	g, other := New(), New()
 	at := crashAll(g, minCrashes, start, bad)
-	assert.Equal(t, len(g.Evaluate(at)), 1)
+	assert.Equal(t, len(g.Evaluate(at).Blocked), 1)
 	end := at.Add(firstBlock)
 	for ; at < end.Add(time.Second); at = at.Add(time.Second) {
 		exchange(g, other, at)
@@ -115,8 +115,8 @@
 		assert.Equal(t, d.Blocked(prompt(bad), at), time.Duration(0))
 	}
 	at = crashAll(other, 1, at, bad)
-	blocked := other.Evaluate(at)
-	assert.DeepEqual(t, blocked, []Blocking{{bad, 1, 2 * firstBlock}})
+	blocked := other.Evaluate(at).Blocked
+	assert.DeepEqual(t, blocked, []Blocking{{bad, 1, 2, 2 * firstBlock}})
 	exchange(other, g, at)
 	assert.Equal(t, g.Blocked(prompt(bad), at), 2*firstBlock)
 }
@@ -127,7 +127,7 @@
 	at := start
 	for i := range 3 * MaxBlocks {
 		at = crashAll(g, minCrashes, at.Add(time.Second), uint64(100+i))
-		assert.Equal(t, len(g.Evaluate(at)), 1)
+		assert.Equal(t, len(g.Evaluate(at).Blocked), 1)
 	}
 	for g.Pending() {
 		g.Outgoing(false, at)
@@ -167,7 +167,7 @@
 	g := New()
 	at := crashAll(g, minCrashes, start, bad, 7)
 	g.RecordCrash(engine(99), prompt(bad), at)
-	blocked := g.Evaluate(at.Add(settleTime))
+	blocked := g.Evaluate(at.Add(settleTime)).Blocked
 	assert.Equal(t, len(blocked), 1)
 	assert.Equal(t, blocked[0].Part, uint64(bad))
 }
--- a/crashguard/update.go
+++ b/crashguard/update.go
@@ -209,5 +209,6 @@
 	}
 	g.forgetBlocks()
 	g.blocks[b.Part] = &block{until: now.Add(b.Remaining), count: b.Count, lastCrash: lastCrash}
+	g.decisions.Learned = append(g.decisions.Learned, Blocking{b.Part, 0, b.Count, b.Remaining})
 	return true
 }
--- a/loadshare/crashes_test.go
+++ b/loadshare/crashes_test.go
@@ -59,6 +59,6 @@
 		deliver(t, s, r, true, now)
 	}
 	later := now.Add(time.Second)
-	assert.Equal(t, len(other.Evaluate(instant(later))), 30, "a lost report")
+	assert.Equal(t, len(other.Evaluate(instant(later)).Blocked), 30, "a lost report")
 	assert.Assert(t, other.Blocked([]directory.Part{{ID: 7}}, instant(later)) > 0)
 }
--- a/server/node/crashes.go
+++ b/server/node/crashes.go
@@ -22,6 +22,7 @@
 const (
 	fieldPart    = "part"
 	fieldCrashes = "crashes"
+	fieldBlocks  = "blocks"
 )
 
 // crashDetector tells crashed engines from broken connections and feeds the crashes to a guard,
@@ -80,13 +81,25 @@
 func (d *crashDetector) run(ctx context.Context) {
 	defer d.checks.Release()
 	for daemon.Sleep(ctx, crashguard.EvaluateInterval) {
-		for _, b := range d.guard.Evaluate(clock.Now()) {
-			d.log.WithFields(logrus.Fields{
-				fieldPart: strconv.FormatUint(b.Part, 16), fieldCrashes: b.Crashes, fieldPause: millis(b.For),
-			}).Warn("prompt part blocked: engines crash under its requests")
+		decided := d.guard.Evaluate(clock.Now())
+		for _, b := range decided.Blocked {
+			d.logBlock(b).WithField(fieldCrashes, b.Crashes).Warn("prompt part blocked: engines crash under its requests")
+		}
+		for _, b := range decided.Learned {
+			d.logBlock(b).Info("prompt part blocked by another node")
+		}
+		for _, p := range decided.Ended {
+			d.log.WithField(fieldPart, formatPart(p)).Info("block of a prompt part ended")
 		}
 		if d.guard.Pending() {
 			d.notify()
 		}
 	}
 }
+
+func (d *crashDetector) logBlock(b crashguard.Blocking) *logrus.Entry {
+	return d.log.WithFields(logrus.Fields{fieldPart: formatPart(b.Part), fieldBlocks: b.Count, fieldPause: millis(b.For)})
+}
+
+// formatPart returns the ID of a prompt part as on the wire.
+func formatPart(id uint64) string { return strconv.FormatUint(id, 16) }
