node: blocks of prompt parts outlive the restart of all nodes

A block was kept only by the nodes and their exchange. When all nodes that know it stop or are killed together, the part crashes three more engines before it is blocked again.

The node that blocks a part records it in the keyed topic lentilpick-blocks, retries while the store does not answer, and removes the record when the block ends. A node that starts lists the topic once, without delaying its start, and takes the blocks over for the length of their last block.

TestBlockOutlivesRestartOfAllNodes fails without the list of the records. A node costs one more read of the store at its start.

--- a/crashguard/guard.go
+++ b/crashguard/guard.go
@@ -209,6 +209,8 @@
 	// Count is the number of blocks of the part so far.
 	Count int
 	For   time.Duration
+	// Restored is set for a block that was restored.
+	Restored bool
 }
 
 // Decisions are what a Guard has decided.
@@ -234,7 +236,7 @@
 		}
 		b := g.block(part, now)
 		g.outbox.newBlocks = append(g.outbox.newBlocks, part)
-		g.decisions.Blocked = append(g.decisions.Blocked, Blocking{part, crashes, b.count, b.until.Sub(now)})
+		g.decisions.Blocked = append(g.decisions.Blocked, Blocking{Part: part, Crashes: crashes, Count: b.count, For: b.until.Sub(now)})
 		changed = true
 	}
 	for p, b := range g.blocks {
--- a/crashguard/guard_test.go
+++ b/crashguard/guard_test.go
@@ -47,7 +47,7 @@
 	assert.Equal(t, len(g.Evaluate(at.Add(settleTime/2)).Blocked), 0, "answers of other daemons may be on their way")
 	at = at.Add(settleTime)
 	blocked := g.Evaluate(at).Blocked
-	assert.DeepEqual(t, blocked, []Blocking{{bad, minCrashes, 1, firstBlock}})
+	assert.DeepEqual(t, blocked, []Blocking{{Part: bad, Crashes: minCrashes, Count: 1, For: firstBlock}})
 	assert.Equal(t, g.Blocked(prompt(7, bad), at), firstBlock)
 	assert.Equal(t, g.Blocked(prompt(shared), at), time.Duration(0))
 	assert.Equal(t, g.BlockedParts(at), 1)
@@ -116,7 +116,7 @@
 	}
 	at = crashAll(other, 1, at, bad)
 	blocked := other.Evaluate(at).Blocked
-	assert.DeepEqual(t, blocked, []Blocking{{bad, 1, 2, 2 * firstBlock}})
+	assert.DeepEqual(t, blocked, []Blocking{{Part: bad, Crashes: 1, Count: 2, For: 2 * firstBlock}})
 	exchange(other, g, at)
 	assert.Equal(t, g.Blocked(prompt(bad), at), 2*firstBlock)
 }
--- a/crashguard/update.go
+++ b/crashguard/update.go
@@ -196,6 +196,21 @@
 	}
 }
 
+// Restore blocks a part that was blocked before this daemon started, for as long as its last
+// block lasted. count is the number of blocks by then. The time that has passed since is not
+// known: no clock is common to the daemons of two times.
+func (g *Guard) Restore(part uint64, count int, now clock.Instant) {
+	if count < 1 {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.applyBlock(Block{Part: part, Remaining: blockTime(count - 1), Count: count}, now) {
+		g.decisions.Learned[len(g.decisions.Learned)-1].Restored = true
+		g.publishBlocks(now)
+	}
+}
+
 // applyBlock takes over a block and reports whether it was not known. A known one keeps its
 // end: its end as told by another daemon is later by the time on the way, so that daemons that
 // take the later one would extend it forever.
@@ -209,6 +224,6 @@
 	}
 	g.forgetBlocks()
 	g.blocks[b.Part] = &block{until: now.Add(b.Remaining), count: b.Count, lastCrash: lastCrash}
-	g.decisions.Learned = append(g.decisions.Learned, Blocking{b.Part, 0, b.Count, b.Remaining})
+	g.decisions.Learned = append(g.decisions.Learned, Blocking{Part: b.Part, Count: b.Count, For: b.Remaining})
 	return true
 }
--- a/server/node/crashes.go
+++ b/server/node/crashes.go
@@ -36,7 +36,11 @@
 	reachable func(*directory.Target) bool
 	// notify publishes new evidence to the other nodes.
 	notify func()
-	limit  lineLimit
+	// blocks receives the changes of blocks that have to be recorded in the store.
+	blocks chan blockChange
+	// recorded are the parts whose records this node has written or read. It is used by run.
+	recorded map[uint64]struct{}
+	limit    lineLimit
 }
 
 func newCrashDetector(log *logrus.Entry, c *counters, notify func()) (*crashDetector, error) {
@@ -44,7 +48,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &crashDetector{log: log, counters: c, guard: crashguard.New(), checks: checks, notify: notify, limit: lineLimit{rate: signalLogRate}}, nil
+	return &crashDetector{log: log, counters: c, guard: crashguard.New(), checks: checks, notify: notify,
+		blocks: make(chan blockChange, blockQueueLength), recorded: map[uint64]struct{}{}, limit: lineLimit{rate: signalLogRate}}, nil
 }
 
 // Blocked implements gateway.CrashGuard.
@@ -84,12 +89,19 @@
 		decided := d.guard.Evaluate(clock.Now())
 		for _, b := range decided.Blocked {
 			d.logBlock(b).WithField(fieldCrashes, b.Crashes).Warn("prompt part blocked: engines crash under its requests")
+			d.record(blockChange{part: b.Part, blocks: b.Count})
 		}
 		for _, b := range decided.Learned {
 			d.logBlock(b).Info("prompt part blocked by another node")
+			if b.Restored {
+				d.recorded[b.Part] = struct{}{}
+			}
 		}
 		for _, p := range decided.Ended {
 			d.log.WithField(fieldPart, formatPart(p)).Info("block of a prompt part ended")
+			if _, ok := d.recorded[p]; ok {
+				d.record(blockChange{part: p})
+			}
 		}
 		if d.guard.Pending() {
 			d.notify()
--- a/server/node/crashes_test.go
+++ b/server/node/crashes_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -10,8 +11,10 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"github.com/lentilpick/lentilpick/clock"
 	"github.com/lentilpick/lentilpick/daemon"
 	"github.com/lentilpick/lentilpick/directory"
+	"github.com/lentilpick/lentilpick/platform"
 	"github.com/lentilpick/lentilpick/platform/standin"
 )
 
@@ -85,3 +88,28 @@
 		assert.Equal(t, d.guard.KnownCrash(engine.Lifetime()), !reachable)
 	}
 }
+
+// Guards against blocked parts that crash engines again after all nodes have restarted at the
+// same time, and against records that remain when a block was lifted.
+func TestBlockOutlivesRestartOfAllNodes(t *testing.T) {
+	w := newEnvWithNode(t, 0)
+	w.configure()
+	w.awaitReady()
+	part := []directory.Part{{ID: 0xbad}}
+	for i := range 3 {
+		w.node.crashes.guard.RecordCrash(directory.Lifetime{Target: uint64(i)}, part, clock.Now())
+	}
+	records := platform.Keyed(platform.NewStore(w.store.Address()), blocksTopic, decodeBlock)
+	recorded := func() bool {
+		l, err := records.List(context.Background())
+		assert.NilError(t, err)
+		return len(l.Items) == 1 && l.Items[0].Value != nil && l.Items[0].Value.part == 0xbad
+	}
+	w.waitFor("the block is not recorded", recorded)
+	w.stop()
+	w.startNode(0)
+	w.awaitReady()
+	w.waitFor("the block is not restored", func() bool { return w.node.crashes.Blocked(part) > 0 })
+	w.node.crashes.RecordAnswer(part)
+	w.waitFor("the record is not removed", func() bool { return !recorded() })
+}
--- a/server/node/node.go
+++ b/server/node/node.go
@@ -344,6 +344,8 @@
 	go n.exchanger.Run(ctx)
 	go n.watchTargets(ctx)
 	go n.crashes.run(ctx)
+	go n.crashes.recordBlocks(ctx, n.store)
+	go n.crashes.restoreBlocks(ctx, platform.Keyed(n.store, blocksTopic, decodeBlock))
 	go followFeed(ctx, n.newSharedFeed(feedConfig, 0, n.settings.ConfigurationWait), n.store.Configurations(), &configHandler{
 		outageLogger: source("configuration"), gateway: n.gateway, onLoaded: func() { n.configLoaded.Store(true) },
 		readState: func() loadshare.ReadState { return n.exchanger.ReadState(feedConfig, clock.Now()) },
