gateway: a stream that ends without an event is truncated

A response with neither a length nor chunks ends with its connection. If the engine crashes before its first event, the response is an empty stream: callers got it as a complete success, and it would count as proof that a prompt part which crashes engines is sound.

A stream for which the caller allows output, and that resumes no earlier one, is truncated if it ends without an event. TestStreamThatEndsWithoutAnEvent failed before with the outcome answered.

--- a/gateway/faults_test.go
+++ b/gateway/faults_test.go
@@ -105,6 +105,22 @@
 
 func (*panickingResponse) Read([]byte) (int, error) { panic("read") }
 
+// Guards against an engine that crashes before its first event and whose response, which has
+// no length, counts as a complete empty stream and as proof that the prompt is sound.
+func TestStreamThatEndsWithoutAnEvent(t *testing.T) {
+	w, f := newGuardedGateway()
+	w.targets.send = func(context.Context, *Call) (Response, error) { return &fakeResponse{status: 200}, nil }
+	res, caller := w.serve(context.Background(), "/chat/x")
+	assert.Equal(t, outcomeText(res.Outcome), "unknown answer_truncated")
+	assert.Assert(t, !caller.ended)
+	assert.Equal(t, f.broken, 1)
+	assert.Equal(t, f.answered, 0)
+	res = w.g.Serve(context.Background(), &Request{
+		ID: "r", Host: "h", Path: "/chat/x", Arrived: time.Now(), ResumeAfter: "6", Prompt: &placement.Prompt{Tokens: 1000, MaxOutputTokens: 20},
+	}, caller)
+	assert.Equal(t, outcomeText(res.Outcome), "answered", "a stream that is resumed after its last event")
+}
+
 // Guards against a panic that ends the process, leaves work in the load of a target or reports a
 // request that may have run as not run.
 func TestPanicEndsOneRequest(t *testing.T) {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -491,11 +491,14 @@
 
 // finish passes the end of a complete stream. A response without a length ends with its
 // connection, also if the target crashes, so that an incomplete last event means that the
-// stream is truncated.
+// stream is truncated. So does a stream without any event, unless it resumes an earlier one.
 func (s *stream) finish(resp Response, rest []byte) error {
 	if len(rest) > 0 {
 		return fmt.Errorf("stream ends within an event: %w", ErrInvalidResponse)
 	}
+	if p := s.r.Prompt; p != nil && p.MaxOutputTokens > 0 && s.events == 0 && s.lastEvent == "" {
+		return fmt.Errorf("stream ends without an event: %w", ErrInvalidResponse)
+	}
 	if !s.started {
 		if err := s.forward(resp, nil); err != nil {
 			return err
--- a/tools/mutations/faults.go
+++ b/tools/mutations/faults.go
@@ -103,6 +103,7 @@
 	{"crashes: blocks are not repeated", "crashguard/update.go", "	if full {\n		u.Blocks", "	if false {\n		u.Blocks", "crashguard TestNewDaemonLearnsBlocks"},
 	{"crashes: evidence is not exchanged", share, "	e.crashes.Apply(&m.crashes, at)\n", "", "loadshare TestCrashEvidenceReachesOthers"},
 	{"crashes: reports are not repeated", "crashguard/update.go", "r := &o.reports[i]; full || r.published == 0", "r := &o.reports[i]; r.published == 0", "loadshare TestCrashEvidenceReachesOthers"},
+	{"gateway: stream without an event is complete", "gateway/stream.go", "p.MaxOutputTokens > 0 && s.events == 0", "p.MaxOutputTokens > 0 && s.events < 0", "gateway TestStreamThatEndsWithoutAnEvent"},
 	{"crashes: blocks are not restored", "server/node/blocks.go", "		d.guard.Restore(i.Value.part, i.Value.Blocks, clock.Now())\n", "		_ = clock.Now\n", "server/node TestBlockOutlivesRestartOfAllNodes"},
 	{"crashes: records of ended blocks remain", "server/node/crashes.go", "if _, ok := d.recorded[p]; ok {", "if _, ok := d.recorded[p]; ok && false {", "server/node TestBlockOutlivesRestartOfAllNodes"},
 }
