--- a/directory/load.go
+++ b/directory/load.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/lentilpick/lentilpick/clock"
+	"github.com/lentilpick/lentilpick/ratelimit"
 )
 
 // Work is an amount of work on one target, or a difference of two amounts.
@@ -89,6 +90,8 @@
 	// RetryAfter is the time, in nanoseconds of clock.Nanos, before which the target
 	// is avoided because of its failures. It still receives work if there is no other.
 	RetryAfter atomic.Int64
+	// Limit is the limit of requests that the target has declared.
+	Limit ratelimit.Limiter
 	// Cache is this daemon's estimate of the prefix cache of an engine.
 	Cache PrefixTable
 
--- a/server/node/counters.go
+++ b/server/node/counters.go
@@ -27,6 +27,8 @@
 	storeCalls *daemon.ReasonCounter
 	// leaving, pauses and invalidPauses count what targets report about themselves.
 	leaving, pauses, invalidPauses metric.Int64Counter
+	// limits and invalidLimits count the limits that targets declare.
+	limits, invalidLimits metric.Int64Counter
 	// crashes counts the crashes of targets under a request without an event.
 	crashes metric.Int64Counter
 }
@@ -91,6 +93,12 @@
 	if c.leaving, err = m.Meter.Int64Counter("lentilpick_targets_leaving", metric.WithDescription("Targets that declared in a response that they are leaving.")); err != nil {
 		return nil, err
 	}
+	if c.limits, err = m.Meter.Int64Counter("lentilpick_limits", metric.WithDescription("Limits of requests that targets have declared to this node.")); err != nil {
+		return nil, err
+	}
+	if c.invalidLimits, err = m.Meter.Int64Counter("lentilpick_invalid_limits", metric.WithDescription("Declared limits that were ignored because they are not valid.")); err != nil {
+		return nil, err
+	}
 	if c.crashes, err = m.Meter.Int64Counter("lentilpick_crashes", metric.WithDescription("Requests without an event whose target crashed.")); err != nil {
 		return nil, err
 	}
--- a/server/node/node.go
+++ b/server/node/node.go
@@ -205,6 +205,7 @@
 		n.metrics.Gauge("lentilpick_bad_messages", "Messages from other nodes that could not be decoded.", n.exchanger.Malformed),
 		n.metrics.Gauge("lentilpick_hub_takeovers", "Hubs of the exchange of load that this node has passed over because they were silent.", n.exchanger.HubTakeovers),
 		n.metrics.Gauge("lentilpick_relay_dropped", "Messages of other nodes that were not forwarded because too many were pending.", n.exchanger.RelayDropped),
+		n.metrics.Gauge("lentilpick_limited_targets", "Targets that have declared a limit of requests.", n.limitedTargets),
 		n.metrics.Gauge("lentilpick_blocked_parts", "Prompt parts whose requests are refused because they crash engines.", func() int64 { return int64(n.crashes.guard.BlockedParts(clock.Now())) }),
 		n.metrics.Gauge("lentilpick_news_told", "Feed updates that were published to other nodes.", n.exchanger.UpdatesPublished),
 		n.metrics.Gauge("lentilpick_news_missed", "Feed updates from other nodes that could not be applied, so that the changes were read from the store.", n.exchanger.UpdatesMissed),
@@ -219,6 +220,15 @@
 	)
 }
 
+func (n *Node) limitedTargets() (limited int64) {
+	n.directory.Load().All(func(t *directory.Target) {
+		if t.Load.Limit.Limited() {
+			limited++
+		}
+	})
+	return limited
+}
+
 // setPeers replaces the list of the other nodes.
 func (n *Node) setPeers(members []Member) {
 	n.peers.Store(&members)
--- a/server/node/signals.go
+++ b/server/node/signals.go
@@ -6,6 +6,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/lentilpick/lentilpick/clock"
 	"github.com/lentilpick/lentilpick/daemon"
 	"github.com/lentilpick/lentilpick/directory"
 )
@@ -58,11 +59,35 @@
 	}
 }
 
+// HandleLimit implements platform.SignalHandler.
+func (s *targetSignals) HandleLimit(t *directory.Target, perSecond float64, limited bool) {
+	if !t.Load.Limit.Declare(perSecond, limited, clock.Nanos(time.Now())) {
+		return
+	}
+	log := s.log.WithFields(logrus.Fields{daemon.FieldTarget: t.ID, daemon.FieldService: t.Service})
+	if limited {
+		s.counters.limits.Add(context.Background(), 1)
+		log.WithField(fieldLimit, perSecond).Info("target declares a limit")
+	} else {
+		log.Info("target ends its limit")
+	}
+}
+
+// HandleInvalidLimit implements platform.SignalHandler.
+func (s *targetSignals) HandleInvalidLimit(t *directory.Target, value string) {
+	s.counters.invalidLimits.Add(context.Background(), 1)
+	if s.mayLog() {
+		s.log.WithFields(logrus.Fields{daemon.FieldTarget: t.ID, "value": truncate(value, maxLoggedValue)}).Warn("target declares a limit that is not valid; ignored")
+	}
+}
+
 func (s *targetSignals) mayLog() bool { return s.limit.take(1) }
 
 const (
 	// fieldPause is the length of a requested pause.
 	fieldPause = "pause_ms"
+	// fieldLimit is a declared limit in requests per second.
+	fieldLimit = "limit_per_s"
 	// maxLoggedValue is the maximum length of a header value in the log, in bytes.
 	maxLoggedValue = 40
 )
