ratelimit, gateway, loadshare: nodes share the limit that a target declares

A target that named a limit got as many requests as any other of its role: nothing read the limit, and a node that keeps to it alone would not keep the sum of all nodes below it.

Each node holds a schedule per target (GCRA), which its own requests advance when they are reserved and those of the other nodes when their load messages count them (Work.Sent). Limits travel with the load messages, with the age of the statement, for one lifetime of the target. A choice costs the time until the target takes another request; a request waits up to 0.3 s within its objective and is refused at once otherwise (targets_rate_limited). The decode is reserved before its prefill. Requests of the node itself pass the same schedule.

--- a/directory/declared.go
+++ b/directory/declared.go
@@ -32,6 +32,22 @@
 	return time.Duration(max(l.pauseRequestedUntil.Load()-clock.Nanos(now), 0))
 }
 
+// Reserve reserves a request to the target under its declared limit and returns how long the
+// request has to wait.
+func (l *Load) Reserve(now time.Time) time.Duration {
+	l.Local.Add(Work{Sent: 1})
+	return l.Limit.Reserve(clock.Nanos(now))
+}
+
+// TryReserve reserves a request that must not wait, and reports whether the limit allows it.
+func (l *Load) TryReserve(now time.Time) bool {
+	if !l.Limit.TryReserve(clock.Nanos(now)) {
+		return false
+	}
+	l.Local.Add(Work{Sent: 1})
+	return true
+}
+
 // maxLeft bounds the remembered lifetimes. A service of 11,000 targets that are all
 // replaced within a day loses no declaration within the time that a target takes to leave.
 const maxLeft = 4096
--- a/directory/load.go
+++ b/directory/load.go
@@ -24,18 +24,24 @@
 	// KVInserted is the total number of tokens ever inserted into the KV cache, by
 	// prefill or by transfer from another engine. It only grows.
 	KVInserted int64
+	// Sent is the total number of requests that were sent to the target or have a reserved
+	// time to be sent. It only grows.
+	Sent int64
 }
 
-// InProgress returns w without the cumulative KVInserted.
+// InProgress returns w without the totals, which only grow.
 func (w Work) InProgress() Work {
-	w.KVInserted = 0
+	w.KVInserted, w.Sent = 0, 0
 	return w
 }
 
+// Totals returns the totals in w, which only grow.
+func (w Work) Totals() Work { return Work{KVInserted: w.KVInserted, Sent: w.Sent} }
+
 // Counters accumulates Work. It is safe for concurrent use; each field is updated
 // atomically on its own.
 type Counters struct {
-	requests, prefillTokens, prefillPrompts, streams, streamTokens, kvInserted atomic.Int64
+	requests, prefillTokens, prefillPrompts, streams, streamTokens, kvInserted, sent atomic.Int64
 }
 
 // Add adds w.
@@ -46,6 +52,7 @@
 	addTo(&c.streams, w.Streams)
 	addTo(&c.streamTokens, w.StreamTokens)
 	addTo(&c.kvInserted, w.KVInserted)
+	addTo(&c.sent, w.Sent)
 }
 
 func addTo(a *atomic.Int64, n int64) {
@@ -58,6 +65,7 @@
 func (c *Counters) Load() Work {
 	return Work{
 		c.requests.Load(), c.prefillTokens.Load(), c.prefillPrompts.Load(), c.streams.Load(), c.streamTokens.Load(), c.kvInserted.Load(),
+		c.sent.Load(),
 	}
 }
 
@@ -66,6 +74,7 @@
 	return Work{
 		w.Requests - v.Requests, w.PrefillTokens - v.PrefillTokens, w.PrefillPrompts - v.PrefillPrompts,
 		w.Streams - v.Streams, w.StreamTokens - v.StreamTokens, w.KVInserted - v.KVInserted,
+		w.Sent - v.Sent,
 	}
 }
 
@@ -74,6 +83,7 @@
 	return Work{
 		w.Requests + v.Requests, w.PrefillTokens + v.PrefillTokens, w.PrefillPrompts + v.PrefillPrompts,
 		w.Streams + v.Streams, w.StreamTokens + v.StreamTokens, w.KVInserted + v.KVInserted,
+		w.Sent + v.Sent,
 	}
 }
 
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -37,6 +37,7 @@
 	timeToFirst   time.Duration
 	status        int // of the response that was passed to the caller
 	retryAfter    time.Duration
+	reserved      reservedTime
 	buffered      int64 // bytes of buffered responses
 	decisions     []Event
 	lastTarget    types.TargetID
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -28,6 +28,9 @@
 		if c.Target == nil {
 			return x.noTarget()
 		}
+		if o := x.awaitLimit(c.Target); o != nil {
+			return o
+		}
 		resp, body, err := x.callPlain(c)
 		if err == nil && (resp.Status() < http.StatusInternalServerError || !x.mayRetry(errorResponse, false)) {
 			return x.writeResponse(resp, body)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -122,6 +122,17 @@
 	if err := s.checkOverload(p); err != nil {
 		return err
 	}
+	d, err := s.checkLimits(p)
+	if err != nil {
+		return err
+	}
+	if err := s.awaitLimit(p.Target); err != nil {
+		return err
+	}
+	// Reserved before the prefill, which would be in vain without it.
+	if d != nil && d.Load.Limit.Limited() {
+		s.reserveTime(d)
+	}
 	if err := s.prefill(p); err != nil {
 		s.prefillFailed = true
 		return err
@@ -269,9 +280,10 @@
 // decode runs the request from the KV cache of the prefill.
 func (s *stream) decode() error {
 	h := s.handle
-	choice := s.pickTarget(placement.GeneratesTokens{}, placement.DecodeScorer{
-		Costs: s.costs(), Speed: s.speed(), Engine: *s.service.Engine, Link: s.kvLink(), SourceDataCentre: h.Target.DataCentre,
-	})
+	choice := s.reservedDecode()
+	if choice.Target == nil {
+		choice = s.pickDecode(h.Target.DataCentre)
+	}
 	if choice.Target == nil {
 		return &outcomeError{s.noTarget()}
 	}
@@ -288,6 +300,24 @@
 	return err
 }
 
+func (s *stream) decodeScorer(source types.DataCentreID) placement.DecodeScorer {
+	return placement.DecodeScorer{Costs: s.costs(), Speed: s.speed(), Engine: *s.service.Engine, Link: s.kvLink(), SourceDataCentre: source}
+}
+
+// pickDecode returns the engine for a decode from KV cache in a data centre.
+func (s *stream) pickDecode(source types.DataCentreID) placement.Choice {
+	return s.pickTarget(placement.GeneratesTokens{}, s.decodeScorer(source))
+}
+
+// reservedDecode returns the engine for which a time is reserved, if it is still available.
+func (s *stream) reservedDecode() placement.Choice {
+	t := s.reserved.target
+	if t == nil {
+		return placement.Choice{}
+	}
+	return placement.Pick([]*directory.Target{t}, s.placementRequest(), placement.GeneratesTokens{}, s.decodeScorer(s.handle.Target.DataCentre))
+}
+
 // runCombined runs the complete request on one target.
 func (s *stream) runCombined(filter placement.Filter, scorer placement.Scorer) error {
 	c := s.pickTarget(filter, scorer)
@@ -308,6 +338,9 @@
 // run sends the request and passes its events to the caller.
 func (s *stream) run(choice placement.Choice, call *Call) error {
 	t := choice.Target
+	if err := s.awaitLimit(t); err != nil {
+		return err
+	}
 	load := directory.Work{Requests: 1}
 	if s.r.Prompt != nil {
 		load.StreamTokens = int64(s.r.Prompt.Tokens + s.r.Prompt.MaxOutputTokens)
--- a/loadshare/crashes.go
+++ b/loadshare/crashes.go
@@ -61,7 +61,7 @@
 }
 
 func appendMillis(b []byte, d time.Duration) []byte {
-	return binary.AppendUvarint(b, uint64((max(d, 0)+time.Millisecond-1)/time.Millisecond))
+	return binary.AppendUvarint(b, uint64(min((max(d, 0)+time.Millisecond-1)/time.Millisecond, maxMillis)))
 }
 
 func decodeCrashes(r *fieldReader) (u crashguard.Update) {
@@ -91,8 +91,8 @@
 	return n
 }
 
-// maxMillis bounds a decoded duration.
-const maxMillis = int64(24 * time.Hour / time.Millisecond)
+// maxMillis bounds an encoded duration.
+const maxMillis = 24 * time.Hour / time.Millisecond
 
 // millis reads a duration in milliseconds.
 func (r *fieldReader) millis() time.Duration {
--- a/loadshare/message.go
+++ b/loadshare/message.go
@@ -21,7 +21,7 @@
 
 const (
 	magic      = 0x6c
-	version    = 6
+	version    = 7
 	headerSize = 3 + 8 + 8
 	// flagsAt is the index of the flags byte in a datagram.
 	flagsAt = 2
@@ -34,6 +34,8 @@
 	// maxDemand bounds the services in one message. Deployments have a few services with
 	// engines.
 	maxDemand = 4
+	// maxLimits bounds the limits of targets in one message.
+	maxLimits = 4
 	// maxLeaving bounds the lifetimes of leaving targets in one message.
 	maxLeaving = 4
 )
@@ -65,6 +67,7 @@
 	claims    [Feeds]claim
 	updates   []feedUpdate
 	leaving   []directory.Lifetime
+	limits    []targetLimit
 	crashes   crashguard.Update
 	demand    []serviceDemand
 	loads     []targetLoad
@@ -106,6 +109,7 @@
 		b = binary.BigEndian.AppendUint64(b, l.Target)
 		b = binary.BigEndian.AppendUint64(b, uint64(l.StartedAt))
 	}
+	b = appendLimits(b, m.limits)
 	b = appendCrashes(b, &m.crashes)
 	b = append(b, byte(len(m.demand)))
 	for _, d := range m.demand {
@@ -145,7 +149,7 @@
 func appendTargetLoad(b []byte, l *targetLoad) []byte {
 	b = binary.BigEndian.AppendUint64(b, l.target)
 	w := l.work
-	for _, v := range []int64{w.Requests, w.PrefillTokens, w.PrefillPrompts, w.Streams, w.StreamTokens, w.KVInserted} {
+	for _, v := range []int64{w.Requests, w.PrefillTokens, w.PrefillPrompts, w.Streams, w.StreamTokens, w.KVInserted, w.Sent} {
 		b = binary.AppendUvarint(b, uint64(max(v, 0)))
 	}
 	n := byte(len(l.parts))
@@ -174,7 +178,7 @@
 	*m = message{
 		sender: binary.BigEndian.Uint64(b[3:]), start: binary.BigEndian.Uint64(b[11:]),
 		relay: flags&flagRelay != 0, full: flags&flagFull != 0, hasClaims: flags&flagClaims != 0,
-		leaving: m.leaving[:0], demand: m.demand[:0], loads: m.loads[:0],
+		leaving: m.leaving[:0], limits: m.limits[:0], demand: m.demand[:0], loads: m.loads[:0],
 	}
 	r := fieldReader{b: b[headerSize:]}
 	m.seq = r.uvarint()
@@ -184,6 +188,7 @@
 	}
 	m.decodeUpdates(&r)
 	m.decodeLeaving(&r)
+	m.decodeLimits(&r)
 	m.crashes = decodeCrashes(&r)
 	m.decodeDemand(&r)
 	if r.malformed {
@@ -242,7 +247,7 @@
 		return l, nil, false
 	}
 	l.target, b = binary.BigEndian.Uint64(b), b[8:]
-	for _, v := range []*int64{&l.work.Requests, &l.work.PrefillTokens, &l.work.PrefillPrompts, &l.work.Streams, &l.work.StreamTokens, &l.work.KVInserted} {
+	for _, v := range []*int64{&l.work.Requests, &l.work.PrefillTokens, &l.work.PrefillPrompts, &l.work.Streams, &l.work.StreamTokens, &l.work.KVInserted, &l.work.Sent} {
 		u, n := binary.Uvarint(b)
 		if n <= 0 || u > maxFieldValue {
 			return l, nil, false
--- a/loadshare/share.go
+++ b/loadshare/share.go
@@ -93,6 +93,10 @@
 	parts   map[uint64][]uint64 // keys of used prompt parts
 	updates []feedUpdate
 	leaving []directory.Lifetime
+	// limits are targets whose limits have to be published. limited are those that have declared
+	// a limit to this daemon, which full states repeat in turn from nextLimited on.
+	limits, limited []uint64
+	nextLimited     int
 	// nextLeaving is the position in the list of all leaving targets from which the next
 	// full state repeats some.
 	nextLeaving int
@@ -370,11 +374,12 @@
 			o.changed[h] = struct{}{}
 		}
 		o.repeatLeaving(e.directory)
+		o.repeatLimits(e.directory.Load())
 	}
 	for h := range o.parts {
 		o.changed[h] = struct{}{}
 	}
-	if len(o.changed) == 0 && len(o.updates) == 0 && len(o.leaving) == 0 && !e.crashes.Pending() && !full {
+	if len(o.changed) == 0 && len(o.updates) == 0 && len(o.leaving) == 0 && len(o.limits) == 0 && !e.crashes.Pending() && !full {
 		return nil
 	}
 	var loads []targetLoad
@@ -445,7 +450,7 @@
 // encode encodes messages with the loads and the pending updates and leaving targets of
 // the outbox. full indicates that the loads include all work in progress.
 func (e *Exchanger) encode(full bool, loads []targetLoad) (out [][]byte) {
-	updates, leaving := e.outbox.updates, e.outbox.leaving
+	updates, leaving, limits := e.outbox.updates, e.outbox.leaving, e.takeLimits()
 	e.outbox.updates, e.outbox.leaving = nil, nil
 	now := e.now()
 	crashes := e.crashes.Outgoing(full, now)
@@ -462,6 +467,8 @@
 		}
 		m.leaving = leaving[:min(len(leaving), maxLeaving)]
 		leaving = leaving[len(m.leaving):]
+		m.limits = limits[:min(len(limits), maxLimits)]
+		limits = limits[len(m.limits):]
 		m.hasClaims = full || len(m.updates) > 0
 		if full {
 			m.demand = e.ownDemand()
@@ -476,7 +483,7 @@
 		return m.appendHeader(make([]byte, 0, 256))
 	}
 	b := header()
-	for len(updates) > 0 || len(leaving) > 0 || !crashes.Empty() || e.crashes.Pending() {
+	for len(updates) > 0 || len(leaving) > 0 || len(limits) > 0 || !crashes.Empty() || e.crashes.Pending() {
 		out = append(out, b)
 		if crashes.Empty() {
 			crashes = e.crashes.Outgoing(false, now)
@@ -499,7 +506,7 @@
 }
 
 // maxTargetLoadBytes bounds an encoded targetLoad.
-const maxTargetLoadBytes = 8 * (maxParts + 7)
+const maxTargetLoadBytes = 8 * (maxParts + 8)
 
 // ownDemand returns the demand of the callers of this daemon.
 func (e *Exchanger) ownDemand() (out []serviceDemand) {
@@ -598,6 +605,7 @@
 	}
 	e.crashes.Apply(&m.crashes, at)
 	snapshot := e.directory.Load()
+	applyLimits(snapshot, m.limits, now)
 	for _, l := range m.leaving {
 		if t := snapshot.ByHash(l.Target); t == nil || t.Lifetime() != l || !t.Load.DeclaredLeaving() {
 			e.directory.DeclareLeaving(l)
@@ -637,6 +645,7 @@
 
 // apply applies the reported load of a target and returns the prompt parts that it has used.
 func (p *peerState) apply(load *directory.Load, reported *targetLoad, now time.Time) []directory.Part {
+	load.Limit.Charge(p.newlySent(load, reported), clock.Nanos(now))
 	p.set(load, reported.target, reported.work)
 	if reported.stalled {
 		load.PauseUntil(now.Add(suspectPause))
@@ -652,6 +661,15 @@
 	return parts
 }
 
+// newlySent returns how many requests the daemon has sent to a target since its last message. Of
+// a target on which this daemon knows no work of it, one counts: the total may be of long ago.
+func (p *peerState) newlySent(load *directory.Load, reported *targetLoad) int64 {
+	if old := p.applied[reported.target]; old.load == load {
+		return reported.work.Sent - old.work.Sent
+	}
+	return min(reported.work.Sent, 1)
+}
+
 // set replaces the work of the daemon on a target.
 func (p *peerState) set(load *directory.Load, target uint64, w directory.Work) {
 	old := p.applied[target]
@@ -673,7 +691,7 @@
 	for target := range p.active {
 		if !slices.ContainsFunc(loads, func(l targetLoad) bool { return l.target == target }) {
 			a := p.applied[target]
-			p.set(a.load, target, directory.Work{KVInserted: a.work.KVInserted})
+			p.set(a.load, target, a.work.Totals())
 		}
 	}
 }
--- a/loadshare/share_test.go
+++ b/loadshare/share_test.go
@@ -199,6 +199,7 @@
 	m.updates = []feedUpdate{{1, feed.Update{Since: 3, Next: 9, Records: []feed.Record{{Key: "k", Value: []byte("v"), Next: 9}}}}}
 	f.Add(m.appendHeader(nil))
 	m.crashes = fillUpdate()
+	m.limits = []targetLimit{{target: m.leaving[0], limited: true, perSecond: 6.5, age: time.Second}, {target: m.leaving[0]}}
 	f.Add(m.appendHeader(nil))
 	f.Add([]byte{magic, version})
 	f.Add([]byte(nil))
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"github.com/lentilpick/lentilpick/clock"
 	"github.com/lentilpick/lentilpick/directory"
 	"github.com/lentilpick/lentilpick/routes"
 	"github.com/lentilpick/lentilpick/types"
@@ -54,6 +55,8 @@
 	// Wait is the predicted queueing time on the target. Run is the predicted time
 	// from the start of execution to the first result.
 	Wait, Run time.Duration
+	// RateDelay is the time until the target takes another request by its declared limit.
+	RateDelay time.Duration
 	// UncachedTokens is the number of prompt tokens that the target has to prefill.
 	// PrefillWork is the work of this prefill including attention, in tokens.
 	UncachedTokens int
@@ -80,6 +83,8 @@
 			continue
 		}
 		c := s.Score(r, t)
+		c.RateDelay = t.Load.Limit.Delay(clock.Nanos(r.Now))
+		c.Cost += c.RateDelay
 		rank := mix(t.Hash ^ r.Hash)
 		if c.Cost < best.Cost || c.Cost == best.Cost && rank > bestRank {
 			best, bestRank = c, rank
@@ -126,6 +131,11 @@
 	return shortest
 }
 
+// AnyLimited reports whether one of the targets that the filter accepts has declared a limit.
+func AnyLimited(targets []*directory.Target, r *Request, f Filter) bool {
+	return slices.ContainsFunc(targets, func(t *directory.Target) bool { return t.Load.Limit.Limited() && f.Accept(r, t) })
+}
+
 // HasRole accepts the available engines of one role.
 type HasRole types.Role
 
--- a/server/entry/answer.go
+++ b/server/entry/answer.go
@@ -123,6 +123,7 @@
 	types.RefusedCallerGone:        "the caller closed the connection",
 	types.RefusedInternal:          "the daemon failed to serve the request",
 	types.RefusedCrashingPrompt:    "a part of the prompt crashes targets; send it again later",
+	types.RefusedRateLimited:       "the targets take no more requests for now; send it again later",
 	types.RefusedTargetsPaused:     "all targets have asked for a pause; send it again later",
 	types.RefusedTargetLimit:       "all targets have as many requests as they can serve in time; send it again later",
 }
--- a/server/node/node.go
+++ b/server/node/node.go
@@ -135,7 +135,7 @@
 	}
 	n.exchanger.ExchangeCrashes(n.crashes.guard)
 	o := newObserver(log, c, s.SampleEvery, s.LogRate)
-	n.targets = platform.NewTargets(newTargetSignals(log, c, n.directory, n.exchanger.NotifyLeaving))
+	n.targets = platform.NewTargets(newTargetSignals(log, c, n.directory, n.exchanger.NotifyLeaving, n.exchanger.NotifyLimit))
 	n.crashes.reachable = n.targets.Reachable
 	n.gateway = gateway.New(n.gatewaySettings(), n.directory, n.targets, n.exchanger, o)
 	n.front, err = platform.NewFront(n.gateway, log, n.badInput(c))
--- a/server/node/signals.go
+++ b/server/node/signals.go
@@ -25,11 +25,13 @@
 	directory *directory.Directory
 	// notify publishes to the other nodes that a target is leaving.
 	notify func(directory.Lifetime)
-	limit  lineLimit
+	// notifyLimit publishes that a target begins or ceases to declare a limit.
+	notifyLimit func(*directory.Target)
+	limit       lineLimit
 }
 
-func newTargetSignals(log *logrus.Entry, c *counters, d *directory.Directory, notify func(directory.Lifetime)) *targetSignals {
-	return &targetSignals{log: log, counters: c, directory: d, notify: notify, limit: lineLimit{rate: signalLogRate}}
+func newTargetSignals(log *logrus.Entry, c *counters, d *directory.Directory, notify func(directory.Lifetime), notifyLimit func(*directory.Target)) *targetSignals {
+	return &targetSignals{log: log, counters: c, directory: d, notify: notify, notifyLimit: notifyLimit, limit: lineLimit{rate: signalLogRate}}
 }
 
 // HandleLeaving implements platform.SignalHandler.
@@ -64,6 +66,7 @@
 	if !t.Load.Limit.Declare(perSecond, limited, clock.Nanos(time.Now())) {
 		return
 	}
+	s.notifyLimit(t)
 	log := s.log.WithFields(logrus.Fields{daemon.FieldTarget: t.ID, daemon.FieldService: t.Service})
 	if limited {
 		s.counters.limits.Add(context.Background(), 1)
--- a/server/node/signals_test.go
+++ b/server/node/signals_test.go
@@ -158,3 +158,38 @@
 	d.Put(e)
 	assert.Assert(t, !d.Load().Target("a").Leaving())
 }
+
+// Guards against nodes that send more requests to a target than it takes from all of them by the
+// limit in its responses (users' day capped, twice the limit), and against a limit that outlives its
+// declaration.
+func TestNodesShareTheLimitOfATarget(t *testing.T) {
+	w := newEnv(t)
+	w.startNode(0)
+	w.configure()
+	w.awaitReady()
+	first := w.url
+	w.vm = "vm2"
+	w.startNode(0)
+	w.awaitReady()
+	const perSecond = 0.5
+	for _, p := range w.plain {
+		p.SetBehaviour(standin.Behaviour{Limit: fmt.Sprint(perSecond)})
+	}
+	began, urls := time.Now(), []string{first, w.url}
+	for i := range 60 {
+		w.url = urls[i%2]
+		w.send(fmt.Sprintf("l%d", i), "/read/x", "")
+	}
+	for _, p := range w.plain {
+		// Each node learns of the limit by a response, and a request may be on its way then.
+		allowed := 4 + 1 + perSecond*time.Since(began).Seconds()
+		assert.Assert(t, float64(p.Requests()) <= allowed, "%d requests, %v allowed", p.Requests(), allowed)
+		p.SetBehaviour(standin.Behaviour{})
+	}
+	assert.Equal(t, w.send("over", "/read/x", "").header.Get("X-Refusal-Reason"), "targets_rate_limited")
+	// The next request that the limit allows shows that it has ended.
+	w.waitFor("the limit has not ended", func() bool { return w.send("after", "/read/x", "").status == http.StatusOK })
+	for i := range 20 {
+		assert.Equal(t, w.send(fmt.Sprintf("e%d", i), "/read/x", "").status, http.StatusOK)
+	}
+}
--- a/types/outcome.go
+++ b/types/outcome.go
@@ -39,6 +39,9 @@
 	RefusedInternal
 	// RefusedCrashingPrompt means that the prompt has a part whose requests crash engines.
 	RefusedCrashingPrompt
+	// RefusedRateLimited means that the targets take no further request in time by the limits
+	// that they have declared.
+	RefusedRateLimited
 	// RefusalReasonCount is the number of reasons, not a reason itself.
 	RefusalReasonCount
 )
@@ -51,6 +54,7 @@
 	"target_failed", "target_silent", "answer_truncated", "caller_gone",
 	"target_limit", "no_configuration", "unknown_route", "timeout",
 	"answer_too_long", "targets_paused", "internal_error", "prompt_crashes_targets",
+	"targets_rate_limited",
 }
 
 // String returns the name used in responses, logs and metrics.
