crashguard: parts that were answered before are blocked after five crashes

Engines that lose power together, or a node that loses its links to several, look like crashes under the parts of the prompts in progress. In a deployment where all prompts share a part, and after more than two seconds without an answer, three engines were enough to refuse all requests for a minute.

A part that turns bad is found two crashes later. Found by reading; TestLossOfSeveralEnginesBlocksNoKnownPart failed before, a mutation undoes the change.

--- a/crashguard/guard.go
+++ b/crashguard/guard.go
@@ -23,6 +23,10 @@
 	// minCrashes is the number of crashes after which a part is blocked. Sound parts are in
 	// progress at one or two crashes by chance.
 	minCrashes = 3
+	// minCrashesAnswered is the same for a part with a known answer. Engines that lose power
+	// together end under the same parts, if these are in most prompts; parts that turn bad are
+	// rarer.
+	minCrashesAnswered = 5
 	// answerMargin is how long before a crash an answer still proves that a part is sound.
 	// Parts in common use are answered several times in it; a part that turns bad is found
 	// that much later.
@@ -300,8 +304,11 @@
 // threshold returns the number of crashes after which a part is blocked: one for a part that
 // was blocked before.
 func (g *Guard) threshold(part uint64) int {
-	if g.blocks[part] != nil {
+	switch {
+	case g.blocks[part] != nil:
 		return 1
+	case g.lastAnswer(part) != 0:
+		return minCrashesAnswered
 	}
 	return minCrashes
 }
--- a/tools/mutations/faults.go
+++ b/tools/mutations/faults.go
@@ -117,4 +117,5 @@
 	{"limits: decode is not reserved", "gateway/stream.go", "if d != nil && d.Load.Limit.Limited() {", "if false {", "gateway TestDecodeIsReservedBeforeThePrefill"},
 	{"limits: targets cost nothing more", "placement/placement.go", "		c.Cost += c.RateDelay\n", "", "gateway TestTargetsWithoutLimitTakeOver"},
 	{"limits: no bound of the wait", "gateway/pacing.go", "delay > max(x.maxPacing(t), 0) {", "delay > 1<<62 {", "gateway TestPlainRequestsKeepToLimits"},
+	{"crashes: answered parts need no more crashes", crashes, "	minCrashesAnswered = 5\n", "	minCrashesAnswered = 3\n", "crashguard TestLossOfSeveralEnginesBlocksNoKnownPart"},
 }
