soak: engines crash under a prompt part

The soak had no fault that depends on what a request holds, so that requests which crash engines passed it. An engine now crashes under the part that all prompts share, and starts again; the requests must be served afterwards.

--- a/cmd/internal/soak/soak.go
+++ b/cmd/internal/soak/soak.go
@@ -120,7 +120,7 @@
 func (s *soak) injectFaults(end time.Time) {
 	faults := []func(d time.Duration){
 		s.killNode, s.pauseNode, s.stopNode, s.degradeStoreLink, s.failStore, s.clearStore,
-		s.degradeTargetLink, s.resetTargetLink, s.degradeTarget, s.drainTarget, s.leaveTarget, s.changeConfiguration, s.dropStoreResponses,
+		s.degradeTargetLink, s.resetTargetLink, s.degradeTarget, s.drainTarget, s.leaveTarget, s.crashEngine, s.changeConfiguration, s.dropStoreResponses,
 	}
 	for time.Now().Before(end) {
 		f := faults[s.rng.IntN(len(faults))]
@@ -304,6 +304,20 @@
 	})
 }
 
+// crashEngine makes a target crash under the next stream, and starts it again under its ID after the
+// duration d. All prompts have the part under which it crashes, and are still served afterwards.
+func (s *soak) crashEngine(d time.Duration) {
+	t := s.deployment.targets[s.randomTarget()]
+	s.markTargetsDisturbed(d)
+	b := healthyBehaviour
+	b.CrashOnPart = standin.SharedPart
+	t.SetBehaviour(b)
+	s.afterFault(d, func() {
+		t.SetBehaviour(healthyBehaviour)
+		s.addError(t.Restart())
+	})
+}
+
 // drainTarget puts a target into the draining state for the duration d.
 func (s *soak) drainTarget(d time.Duration) {
 	t := s.deployment.targets[s.randomTarget()]
