soak: targets declare limits

The soak had no fault that limits requests. A target now declares a limit of 4 requests a second for the time of a fault; its requests must be served within the recovery time afterwards.

--- a/cmd/internal/soak/soak.go
+++ b/cmd/internal/soak/soak.go
@@ -257,14 +257,14 @@
 	s.deployment.targetLinks[s.randomTarget()].reset()
 }
 
-// degradeTarget makes a target refuse, request pauses, fail, hang, truncate streams, break off or
+// degradeTarget makes a target refuse, request pauses, declare a limit, fail, hang, truncate streams, break off or
 // duplicate responses, send parts of events without end, lose KV caches or run 20 times slower for the
 // duration d.
 func (s *soak) degradeTarget(d time.Duration) {
 	t := s.deployment.targets[s.randomTarget()]
 	s.markTargetsDisturbed(d)
 	b := healthyBehaviour
-	switch s.rng.IntN(10) {
+	switch s.rng.IntN(11) {
 	case 0:
 		b.Refuse = true
 	case 1:
@@ -282,6 +282,8 @@
 	case 7:
 		b.DuplicateAfter = time.Millisecond
 	case 8:
+		b.Limit = "4"
+	case 9:
 		b.TrickleEvents = 20 * time.Millisecond
 	default:
 		b.Work = 20 * healthyBehaviour.Work
