--- a/loadshare/crashes.go
+++ b/loadshare/crashes.go
@@ -61,7 +61,7 @@
 }
 
 func appendMillis(b []byte, d time.Duration) []byte {
-	return binary.AppendUvarint(b, uint64(min((max(d, 0)+time.Millisecond-1)/time.Millisecond, maxMillis)))
+	return binary.AppendUvarint(b, uint64(min((max(d, 0)+time.Millisecond-1)/time.Millisecond, maxDuration)))
 }
 
 func decodeCrashes(r *fieldReader) (u crashguard.Update) {
@@ -91,13 +91,13 @@
 	return n
 }
 
-// maxMillis bounds an encoded duration.
-const maxMillis = 24 * time.Hour / time.Millisecond
+// maxDuration bounds an encoded duration.
+const maxDuration = 24 * time.Hour / time.Millisecond
 
 // millis reads a duration in milliseconds.
 func (r *fieldReader) millis() time.Duration {
 	n := r.uvarint()
-	if n > uint64(maxMillis) {
+	if n > uint64(maxDuration) {
 		r.malformed = true
 		return 0
 	}
