--- a/gateway/pacing.go
+++ b/gateway/pacing.go
@@ -67,11 +67,14 @@
 	}
 }
 
-// reserveTime reserves a time for a request to the target and tells the other daemons.
+// reserveTime reserves a time for a request to the target. The other daemons are told before
+// the request is sent if the target has a limit, and with the work that begins then otherwise.
 func (x *exchange) reserveTime(t *directory.Target) {
 	now := x.now()
 	x.reserved = reservedTime{t, now.Add(t.Load.Reserve(now))}
-	x.g.publisher.NotifyLoadChange(t)
+	if t.Load.Limit.Limited() {
+		x.g.publisher.NotifyLoadChange(t)
+	}
 }
 
 // awaitLimit is that of exchange. The prompt may have been blocked during the wait.
--- a/ratelimit/limiter.go
+++ b/ratelimit/limiter.go
@@ -39,8 +39,9 @@
 }
 
 // Declare sets the limit that the target has stated at the given time, in requests per second,
-// or removes it if limited is false. Statements older than the last one are ignored. It reports
-// whether a limit began or ended.
+// or removes it if limited is false. Statements older than the last one are ignored; of two
+// concurrent ones either may win, until the next response. It reports whether a limit began or
+// ended.
 func (l *Limiter) Declare(perSecond float64, limited bool, at int64) (toggled bool) {
 	for {
 		old := l.declaredAt.Load()
