--- /dev/null
+++ b/gateway/crashes.go
@@ -0,0 +1,29 @@
+package gateway
+
+import (
+	"errors"
+
+	"github.com/lentilpick/lentilpick/directory"
+	"github.com/lentilpick/lentilpick/types"
+)
+
+// checkCrashes refuses a request whose prompt has a part that crashes engines.
+func (s *stream) checkCrashes() error {
+	if s.r.Prompt == nil {
+		return nil
+	}
+	if blocked := s.g.settings.Crashes.Blocked(s.r.Prompt.Parts); blocked > 0 {
+		return &outcomeError{s.refuse(types.RefusedCrashingPrompt, blocked)}
+	}
+	return nil
+}
+
+// recordRunFailure records a failed run in the load of the target, and a connection that broke
+// before the first event as a possible crash: an engine that crashes on a prompt does so when it
+// begins to generate.
+func (s *stream) recordRunFailure(t *directory.Target, err error) {
+	if errors.Is(err, ErrInvalidResponse) && s.events == 0 && s.r.Prompt != nil && s.callerCtx.Err() == nil {
+		s.g.settings.Crashes.RecordBroken(t, s.r.Prompt.Parts)
+	}
+	s.recordFailure(t, err)
+}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -144,17 +144,6 @@
 	return s.decode()
 }
 
-// checkCrashes refuses a request whose prompt has a part that crashes engines.
-func (s *stream) checkCrashes() error {
-	if s.r.Prompt == nil {
-		return nil
-	}
-	if blocked := s.g.settings.Crashes.Blocked(s.r.Prompt.Parts); blocked > 0 {
-		return &outcomeError{s.refuse(types.RefusedCrashingPrompt, blocked)}
-	}
-	return nil
-}
-
 // offer records the request as demand, once, whether it is served or refused afterwards.
 func (s *stream) offer(p placement.Choice) {
 	if s.offered {
@@ -277,47 +266,6 @@
 	return c
 }
 
-// decode runs the request from the KV cache of the prefill.
-func (s *stream) decode() error {
-	h := s.handle
-	choice := s.reservedDecode()
-	if choice.Target == nil {
-		choice = s.pickDecode(h.Target.DataCentre)
-	}
-	if choice.Target == nil {
-		return &outcomeError{s.noTarget()}
-	}
-	c := s.newCall(choice.Target, StageDecode)
-	c.KVSource = h
-	err := s.run(choice, c)
-	if err == nil || !classify(err).notSent {
-		s.handle = Handle{}
-	}
-	if err == nil {
-		// The engine has cached the parts that it fetched.
-		s.recordPrefill(choice.Target, choice.UncachedTokens+s.r.Prompt.MaxOutputTokens)
-	}
-	return err
-}
-
-func (s *stream) decodeScorer(source types.DataCentreID) placement.DecodeScorer {
-	return placement.DecodeScorer{Costs: s.costs(), Speed: s.speed(), Engine: *s.service.Engine, Link: s.kvLink(), SourceDataCentre: source}
-}
-
-// pickDecode returns the engine for a decode from KV cache in a data centre.
-func (s *stream) pickDecode(source types.DataCentreID) placement.Choice {
-	return s.pickTarget(placement.GeneratesTokens{}, s.decodeScorer(source))
-}
-
-// reservedDecode returns the engine for which a time is reserved, if it is still available.
-func (s *stream) reservedDecode() placement.Choice {
-	t := s.reserved.target
-	if t == nil {
-		return placement.Choice{}
-	}
-	return placement.Pick([]*directory.Target{t}, s.placementRequest(), placement.GeneratesTokens{}, s.decodeScorer(s.handle.Target.DataCentre))
-}
-
 // runCombined runs the complete request on one target.
 func (s *stream) runCombined(filter placement.Filter, scorer placement.Scorer) error {
 	c := s.pickTarget(filter, scorer)
@@ -396,16 +344,6 @@
 	return nil
 }
 
-// recordRunFailure records a failed run in the load of the target, and a connection that broke
-// before the first event as a possible crash: an engine that crashes on a prompt does so when it
-// begins to generate.
-func (s *stream) recordRunFailure(t *directory.Target, err error) {
-	if errors.Is(err, ErrInvalidResponse) && s.events == 0 && s.r.Prompt != nil && s.callerCtx.Err() == nil {
-		s.g.settings.Crashes.RecordBroken(t, s.r.Prompt.Parts)
-	}
-	s.recordFailure(t, err)
-}
-
 // maxFirstEventTime bounds the time to the first event that counts as use of a slot. A longer
 // one includes the wait for a slot.
 const maxFirstEventTime = 150 * time.Millisecond
