node: restored blocks have a log line of their own

A block that a node restores from the store was logged as told by another node. A local variable of crashguard gets a plainer name. The tests of both modules pass.

--- a/crashguard/guard.go
+++ b/crashguard/guard.go
@@ -263,12 +263,13 @@
 func (g *Guard) clearAnswered(now clock.Instant) {
 	for _, c := range g.crashes {
 		for p := range c.parts {
-			own, told := clock.Instant(g.answered.LastUse(p)), clock.Instant(g.published.LastUse(p))
-			if own > told && (proves(own, c.at) && !proves(told, c.at) || told == 0 || own.Sub(told) > answerMargin) {
+			own, published := clock.Instant(g.answered.LastUse(p)), clock.Instant(g.published.LastUse(p))
+			newProof := proves(own, c.at) && !proves(published, c.at)
+			if own > published && (newProof || published == 0 || own.Sub(published) > answerMargin) {
 				g.published.Touch(p, int64(own))
 				g.outbox.addAnswer(p, now)
 			}
-			if proves(max(own, told), c.at) {
+			if proves(max(own, published), c.at) {
 				delete(c.parts, p)
 			}
 		}
--- a/server/node/crashes.go
+++ b/server/node/crashes.go
@@ -92,9 +92,11 @@
 			d.record(blockChange{part: b.Part, blocks: b.Count})
 		}
 		for _, b := range decided.Learned {
-			d.logBlock(b).Info("prompt part blocked by another node")
 			if b.Restored {
 				d.recorded[b.Part] = struct{}{}
+				d.logBlock(b).Info("block of a prompt part restored")
+			} else {
+				d.logBlock(b).Info("prompt part blocked by another node")
 			}
 		}
 		for _, p := range decided.Ended {
