--- a/review/harness/descriptors.go
+++ b/review/harness/descriptors.go
@@ -16,7 +16,8 @@
 const (
 	maxFds         = 2870
 	usersPerNode   = 1500
-	usersBurst     = 2 // times as many, in the burst
+	harnessFds     = 10000 // for the channels of all requesters and some more
+	usersBurst     = 2     // times as many, in the burst
 	usersCalm      = 12 * time.Second
 	usersTime      = 75 * time.Second
 	usersRampUp    = 3 * time.Second
@@ -118,6 +119,13 @@
 
 // descriptors plays many users who keep their channels, and twice as many in a burst.
 func descriptors(d *deployment, trouble bool) (*result, error) {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
+		return nil, err
+	}
+	if limit.Cur < harnessFds {
+		return nil, fmt.Errorf("the harness needs %d descriptors and may open %d", harnessFds, limit.Cur)
+	}
 	self, err := os.Executable()
 	if err != nil {
 		return nil, err
