review: keep the harness in test files

The harness is test code, so its files are test files now, and review/build.sh builds a test binary outside the workspace. The test of the project is unchanged.

--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -eu
 cd "$(dirname "$0")/harness"
 mkdir -p ../../target/review
-GOWORK=off go build -o ../../target/review/harness .
+GOWORK=off go test -c -o ../../target/review/harness .
--- a/review/harness/main.go
+++ b/review/harness/main_test.go
@@ -1,12 +1,14 @@
-// Command harness runs the cases of the review that cannot be put as a day of the bench: it starts
+// Package harness runs the cases of the review that cannot be put as a day of the bench: it starts
 // nodes as processes on loopback addresses, plays the platform, its servers and its requesters, and
-// checks one rule. It is run in the root of the repository.
-package main
+// checks one rule. review/build.sh builds it as a test binary, which the scripts of the cases run in
+// the root of the repository; without the name of a case it does nothing.
+package harness
 
 import (
 	"fmt"
 	"os"
 	"path/filepath"
+	"testing"
 )
 
 // Exit statuses of a case.
@@ -34,16 +36,26 @@
 	"descriptors":   descriptors,
 }
 
-func main() {
+// Variables with the name of the case to play and the folder for record.txt.
+const (
+	caseVariable   = "REVIEW_CASE"
+	folderVariable = "REVIEW_FOLDER"
+)
+
+func TestMain(m *testing.M) {
 	if len(os.Args) > 3 && os.Args[1] == "limited" {
 		fmt.Fprintln(os.Stderr, limitedExec(os.Args[2], os.Args[3:]))
 		os.Exit(exitNotRun)
 	}
-	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: harness CASE FOLDER")
+	name := os.Getenv(caseVariable)
+	switch {
+	case name == "":
+		os.Exit(m.Run())
+	case cases[name] == nil:
+		fmt.Fprintln(os.Stderr, "unknown case", name)
 		os.Exit(exitNotRun)
 	}
-	os.Exit(play(os.Args[1], os.Args[2]))
+	os.Exit(play(name, os.Getenv(folderVariable)))
 }
 
 func play(name, folder string) int {
--- a/review/harness/server.go
+++ b/review/harness/server_test.go
@@ -1,4 +1,4 @@
-package main
+package harness
 
 import (
 	"bufio"
