review: keep the troubles of cases 1, 3 and 4 inside the site's limits

They had lasted longer than the site holds them: garble 40 s instead of 5, bursts of 2 for 38 to 60 s instead of 1.9 for 10. Case 1 now has one span of 5 s, cases 3 and 4 have four bursts of 1.9 for 10 s.

--- a/review/harness/descriptors_test.go
+++ b/review/harness/descriptors_test.go
@@ -15,13 +15,15 @@
 // Figures of the case descriptors.
 const (
 	maxFds         = 2870
-	usersPerNode   = 1500
+	usersPerNode   = 1600
 	harnessFds     = 10000 // for the channels of all requesters and some more
-	usersBurst     = 2     // times as many, in the burst
-	usersCalm      = 12 * time.Second
-	usersTime      = 75 * time.Second
-	usersRampUp    = 3 * time.Second
+	usersBurst     = 1.9   // times as many, in a burst
+	usersBurstFor  = 10 * time.Second
+	usersBursts    = 4
+	usersCalm      = 8 * time.Second // before and after each burst
+	usersRampUp    = 2 * time.Second
 	usersInterval  = 10 * time.Second // below 4/5 of IdleTimeoutMs
+	rampStep       = 20
 	pingInterval   = time.Second
 	missesToRemove = 2
 )
@@ -117,7 +119,7 @@
 	}
 }
 
-// descriptors plays many users who keep their channels, and twice as many in a burst.
+// descriptors plays many users who keep their channels, and more of them in bursts.
 func descriptors(d *deployment, trouble bool) (*result, error) {
 	var limit syscall.Rlimit
 	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
@@ -146,23 +148,32 @@
 	for i := range d.nodes {
 		watch.Go(func() { g.watch(i) })
 	}
-	end := time.Now().Add(usersTime)
 	users := 0
-	arrive := func() {
-		for range usersPerNode * len(d.nodes) {
-			k := users
+	// arrive starts users at an even rate over usersRampUp, in steps of rampStep.
+	arrive := func(n int, end time.Time) {
+		for k := range n {
+			user := users
 			users++
-			all.Go(func() { g.user(k, end) })
-			time.Sleep(usersRampUp / time.Duration(usersPerNode*len(d.nodes)))
+			all.Go(func() { g.user(user, end) })
+			if k%rampStep == 0 {
+				time.Sleep(usersRampUp * rampStep / time.Duration(n))
+			}
 		}
 	}
-	arrive()
+	base := usersPerNode * len(d.nodes)
+	arrive(base, time.Now().Add(usersRampUp+usersCalm+usersBursts*(usersBurstFor+usersCalm)))
 	time.Sleep(usersCalm)
-	if trouble {
-		for range usersBurst - 1 {
-			d.record.note("the burst begins")
-			arrive()
+	for range usersBursts {
+		if trouble {
+			d.record.note("a burst begins")
+			end := time.Now().Add(usersBurstFor)
+			arrive(int(float64(base)*(usersBurst-1)), end)
+			time.Sleep(time.Until(end))
+			d.record.note("the burst ends")
+		} else {
+			time.Sleep(usersBurstFor)
 		}
+		time.Sleep(usersCalm)
 	}
 	all.Wait()
 	close(g.stop)
--- a/review/harness/large_bodies_test.go
+++ b/review/harness/large_bodies_test.go
@@ -17,10 +17,11 @@
 const (
 	// maxBodyBytes is MaxBodyBytes of the configuration.
 	maxBodyBytes = 4194304
-	bodiesPerS   = 3 // a second and node, in calm
-	bodiesBurst  = 2 // times as many, in the burst
-	bodiesCalm   = 12 * time.Second
-	bodiesTime   = 50 * time.Second
+	bodiesPerS   = 3                // a second and node, in calm
+	bodiesBurst  = 1.9              // times as many, in a burst
+	bodiesFor    = 10 * time.Second // the length of a burst
+	bodiesCalm   = 8 * time.Second  // before and after each burst
+	bodiesBursts = 4
 	// restartDelay is the short delay after which the platform restarts a process.
 	restartDelay = 500 * time.Millisecond
 	ownEnds      = 3 // of one machine in a day
@@ -28,7 +29,7 @@
 )
 
 // largeBodies plays streams whose requests have bodies of the largest size that the configuration
-// allows, and twice as many of them in a burst. The platform kills a process that exceeds MemoryMb.
+// allows, and more of them in bursts. The platform kills a process that exceeds MemoryMb.
 func largeBodies(d *deployment, trouble bool) (*result, error) {
 	for i := range 12 {
 		s := serverSettings{
@@ -51,18 +52,18 @@
 		watch.Go(func() { platform.enforce(i) })
 	}
 	body := strings.Repeat("x", maxBodyBytes)
-	end := time.Now().Add(bodiesTime)
+	end := time.Now().Add(bodiesCalm + bodiesBursts*(bodiesFor+bodiesCalm))
 	calmPeak := int64(0)
 	began := time.Now()
 	for i := 0; time.Now().Before(end); i++ {
 		rate := float64(bodiesPerS * len(d.nodes))
-		if time.Since(began) > bodiesCalm {
+		if since := time.Since(began) - bodiesCalm; since > 0 {
 			if calmPeak == 0 {
 				for i := range platform.peaks {
 					calmPeak = max(calmPeak, platform.peaks[i].Load())
 				}
 			}
-			if trouble {
+			if trouble && since%(bodiesFor+bodiesCalm) < bodiesFor {
 				rate *= bodiesBurst
 			}
 		}
@@ -154,7 +155,7 @@
 			cut++
 		}
 	}
-	res.add("most resident memory of a node before the burst: %d KiB", calmPeak)
+	res.add("most resident memory of a node before the first burst: %d KiB", calmPeak)
 	res.add("%d requests, by status %v; %d ran at a server and got no complete answer", len(r.sent), status, cut)
 	res.add("Fault: processes of %d nodes ended %d times or more; %d such nodes break the rule", ended, ownEnds, endedNodes)
 	res.broken = ended >= endedNodes
--- a/review/harness/late_refusal_test.go
+++ b/review/harness/late_refusal_test.go
@@ -5,14 +5,18 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
 // Figures of the case late-refusal.
 const (
-	lateDuration = 40 * time.Second
-	lateClients  = 12
-	latePause    = 40 * time.Millisecond
+	lateDuration = 25 * time.Second
+	// lateFrom and lateFor give the span of the trouble, whose length is that of the site.
+	lateFrom    = 5 * time.Second
+	lateFor     = 5 * time.Second
+	lateClients = 12
+	latePause   = 40 * time.Millisecond
 	// lateShare is the share of its answers after which a faulty server sends additional bytes, the
 	// dose of the site's trouble "garble" with how = "extra late".
 	lateShare = 0.03
@@ -25,11 +29,12 @@
 // lateRefusal plays a booking desk of which half of the servers are faulty. After some of their complete
 // answers these send additional bytes, late: at the point where the next answer is expected.
 func lateRefusal(d *deployment, trouble bool) (*result, error) {
+	var faulty atomic.Bool
 	for i := range 4 {
 		s := serverSettings{id: fmt.Sprintf("i-desk%d", i+1), service: "wuno96b", zone: zones[i%len(zones)], slots: 6, queue: 24, work: 15 * time.Millisecond}
 		if trouble && i < 2 {
 			s.lateBytes = func() []byte {
-				if rand.Float64() >= lateShare {
+				if !faulty.Load() || rand.Float64() >= lateShare {
 					return nil
 				}
 				return []byte(refusalExample)
@@ -54,6 +59,12 @@
 			}
 		})
 	}
+	time.Sleep(lateFrom)
+	d.record.note("the trouble begins")
+	faulty.Store(true)
+	time.Sleep(lateFor)
+	faulty.Store(false)
+	d.record.note("the trouble ends")
 	all.Wait()
 	time.Sleep(time.Second)
 	return judgeOnce(d.record), nil
