node: count broken responses by what they prove about the target

The log does not say why a broken response left no evidence of a crash: it came after an event, its target was reachable, or too many checks were in progress.

The gateway reports every broken response to a prompt with the number of events that its caller has received, and crashguard decides which are suspects. The decision itself is unchanged: those without an event. lentilpick_broken_responses counts them by reason.

TestOnlyStreamsWithoutEventsAreSuspects becomes TestBrokenResponsesAreReported, since the gateway no longer decides; it compares the reported events exactly instead of whether there is a report.

--- a/crashguard/guard.go
+++ b/crashguard/guard.go
@@ -47,6 +47,11 @@
 	maxBlocks  = 256
 )
 
+// Suspect reports whether a request whose connection broke after a number of events may have
+// caused a crash of its engine: an engine that crashes on a prompt does so when it begins to
+// generate.
+func Suspect(events int) bool { return events == 0 }
+
 // Guard holds the evidence of one daemon. It is safe for concurrent use. Blocked and
 // RecordAnswer take no lock.
 type Guard struct {
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -18,12 +18,11 @@
 	return nil
 }
 
-// recordRunFailure records a failed run in the load of the target, and a connection that broke
-// before the first event as a possible crash: an engine that crashes on a prompt does so when it
-// begins to generate.
+// recordRunFailure records a failed run in the load of the target, and a broken connection as a
+// possible crash.
 func (s *stream) recordRunFailure(t *directory.Target, err error) {
-	if errors.Is(err, ErrInvalidResponse) && s.events == 0 && s.r.Prompt != nil && s.callerCtx.Err() == nil {
-		s.g.settings.Crashes.RecordBroken(t, s.r.Prompt.Parts)
+	if errors.Is(err, ErrInvalidResponse) && s.r.Prompt != nil && s.callerCtx.Err() == nil {
+		s.g.settings.Crashes.RecordBroken(t, s.r.Prompt.Parts, s.events)
 	}
 	s.recordFailure(t, err)
 }
--- a/gateway/crashes_test.go
+++ b/gateway/crashes_test.go
@@ -14,12 +14,16 @@
 type fakeGuard struct {
 	blocked          time.Duration
 	broken, answered int
+	events           []int // of the broken responses
 }
 
 func (f *fakeGuard) Blocked([]directory.Part) time.Duration { return f.blocked }
 func (f *fakeGuard) RecordAnswer([]directory.Part)          { f.answered++ }
 
-func (f *fakeGuard) RecordBroken(*directory.Target, []directory.Part) { f.broken++ }
+func (f *fakeGuard) RecordBroken(_ *directory.Target, _ []directory.Part, events int) {
+	f.broken++
+	f.events = append(f.events, events)
+}
 
 func newGuardedGateway() (*testGateway, *fakeGuard) {
 	w, f := newTestGateway(), &fakeGuard{}
@@ -57,18 +61,19 @@
 	assert.Equal(t, w.targets.stages(), "pd")
 }
 
-// Guards against sound prompts that count as the cause of a crash in the middle of their
-// streams, and against causes that are not recorded.
-func TestOnlyStreamsWithoutEventsAreSuspects(t *testing.T) {
+// Guards against broken responses that are not reported to the guard or are reported with a wrong
+// number of events, and against other failures that are reported as broken.
+func TestBrokenResponsesAreReported(t *testing.T) {
 	for name, c := range map[string]struct {
-		err              error
-		resp             *fakeResponse
-		broken, answered int
+		err      error
+		resp     *fakeResponse
+		broken   []int
+		answered int
 	}{
-		"no head":           {err: ErrInvalidResponse, broken: 1},
-		"no event":          {resp: &fakeResponse{status: 200, err: ErrInvalidResponse}, broken: 1},
-		"part of an event":  {resp: &fakeResponse{status: 200, pieces: []string{"id: 1\nda"}, err: ErrInvalidResponse}, broken: 1},
-		"after an event":    {resp: &fakeResponse{status: 200, pieces: []string{"id: 1\ndata: a\n\n"}, err: ErrInvalidResponse}},
+		"no head":           {err: ErrInvalidResponse, broken: []int{0}},
+		"no event":          {resp: &fakeResponse{status: 200, err: ErrInvalidResponse}, broken: []int{0}},
+		"part of an event":  {resp: &fakeResponse{status: 200, pieces: []string{"id: 1\nda"}, err: ErrInvalidResponse}, broken: []int{0}},
+		"after an event":    {resp: &fakeResponse{status: 200, pieces: []string{"id: 1\ndata: a\n\n"}, err: ErrInvalidResponse}, broken: []int{1}},
 		"stalled":           {err: ErrStalled},
 		"refused":           {err: ErrRefused},
 		"not sent":          {err: ErrNotSent},
@@ -83,7 +88,7 @@
 			return c.resp, nil
 		}
 		w.serve(context.Background(), "/chat/x")
-		assert.Equal(t, f.broken > 0, c.broken > 0, name)
+		assert.DeepEqual(t, f.events, c.broken)
 		assert.Equal(t, f.answered, c.answered, name)
 	}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -168,9 +168,9 @@
 	// Blocked returns how much longer requests with any of the parts are refused, 0 if they
 	// are not.
 	Blocked(parts []directory.Part) time.Duration
-	// RecordBroken reports that the connection of a request broke before its first event. The
+	// RecordBroken reports that the connection of a request broke after a number of events. The
 	// target may have crashed.
-	RecordBroken(t *directory.Target, parts []directory.Part)
+	RecordBroken(t *directory.Target, parts []directory.Part, events int)
 	// RecordAnswer reports that a request was answered in full.
 	RecordAnswer(parts []directory.Part)
 }
@@ -178,9 +178,9 @@
 // noCrashGuard blocks nothing.
 type noCrashGuard struct{}
 
-func (noCrashGuard) Blocked([]directory.Part) time.Duration           { return 0 }
-func (noCrashGuard) RecordBroken(*directory.Target, []directory.Part) {}
-func (noCrashGuard) RecordAnswer([]directory.Part)                    {}
+func (noCrashGuard) Blocked([]directory.Part) time.Duration                { return 0 }
+func (noCrashGuard) RecordBroken(*directory.Target, []directory.Part, int) {}
+func (noCrashGuard) RecordAnswer([]directory.Part)                         {}
 
 // Settings are the settings of a Gateway.
 type Settings struct {
--- a/server/node/counters.go
+++ b/server/node/counters.go
@@ -31,6 +31,8 @@
 	limits, invalidLimits metric.Int64Counter
 	// crashes counts the crashes of targets under a request without an event.
 	crashes metric.Int64Counter
+	// broken counts the responses whose connection broke, by what that proves.
+	broken *daemon.ReasonCounter
 }
 
 // firstEventBuckets are the bucket bounds of the time to the first event or the complete response,
@@ -102,6 +104,9 @@
 	if c.crashes, err = m.Meter.Int64Counter("lentilpick_crashes", metric.WithDescription("Requests without an event whose target crashed.")); err != nil {
 		return nil, err
 	}
+	if c.broken, err = m.NewReasonCounter("lentilpick_broken_responses", "Responses to prompts whose connection broke, by what that proves about the target.", brokenNames); err != nil {
+		return nil, err
+	}
 	if c.pauses, err = m.Meter.Int64Counter("lentilpick_pauses", metric.WithDescription("Refusals with which a target requested a pause.")); err != nil {
 		return nil, err
 	}
--- a/server/node/crashes.go
+++ b/server/node/crashes.go
@@ -25,6 +25,16 @@
 	fieldBlocks  = "blocks"
 )
 
+// What a broken connection of a request proves, as counted by lentilpick_broken_responses.
+const (
+	brokenCrashed    = iota // the target has crashed, and the request is a suspect
+	brokenReachable         // the target accepts connections
+	brokenInProgress        // the response had too many events for a suspect
+	brokenNotChecked        // too many checks were in progress
+)
+
+var brokenNames = []string{brokenCrashed: "crashed", brokenReachable: "reachable", brokenInProgress: "in_progress", brokenNotChecked: "not_checked"}
+
 // crashDetector tells crashed engines from broken connections and feeds the crashes to a guard,
 // which it evaluates and whose decisions it logs. It implements gateway.CrashGuard.
 type crashDetector struct {
@@ -64,12 +74,18 @@
 
 // RecordBroken implements gateway.CrashGuard. A target that accepts connections has not crashed:
 // it has reset one connection or truncated one response.
-func (d *crashDetector) RecordBroken(t *directory.Target, parts []directory.Part) {
+func (d *crashDetector) RecordBroken(t *directory.Target, parts []directory.Part, events int) {
+	if !crashguard.Suspect(events) {
+		d.counters.broken.Add(brokenInProgress)
+		return
+	}
 	at := clock.Now()
-	_ = d.checks.Submit(func() {
+	err := d.checks.Submit(func() {
 		if !d.guard.KnownCrash(t.Lifetime()) && d.reachable(t) {
+			d.counters.broken.Add(brokenReachable)
 			return
 		}
+		d.counters.broken.Add(brokenCrashed)
 		d.counters.crashes.Add(context.Background(), 1)
 		if !d.guard.RecordCrash(t.Lifetime(), parts, at) {
 			return
@@ -80,6 +96,9 @@
 				Warn("target crashed under a request without an event")
 		}
 	})
+	if err != nil {
+		d.counters.broken.Add(brokenNotChecked)
+	}
 }
 
 // run evaluates the evidence until the context ends.
--- a/server/node/crashes_test.go
+++ b/server/node/crashes_test.go
@@ -83,7 +83,7 @@
 		assert.NilError(t, err)
 		d.reachable = func(*directory.Target) bool { return reachable }
 		engine := &directory.Target{Hash: 7}
-		d.RecordBroken(engine, []directory.Part{{ID: 0xbad}})
+		d.RecordBroken(engine, []directory.Part{{ID: 0xbad}}, 0)
 		assert.NilError(t, d.checks.ReleaseTimeout(10*time.Second))
 		assert.Equal(t, d.guard.KnownCrash(engine.Lifetime()), !reachable)
 	}
