crashguard: suspect responses that broke within their first events

Cause: only a response without an event was a suspect. An engine that begins to write an answer may send some events before the crash takes effect.

Evidence: all 32 broken responses with the part had one event, and the three nodes counted every broken response as in_progress, none as reachable or not checked, which rules out the check of the target.

Change: a response is a suspect within its first 8 events. Sound parts are still spared by the answers to them and by the number of crashes. The log line about a crash has its events, and its text no longer says that there were none.

--- a/crashguard/guard.go
+++ b/crashguard/guard.go
@@ -2,8 +2,8 @@
 // requests are refused for them. It answers one fault: requests that share a part crash one
 // engine after another, arrive at any daemon, and break the sound streams beside them.
 //
-// Daemons exchange their evidence in updates: which engines crashed under a request that had
-// received no event, which parts have been answered since, and which parts are blocked. The
+// Daemons exchange their evidence in updates: which engines crashed under a request whose
+// response had only begun, which parts have been answered since, and which parts are blocked. The
 // package performs no I/O and takes all clock readings as arguments.
 package crashguard
 
@@ -23,6 +23,11 @@
 	// minCrashes is the number of crashes after which a part is blocked. Sound parts are in
 	// progress at one or two crashes by chance.
 	minCrashes = 3
+	// maxSuspectEvents is the number of events up to which a response has only begun. An engine
+	// that crashes on a prompt may send its first events, each with several tokens, before the
+	// crash takes effect. The bound keeps the other streams of a crash, of which long ones are
+	// many, from being suspects.
+	maxSuspectEvents = 8
 	// minCrashesAnswered is the same for a part with a known answer. Engines that lose power
 	// together end under the same parts, if these are in most prompts; parts that turn bad are
 	// rarer.
@@ -49,8 +54,9 @@
 
 // Suspect reports whether a request whose connection broke after a number of events may have
 // caused a crash of its engine: an engine that crashes on a prompt does so when it begins to
-// generate.
-func Suspect(events int) bool { return events == 0 }
+// write the response. Sound responses at their beginning are suspects too, until an answer proves
+// their parts.
+func Suspect(events int) bool { return events <= maxSuspectEvents }
 
 // Guard holds the evidence of one daemon. It is safe for concurrent use. Blocked and
 // RecordAnswer take no lock.
@@ -68,7 +74,7 @@
 	decisions Decisions
 }
 
-// crash is the end of one lifetime of an engine under requests without an event.
+// crash is the end of one lifetime of an engine under requests whose responses had only begun.
 type crash struct {
 	at    clock.Instant
 	parts map[uint64]struct{}
@@ -136,8 +142,7 @@
 	return answer != 0 && answer >= crash.Add(-answerMargin)
 }
 
-// RecordCrash records that an engine has crashed under a request with these parts that had
-// received no event. It reports whether there is something new to publish.
+// RecordCrash records that an engine has crashed under a suspect with these parts. It reports whether there is something new to publish.
 func (g *Guard) RecordCrash(t directory.Lifetime, parts []directory.Part, now clock.Instant) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -189,8 +194,7 @@
 	return added
 }
 
-// maxCrashParts bounds the parts of one crash: those of all requests that were in progress on
-// an engine without an event.
+// maxCrashParts bounds the parts of one crash: those of all suspects of it.
 const maxCrashParts = 128
 
 // forgetCrashes forgets the crashes that no longer count, and the oldest one if there are too
--- a/crashguard/guard_test.go
+++ b/crashguard/guard_test.go
@@ -53,6 +53,14 @@
 	assert.Equal(t, g.BlockedParts(at), 1)
 }
 
+// Guards against suspicion of the parts of all streams in progress at a crash, most of which are
+// past their first events.
+func TestLongResponsesAreNoSuspects(t *testing.T) {
+	assert.Assert(t, Suspect(0))
+	assert.Assert(t, Suspect(maxSuspectEvents))
+	assert.Assert(t, !Suspect(maxSuspectEvents+1))
+}
+
 // Guards against a part that is blocked although its requests are answered, and against one
 // crash that counts several times because several requests report it.
 func TestSoundPartIsNotBlocked(t *testing.T) {
--- a/crashguard/update.go
+++ b/crashguard/update.go
@@ -30,7 +30,7 @@
 // Empty reports whether the update contains nothing.
 func (u *Update) Empty() bool { return len(u.Reports)+len(u.Answers)+len(u.Blocks) == 0 }
 
-// Report is a crash of an engine under a request that had received no event.
+// Report is a crash of an engine under a suspect.
 type Report struct {
 	Target directory.Lifetime
 	// Parts are the IDs of the parts of the request that were not proved to be sound.
--- a/server/node/counters.go
+++ b/server/node/counters.go
@@ -29,7 +29,7 @@
 	leaving, pauses, invalidPauses metric.Int64Counter
 	// limits and invalidLimits count the limits that targets declare.
 	limits, invalidLimits metric.Int64Counter
-	// crashes counts the crashes of targets under a request without an event.
+	// crashes counts the suspects of crashes of targets.
 	crashes metric.Int64Counter
 	// broken counts the responses whose connection broke, by what that proves.
 	broken *daemon.ReasonCounter
@@ -101,7 +101,7 @@
 	if c.invalidLimits, err = m.Meter.Int64Counter("lentilpick_invalid_limits", metric.WithDescription("Declared limits that were ignored because they are not valid.")); err != nil {
 		return nil, err
 	}
-	if c.crashes, err = m.Meter.Int64Counter("lentilpick_crashes", metric.WithDescription("Requests without an event whose target crashed.")); err != nil {
+	if c.crashes, err = m.Meter.Int64Counter("lentilpick_crashes", metric.WithDescription("Requests whose target crashed when it had only begun their response.")); err != nil {
 		return nil, err
 	}
 	if c.broken, err = m.NewReasonCounter("lentilpick_broken_responses", "Responses to prompts whose connection broke, by what that proves about the target.", brokenNames); err != nil {
--- a/server/node/crashes.go
+++ b/server/node/crashes.go
@@ -92,8 +92,8 @@
 		}
 		d.notify()
 		if d.limit.take(1) {
-			d.log.WithFields(logrus.Fields{daemon.FieldTarget: t.ID, daemon.FieldService: t.Service, fieldParts: partIDs(parts)}).
-				Warn("target crashed under a request without an event")
+			d.log.WithFields(logrus.Fields{daemon.FieldTarget: t.ID, daemon.FieldService: t.Service, fieldParts: partIDs(parts), fieldEvents: events}).
+				Warn("target crashed at the beginning of a response")
 		}
 	})
 	if err != nil {
