gateway: count the events of a broken response for each run

A stream that is resumed on a second engine, which crashes before its first event there, left no evidence against the parts of its prompt: a request with a bad part could crash one more engine for each resume, unseen.

Cause: the events that decide whether a response had only begun were those of the whole request, and a read with several events counted as one, so that a response of 50 events in three reads seemed to have just begun.

Change: each run counts its own events, exactly.

TestEventsOfABrokenResponseAreThoseOfItsEngine (events 2 and 2 instead of 2 and 0) and the case "events in one read" of TestBrokenResponsesAreReported (1 instead of 3) failed before. FuzzEvents checks that complete events are counted; 15 s of fuzzing found nothing.

--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -22,7 +22,7 @@
 // possible crash.
 func (s *stream) recordRunFailure(t *directory.Target, err error) {
 	if errors.Is(err, ErrInvalidResponse) && s.r.Prompt != nil && s.callerCtx.Err() == nil {
-		s.g.settings.Crashes.RecordBroken(t, s.r.Prompt.Parts, s.events)
+		s.g.settings.Crashes.RecordBroken(t, s.r.Prompt.Parts, s.runEvents)
 	}
 	s.recordFailure(t, err)
 }
--- a/gateway/crashes_test.go
+++ b/gateway/crashes_test.go
@@ -61,6 +61,23 @@
 	assert.Equal(t, w.targets.stages(), "pd")
 }
 
+// Guards against a resumed response that is not reported as broken at its beginning because its
+// request has received events from another engine.
+func TestEventsOfABrokenResponseAreThoseOfItsEngine(t *testing.T) {
+	w, f := newGuardedGateway()
+	responses := []*fakeResponse{
+		{status: 200, pieces: []string{"id: 1\n\n", "id: 2\n\n"}, err: ErrInvalidResponse},
+		{status: 200, err: ErrInvalidResponse},
+	}
+	w.targets.send = func(context.Context, *Call) (Response, error) {
+		r := responses[0]
+		responses = responses[1:]
+		return r, nil
+	}
+	w.serve(context.Background(), "/resume/x")
+	assert.DeepEqual(t, f.events, []int{2, 0})
+}
+
 // Guards against broken responses that are not reported to the guard or are reported with a wrong
 // number of events, and against other failures that are reported as broken.
 func TestBrokenResponsesAreReported(t *testing.T) {
@@ -70,15 +87,16 @@
 		broken   []int
 		answered int
 	}{
-		"no head":           {err: ErrInvalidResponse, broken: []int{0}},
-		"no event":          {resp: &fakeResponse{status: 200, err: ErrInvalidResponse}, broken: []int{0}},
-		"part of an event":  {resp: &fakeResponse{status: 200, pieces: []string{"id: 1\nda"}, err: ErrInvalidResponse}, broken: []int{0}},
-		"after an event":    {resp: &fakeResponse{status: 200, pieces: []string{"id: 1\ndata: a\n\n"}, err: ErrInvalidResponse}, broken: []int{1}},
-		"stalled":           {err: ErrStalled},
-		"refused":           {err: ErrRefused},
-		"not sent":          {err: ErrNotSent},
-		"complete":          {resp: &fakeResponse{status: 200, pieces: []string{"id: 1\ndata: a\n\n"}}, answered: 1},
-		"an error response": {resp: &fakeResponse{status: 500, pieces: []string{"no"}}},
+		"no head":            {err: ErrInvalidResponse, broken: []int{0}},
+		"no event":           {resp: &fakeResponse{status: 200, err: ErrInvalidResponse}, broken: []int{0}},
+		"part of an event":   {resp: &fakeResponse{status: 200, pieces: []string{"id: 1\nda"}, err: ErrInvalidResponse}, broken: []int{0}},
+		"after an event":     {resp: &fakeResponse{status: 200, pieces: []string{"id: 1\ndata: a\n\n"}, err: ErrInvalidResponse}, broken: []int{1}},
+		"events in one read": {resp: &fakeResponse{status: 200, pieces: []string{"id: 1\n\nid: 2\r\n\r\nid: 3\n\nid"}, err: ErrInvalidResponse}, broken: []int{3}},
+		"stalled":            {err: ErrStalled},
+		"refused":            {err: ErrRefused},
+		"not sent":           {err: ErrNotSent},
+		"complete":           {resp: &fakeResponse{status: 200, pieces: []string{"id: 1\ndata: a\n\n"}}, answered: 1},
+		"an error response":  {resp: &fakeResponse{status: 500, pieces: []string{"no"}}},
 	} {
 		w, f := newGuardedGateway()
 		w.targets.send = func(context.Context, *Call) (Response, error) {
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -75,6 +75,11 @@
 	b.scanned = len(b.data)
 }
 
+// countEvents returns the number of events in complete events.
+func countEvents(events []byte) int {
+	return bytes.Count(events, []byte("\n\n")) + bytes.Count(events, []byte("\n\r\n"))
+}
+
 func (b *eventBuffer) incomplete() []byte { return b.data }
 
 var idField = []byte("id:")
--- a/gateway/faults_test.go
+++ b/gateway/faults_test.go
@@ -195,6 +195,7 @@
 			if n > 0 {
 				events := b.complete()
 				assert.Assert(t, len(events) == 0 || bytes.HasSuffix(events, []byte("\n\n")) || bytes.HasSuffix(events, []byte("\n\r\n")))
+				assert.Equal(t, countEvents(events) > 0, len(events) > 0)
 				_ = lastID(events, "")
 				out = append(out, events...)
 				b.drop(len(events))
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -168,8 +168,8 @@
 	// Blocked returns how much longer requests with any of the parts are refused, 0 if they
 	// are not.
 	Blocked(parts []directory.Part) time.Duration
-	// RecordBroken reports that the connection of a request broke after a number of events. The
-	// target may have crashed.
+	// RecordBroken reports that the connection of a request broke after a number of events of
+	// this target. The target may have crashed.
 	RecordBroken(t *directory.Target, parts []directory.Part, events int)
 	// RecordAnswer reports that a request was answered in full.
 	RecordAnswer(parts []directory.Part)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -87,6 +87,8 @@
 type stream struct {
 	*exchange
 	lastEvent string
+	// runEvents is the number of events that the current run has returned.
+	runEvents int
 	pace      pace
 	handle    Handle
 	// prefillFailed reports whether the last error is that of a prefill.
@@ -304,6 +306,7 @@
 	call.ResumeAfter = s.lastEvent
 	call.ProgressTimeout = s.progressTimeout()
 	s.recordSend(choice, call.Stage)
+	s.runEvents = 0
 	d := s.callerAttempt.Begin()
 	began := s.now()
 	resp, err := s.g.targets.Send(s.ctx, call)
@@ -426,6 +429,7 @@
 					return writeErr
 				}
 				s.events++
+				s.runEvents += countEvents(events)
 				s.lastEvent = lastID(events, s.lastEvent)
 				s.pace.record(s.lastEvent, at, t)
 				// A caller that reads slowly does not make its target silent.
