gateway: an unmarked end of a response is no proof that its prompt is sound

A response without a length or chunks that a crash cuts between two events counted as an answer. It cleared the parts of its prompt and lifted their blocks, so that a part that crashes engines in this way was never blocked.

Cause: the end that the protocol marks and the end of the connection were both io.EOF to the gateway.

Change: Response.EndMarked tells them apart.

TestPartThatEndsUnmarkedResponsesIsRefused failed before ("the crash is not known"). TestUnmarkedEndIsAnAnswerOfAReachableTarget guards the other side.

--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -18,6 +18,17 @@
 	return nil
 }
 
+// recordRunEnd records what a response that has ended proves about the prompt.
+func (s *stream) recordRunEnd(t *directory.Target, resp Response) {
+	switch {
+	case s.r.Prompt == nil:
+	case resp.EndMarked():
+		s.g.settings.Crashes.RecordAnswer(s.r.Prompt.Parts)
+	case s.callerCtx.Err() == nil:
+		s.g.settings.Crashes.RecordUnmarkedEnd(t, s.r.Prompt.Parts, s.runEvents)
+	}
+}
+
 // recordRunFailure records a failed run in the load of the target, and a broken connection as a
 // possible crash.
 func (s *stream) recordRunFailure(t *directory.Target, err error) {
--- a/gateway/crashes_test.go
+++ b/gateway/crashes_test.go
@@ -14,12 +14,17 @@
 type fakeGuard struct {
 	blocked          time.Duration
 	broken, answered int
+	unmarked         []int // events of the responses with an unmarked end
 	events           []int // of the broken responses
 }
 
 func (f *fakeGuard) Blocked([]directory.Part) time.Duration { return f.blocked }
 func (f *fakeGuard) RecordAnswer([]directory.Part)          { f.answered++ }
 
+func (f *fakeGuard) RecordUnmarkedEnd(_ *directory.Target, _ []directory.Part, events int) {
+	f.unmarked = append(f.unmarked, events)
+}
+
 func (f *fakeGuard) RecordBroken(_ *directory.Target, _ []directory.Part, events int) {
 	f.broken++
 	f.events = append(f.events, events)
@@ -79,12 +84,14 @@
 }
 
 // Guards against broken responses that are not reported to the guard or are reported with a wrong
-// number of events, and against other failures that are reported as broken.
+// number of events, against other failures that are reported as broken, and against an end that is
+// not marked and counts as an answer.
 func TestBrokenResponsesAreReported(t *testing.T) {
 	for name, c := range map[string]struct {
 		err      error
 		resp     *fakeResponse
 		broken   []int
+		unmarked []int
 		answered int
 	}{
 		"no head":            {err: ErrInvalidResponse, broken: []int{0}},
@@ -92,6 +99,7 @@
 		"part of an event":   {resp: &fakeResponse{status: 200, pieces: []string{"id: 1\nda"}, err: ErrInvalidResponse}, broken: []int{0}},
 		"after an event":     {resp: &fakeResponse{status: 200, pieces: []string{"id: 1\ndata: a\n\n"}, err: ErrInvalidResponse}, broken: []int{1}},
 		"events in one read": {resp: &fakeResponse{status: 200, pieces: []string{"id: 1\n\nid: 2\r\n\r\nid: 3\n\nid"}, err: ErrInvalidResponse}, broken: []int{3}},
+		"unmarked end":       {resp: &fakeResponse{status: 200, pieces: []string{"id: 1\n\n"}, unmarked: true}, unmarked: []int{1}},
 		"stalled":            {err: ErrStalled},
 		"refused":            {err: ErrRefused},
 		"not sent":           {err: ErrNotSent},
@@ -107,6 +115,7 @@
 		}
 		w.serve(context.Background(), "/chat/x")
 		assert.DeepEqual(t, f.events, c.broken)
+		assert.DeepEqual(t, f.unmarked, c.unmarked)
 		assert.Equal(t, f.answered, c.answered, name)
 	}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -119,6 +119,9 @@
 	io.Reader
 	// Status returns the HTTP status code, or its equivalent in other protocols.
 	Status() int
+	// EndMarked reports whether the protocol marks the end of the response. Otherwise it ends
+	// with its connection, and a target that crashes can make it look complete.
+	EndMarked() bool
 	// Close releases the response. If it was not read to its end, the request is
 	// cancelled on the target.
 	Close()
@@ -171,6 +174,9 @@
 	// RecordBroken reports that the connection of a request broke after a number of events of
 	// this target. The target may have crashed.
 	RecordBroken(t *directory.Target, parts []directory.Part, events int)
+	// RecordUnmarkedEnd reports that a response whose end is not marked has ended after a number
+	// of events of this target. It is complete, or the target has crashed.
+	RecordUnmarkedEnd(t *directory.Target, parts []directory.Part, events int)
 	// RecordAnswer reports that a request was answered in full.
 	RecordAnswer(parts []directory.Part)
 }
@@ -182,6 +188,8 @@
 func (noCrashGuard) RecordBroken(*directory.Target, []directory.Part, int) {}
 func (noCrashGuard) RecordAnswer([]directory.Part)                         {}
 
+func (noCrashGuard) RecordUnmarkedEnd(*directory.Target, []directory.Part, int) {}
+
 // Settings are the settings of a Gateway.
 type Settings struct {
 	Costs placement.Costs
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -26,11 +26,15 @@
 	pieces []string
 	err    error
 	closed bool
+	// unmarked makes the end of the response that of its connection.
+	unmarked bool
 }
 
 func (r *fakeResponse) Status() int { return r.status }
 func (r *fakeResponse) Close()      { r.closed = true }
 
+func (r *fakeResponse) EndMarked() bool { return !r.unmarked }
+
 func (r *fakeResponse) Read(p []byte) (int, error) {
 	if len(r.pieces) == 0 {
 		if r.err != nil {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -333,9 +333,7 @@
 		s.recordRunFailure(t, err)
 		return err
 	}
-	if s.r.Prompt != nil {
-		s.g.settings.Crashes.RecordAnswer(s.r.Prompt.Parts)
-	}
+	s.recordRunEnd(t, resp)
 	t.Load.RecordSuccess()
 	t.Load.SetConnectedUntil(s.now().Add(connectionReuseTime))
 	if call.Stage == StageDecode {
--- a/server/node/crashes.go
+++ b/server/node/crashes.go
@@ -80,27 +80,55 @@
 		return
 	}
 	at := clock.Now()
-	err := d.checks.Submit(func() {
-		if !d.guard.KnownCrash(t.Lifetime()) && d.reachable(t) {
+	d.check(t, func(crashed bool) {
+		if !crashed {
 			d.counters.broken.Add(brokenReachable)
 			return
 		}
-		d.counters.broken.Add(brokenCrashed)
-		d.counters.crashes.Add(context.Background(), 1)
-		if !d.guard.RecordCrash(t.Lifetime(), parts, at) {
+		d.recordCrash(t, parts, events, at)
+	})
+}
+
+// RecordUnmarkedEnd implements gateway.CrashGuard. A response that had only begun proves something
+// only once it is known whether its target goes on.
+func (d *crashDetector) RecordUnmarkedEnd(t *directory.Target, parts []directory.Part, events int) {
+	if !crashguard.Suspect(events) {
+		d.RecordAnswer(parts)
+		return
+	}
+	at := clock.Now()
+	d.check(t, func(crashed bool) {
+		if !crashed {
+			d.guard.RecordAnswer(parts, at)
 			return
 		}
-		d.notify()
-		if d.limit.take(1) {
-			d.log.WithFields(logrus.Fields{daemon.FieldTarget: t.ID, daemon.FieldService: t.Service, fieldParts: partIDs(parts), fieldEvents: events}).
-				Warn("target crashed at the beginning of a response")
-		}
+		d.recordCrash(t, parts, events, at)
 	})
+}
+
+// check finds out in the background whether a target has crashed, and calls record with the result.
+// It does not if too many checks are in progress.
+func (d *crashDetector) check(t *directory.Target, record func(crashed bool)) {
+	err := d.checks.Submit(func() { record(d.guard.KnownCrash(t.Lifetime()) || !d.reachable(t)) })
 	if err != nil {
 		d.counters.broken.Add(brokenNotChecked)
 	}
 }
 
+// recordCrash records a crash of a target under a suspect.
+func (d *crashDetector) recordCrash(t *directory.Target, parts []directory.Part, events int, at clock.Instant) {
+	d.counters.broken.Add(brokenCrashed)
+	d.counters.crashes.Add(context.Background(), 1)
+	if !d.guard.RecordCrash(t.Lifetime(), parts, at) {
+		return
+	}
+	d.notify()
+	if d.limit.take(1) {
+		d.log.WithFields(logrus.Fields{daemon.FieldTarget: t.ID, daemon.FieldService: t.Service, fieldParts: partIDs(parts), fieldEvents: events}).
+			Warn("target crashed at the beginning of a response")
+	}
+}
+
 // run evaluates the evidence until the context ends.
 func (d *crashDetector) run(ctx context.Context) {
 	defer d.checks.Release()
--- a/tools/mutations/faults.go
+++ b/tools/mutations/faults.go
@@ -94,6 +94,8 @@
 	{"crashes: part is never blocked", "gateway/crashes.go", "if blocked := s.g.settings.Crashes.Blocked(s.r.Prompt.Parts); blocked > 0 {", "if blocked := s.g.settings.Crashes.Blocked(nil); blocked > 0 {", "server/node TestPartThatCrashesEnginesIsRefused"},
 	{"crashes: not checked after the prefill", "gateway/stream.go", "	if err := s.checkCrashes(); err != nil {\n		return err\n	}\n	return s.decode()", "	return s.decode()", "gateway TestBlockedPromptReachesNoEngine"},
 	{"crashes: events of other engines count", "gateway/crashes.go", "s.r.Prompt.Parts, s.runEvents)", "s.r.Prompt.Parts, s.events)", "gateway TestEventsOfABrokenResponseAreThoseOfItsEngine"},
+	{"crashes: unmarked ends are answers", "gateway/crashes.go", "case resp.EndMarked():", "case resp.EndMarked() || t != nil:", "server/node TestPartThatEndsUnmarkedResponsesIsRefused"},
+	{"crashes: unmarked ends prove nothing", "server/node/crashes.go", "			d.guard.RecordAnswer(parts, at)\n", "", "server/node TestUnmarkedEndIsAnAnswerOfAReachableTarget"},
 	{"crashes: begun responses are no suspects", crashes, "return events <= maxSuspectEvents", "return events == 0", "server/node TestPartThatCrashesEnginesAfterEventsIsRefused"},
 	{"crashes: all responses are suspects", crashes, "return events <= maxSuspectEvents", "return events >= 0", "crashguard TestLongResponsesAreNoSuspects"},
 	{"crashes: broken connection counts", "server/node/crashes.go", "!d.guard.KnownCrash(t.Lifetime()) && d.reachable(t)", "!d.guard.KnownCrash(t.Lifetime()) && !d.reachable(t)", "server/node TestBrokenConnectionIsNoCrash"},
