gateway: record the failure of an error response that breaks off

An engine that crashes while it writes an error response left no evidence against the prompt, and its failure was not recorded, so that the retry of the request could go to the same engine.

Cause: the error of reading the body was returned past recordRunFailure.

The new case "a broken error response" of TestBrokenResponsesAreReported failed before: nothing was reported.

--- a/gateway/crashes_test.go
+++ b/gateway/crashes_test.go
@@ -94,17 +94,18 @@
 		unmarked []int
 		answered int
 	}{
-		"no head":            {err: ErrInvalidResponse, broken: []int{0}},
-		"no event":           {resp: &fakeResponse{status: 200, err: ErrInvalidResponse}, broken: []int{0}},
-		"part of an event":   {resp: &fakeResponse{status: 200, pieces: []string{"id: 1\nda"}, err: ErrInvalidResponse}, broken: []int{0}},
-		"after an event":     {resp: &fakeResponse{status: 200, pieces: []string{"id: 1\ndata: a\n\n"}, err: ErrInvalidResponse}, broken: []int{1}},
-		"events in one read": {resp: &fakeResponse{status: 200, pieces: []string{"id: 1\n\nid: 2\r\n\r\nid: 3\n\nid"}, err: ErrInvalidResponse}, broken: []int{3}},
-		"unmarked end":       {resp: &fakeResponse{status: 200, pieces: []string{"id: 1\n\n"}, unmarked: true}, unmarked: []int{1}},
-		"stalled":            {err: ErrStalled},
-		"refused":            {err: ErrRefused},
-		"not sent":           {err: ErrNotSent},
-		"complete":           {resp: &fakeResponse{status: 200, pieces: []string{"id: 1\ndata: a\n\n"}}, answered: 1},
-		"an error response":  {resp: &fakeResponse{status: 500, pieces: []string{"no"}}},
+		"no head":                 {err: ErrInvalidResponse, broken: []int{0}},
+		"no event":                {resp: &fakeResponse{status: 200, err: ErrInvalidResponse}, broken: []int{0}},
+		"part of an event":        {resp: &fakeResponse{status: 200, pieces: []string{"id: 1\nda"}, err: ErrInvalidResponse}, broken: []int{0}},
+		"after an event":          {resp: &fakeResponse{status: 200, pieces: []string{"id: 1\ndata: a\n\n"}, err: ErrInvalidResponse}, broken: []int{1}},
+		"events in one read":      {resp: &fakeResponse{status: 200, pieces: []string{"id: 1\n\nid: 2\r\n\r\nid: 3\n\nid"}, err: ErrInvalidResponse}, broken: []int{3}},
+		"unmarked end":            {resp: &fakeResponse{status: 200, pieces: []string{"id: 1\n\n"}, unmarked: true}, unmarked: []int{1}},
+		"stalled":                 {err: ErrStalled},
+		"refused":                 {err: ErrRefused},
+		"not sent":                {err: ErrNotSent},
+		"complete":                {resp: &fakeResponse{status: 200, pieces: []string{"id: 1\ndata: a\n\n"}}, answered: 1},
+		"a broken error response": {resp: &fakeResponse{status: 500, pieces: []string{"no"}, err: ErrInvalidResponse}, broken: []int{0}},
+		"an error response":       {resp: &fakeResponse{status: 500, pieces: []string{"no"}}},
 	} {
 		w, f := newGuardedGateway()
 		w.targets.send = func(context.Context, *Call) (Response, error) {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -319,7 +319,7 @@
 	firstAt := s.now()
 	t.Load.RecordActivity(firstAt)
 	if resp.Status() != http.StatusOK {
-		return s.writeErrorResponse(resp)
+		return s.writeErrorResponse(resp, t)
 	}
 	err = s.copyEvents(resp, t, func() {
 		firstAt = s.now()
@@ -391,9 +391,10 @@
 
 // writeErrorResponse passes an error response of the target to the caller. It fails if the
 // stream to the caller has already started.
-func (s *stream) writeErrorResponse(resp Response) error {
+func (s *stream) writeErrorResponse(resp Response, t *directory.Target) error {
 	body, err := s.readResponse(resp)
 	if err != nil {
+		s.recordRunFailure(t, err)
 		return err
 	}
 	if s.started {
--- a/tools/mutations/faults.go
+++ b/tools/mutations/faults.go
@@ -96,6 +96,7 @@
 	{"crashes: events of other engines count", "gateway/crashes.go", "s.r.Prompt.Parts, s.runEvents)", "s.r.Prompt.Parts, s.events)", "gateway TestEventsOfABrokenResponseAreThoseOfItsEngine"},
 	{"crashes: unmarked ends are answers", "gateway/crashes.go", "case resp.EndMarked():", "case resp.EndMarked() || t != nil:", "server/node TestPartThatEndsUnmarkedResponsesIsRefused"},
 	{"crashes: unmarked ends prove nothing", "server/node/crashes.go", "			d.guard.RecordAnswer(parts, at)\n", "", "server/node TestUnmarkedEndIsAnAnswerOfAReachableTarget"},
+	{"crashes: broken error responses prove nothing", "gateway/stream.go", "	body, err := s.readResponse(resp)\n	if err != nil {\n		s.recordRunFailure(t, err)\n", "	body, err := s.readResponse(resp)\n	if err != nil {\n", "gateway TestBrokenResponsesAreReported"},
 	{"crashes: begun responses are no suspects", crashes, "return events <= maxSuspectEvents", "return events == 0", "server/node TestPartThatCrashesEnginesAfterEventsIsRefused"},
 	{"crashes: all responses are suspects", crashes, "return events <= maxSuspectEvents", "return events >= 0", "crashguard TestLongResponsesAreNoSuspects"},
 	{"crashes: broken connection counts", "server/node/crashes.go", "!d.guard.KnownCrash(t.Lifetime()) && d.reachable(t)", "!d.guard.KnownCrash(t.Lifetime()) && !d.reachable(t)", "server/node TestBrokenConnectionIsNoCrash"},
