node: record all suspects of a crash

Of the responses that break at the crash of an engine, only as many were recorded as checks of the target run at the same time (16). The request that caused the crash could be among the others, and its part was then blocked late or never.

Cause: the bound counted responses instead of targets.

Change: responses that break while their target is being checked wait for a check that begins after they broke; the bound counts targets.

TestAllSuspectsOfACrashAreRecorded failed before (no part blocked after three crashes with 33 broken responses each).

--- a/server/node/crashes.go
+++ b/server/node/crashes.go
@@ -5,7 +5,6 @@
 	"strconv"
 	"time"
 
-	"github.com/panjf2000/ants/v2"
 	"github.com/sirupsen/logrus"
 
 	"github.com/lentilpick/lentilpick/clock"
@@ -14,10 +13,6 @@
 	"github.com/lentilpick/lentilpick/directory"
 )
 
-// maxReachabilityChecks bounds the concurrent checks whether a target has crashed. Further
-// broken requests are not recorded; the other requests of a crash are evidence enough.
-const maxReachabilityChecks = 16
-
 // Fields of log lines about crashes.
 const (
 	fieldPart    = "part"
@@ -41,7 +36,7 @@
 	log      *logrus.Entry
 	counters *counters
 	guard    *crashguard.Guard
-	checks   *ants.Pool
+	checks   *reachabilityChecks
 	// reachable reports whether a target accepts connections.
 	reachable func(*directory.Target) bool
 	// notify publishes new evidence to the other nodes.
@@ -54,12 +49,13 @@
 }
 
 func newCrashDetector(log *logrus.Entry, c *counters, notify func()) (*crashDetector, error) {
-	checks, err := ants.NewPool(maxReachabilityChecks, ants.WithNonblocking(true), ants.WithDisablePurge(true))
-	if err != nil {
-		return nil, err
-	}
-	return &crashDetector{log: log, counters: c, guard: crashguard.New(), checks: checks, notify: notify,
-		blocks: make(chan blockChange, blockQueueLength), recorded: map[uint64]struct{}{}, limit: lineLimit{rate: signalLogRate}}, nil
+	d := &crashDetector{log: log, counters: c, guard: crashguard.New(), notify: notify,
+		blocks: make(chan blockChange, blockQueueLength), recorded: map[uint64]struct{}{}, limit: lineLimit{rate: signalLogRate}}
+	var err error
+	d.checks, err = newReachabilityChecks(func(t *directory.Target) bool {
+		return d.guard.KnownCrash(t.Lifetime()) || !d.reachable(t)
+	})
+	return d, err
 }
 
 // Blocked implements gateway.CrashGuard.
@@ -106,11 +102,10 @@
 	})
 }
 
-// check finds out in the background whether a target has crashed, and calls record with the result.
-// It does not if too many checks are in progress.
+// check calls record in the background once it is known whether a target has crashed. It does not
+// if too many checks are in progress.
 func (d *crashDetector) check(t *directory.Target, record func(crashed bool)) {
-	err := d.checks.Submit(func() { record(d.guard.KnownCrash(t.Lifetime()) || !d.reachable(t)) })
-	if err != nil {
+	if !d.checks.submit(t, record) {
 		d.counters.broken.Add(brokenNotChecked)
 	}
 }
@@ -131,7 +126,7 @@
 
 // run evaluates the evidence until the context ends.
 func (d *crashDetector) run(ctx context.Context) {
-	defer d.checks.Release()
+	defer d.checks.release()
 	for daemon.Sleep(ctx, crashguard.EvaluateInterval) {
 		decided := d.guard.Evaluate(clock.Now())
 		for _, b := range decided.Blocked {
--- a/server/node/crashes_test.go
+++ b/server/node/crashes_test.go
@@ -110,11 +110,40 @@
 		d.reachable = func(*directory.Target) bool { return reachable }
 		engine := &directory.Target{Hash: 7}
 		d.RecordBroken(engine, []directory.Part{{ID: 0xbad}}, 0)
-		assert.NilError(t, d.checks.ReleaseTimeout(10*time.Second))
+		assert.NilError(t, d.checks.pool.ReleaseTimeout(10*time.Second))
 		assert.Equal(t, d.guard.KnownCrash(engine.Lifetime()), !reachable)
 	}
 }
 
+// Guards against a bad part that is not among the suspects of a crash, because more requests of the
+// engine broke with its own than targets are checked at the same time.
+func TestAllSuspectsOfACrashAreRecorded(t *testing.T) {
+	m, err := daemon.NewMetrics("test")
+	assert.NilError(t, err)
+	c, err := newCounters(m)
+	assert.NilError(t, err)
+	d, err := newCrashDetector(daemon.NewLogger(io.Discard, "error", "node"), c, func() {})
+	assert.NilError(t, err)
+	broken := make(chan struct{})
+	d.reachable = func(*directory.Target) bool {
+		<-broken
+		return false
+	}
+	const engines, soundRequests = 3, 2 * maxReachabilityChecks
+	for e := range uint64(engines) {
+		engine := &directory.Target{Hash: 1 + e}
+		for i := range uint64(soundRequests) {
+			d.RecordBroken(engine, []directory.Part{{ID: 1 + e*soundRequests + i}}, 2)
+		}
+		d.RecordBroken(engine, []directory.Part{{ID: 0xbad}}, 1)
+	}
+	close(broken)
+	assert.NilError(t, d.checks.pool.ReleaseTimeout(10*time.Second))
+	blocked := d.guard.Evaluate(clock.Now().Add(time.Second)).Blocked
+	assert.Equal(t, len(blocked), 1)
+	assert.Equal(t, blocked[0].Part, uint64(0xbad))
+}
+
 // Guards against short responses without a mark of their end that prove nothing although their
 // engine goes on, so that sound parts are blocked, and against those of a crashed engine that
 // count as answers.
@@ -132,7 +161,7 @@
 			d.guard.RecordCrash(directory.Lifetime{Target: i}, parts, clock.Now())
 		}
 		d.RecordUnmarkedEnd(&directory.Target{Hash: 7}, parts, 1)
-		assert.NilError(t, d.checks.ReleaseTimeout(10*time.Second))
+		assert.NilError(t, d.checks.pool.ReleaseTimeout(10*time.Second))
 		blocked := d.guard.Evaluate(clock.Now().Add(time.Second)).Blocked
 		assert.Equal(t, len(blocked) == 0, reachable)
 	}
