--- a/cmd/internal/soak/soak.go
+++ b/cmd/internal/soak/soak.go
@@ -307,7 +307,8 @@
 }
 
 // crashEngine makes a target crash under the next stream, before its first event or after one or
-// several, and starts it again under its ID after the duration d. All prompts have the part under which it crashes, and are still served afterwards.
+// several, and starts it again under its ID after the duration d. All prompts have the part under
+// which it crashes, and are still served afterwards.
 func (s *soak) crashEngine(d time.Duration) {
 	t := s.deployment.targets[s.randomTarget()]
 	s.markTargetsDisturbed(d)
--- a/crashguard/guard.go
+++ b/crashguard/guard.go
@@ -20,14 +20,13 @@
 )
 
 const (
+	// maxSuspectEvents is the number of events up to which a response has only begun. An engine
+	// that crashes on a prompt may send some events before the crash takes effect. Without a
+	// bound, parts of long streams would be suspects of most crashes of engines that end together.
+	maxSuspectEvents = 8
 	// minCrashes is the number of crashes after which a part is blocked. Sound parts are in
 	// progress at one or two crashes by chance.
 	minCrashes = 3
-	// maxSuspectEvents is the number of events up to which a response has only begun. An engine
-	// that crashes on a prompt may send its first events, each with several tokens, before the
-	// crash takes effect. The bound keeps the other streams of a crash, of which long ones are
-	// many, from being suspects.
-	maxSuspectEvents = 8
 	// minCrashesAnswered is the same for a part with a known answer. Engines that lose power
 	// together end under the same parts, if these are in most prompts; parts that turn bad are
 	// rarer.
@@ -142,7 +141,8 @@
 	return answer != 0 && answer >= crash.Add(-answerMargin)
 }
 
-// RecordCrash records that an engine has crashed under a suspect with these parts. It reports whether there is something new to publish.
+// RecordCrash records that an engine has crashed under a suspect with these parts. It reports
+// whether there is something new to publish.
 func (g *Guard) RecordCrash(t directory.Lifetime, parts []directory.Part, now clock.Instant) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -87,7 +87,8 @@
 type stream struct {
 	*exchange
 	lastEvent string
-	// runEvents is the number of events that the current run has returned.
+	// runEvents is the number of events of the last run, while events of the exchange counts the
+	// reads with events of all runs.
 	runEvents int
 	pace      pace
 	handle    Handle
