gateway: a resumed stream without an event and a marked end is truncated

A stream that the node resumes on a second engine looked complete to its caller when that engine crashed before its first event and its response had neither a length nor chunks. The crash left no evidence either.

Cause: the check for a stream without an event counted the events of the whole request, those of the first engine included.

Change: the events of the run count. A resumed response without events is complete only if its end is marked.

TestResumedStreamThatEndsWithoutAnEvent failed before (the caller's stream was ended).

--- a/gateway/faults_test.go
+++ b/gateway/faults_test.go
@@ -100,6 +100,25 @@
 	assert.Assert(t, !caller.ended)
 }
 
+// Guards against a resumed stream that looks complete to its caller although its second engine has
+// crashed before its first event, and whose end is not marked.
+func TestResumedStreamThatEndsWithoutAnEvent(t *testing.T) {
+	for _, unmarked := range []bool{false, true} {
+		w, f := newGuardedGateway()
+		responses := []*fakeResponse{
+			{status: 200, pieces: []string{"id: 1\n\n"}, err: ErrInvalidResponse}, {status: 200, unmarked: unmarked},
+		}
+		w.targets.send = func(context.Context, *Call) (Response, error) {
+			r := responses[0]
+			responses = responses[1:]
+			return r, nil
+		}
+		_, caller := w.serve(context.Background(), "/resume/x")
+		assert.Equal(t, caller.ended, !unmarked)
+		assert.Equal(t, len(f.events) == 2, unmarked, "a crash of the second engine leaves evidence")
+	}
+}
+
 // panickingResponse panics when it is read.
 type panickingResponse struct{ fakeResponse }
 
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -466,12 +466,12 @@
 
 // finish passes the end of a complete stream. A response without a length ends with its
 // connection, also if the target crashes, so that an incomplete last event means that the
-// stream is truncated. So does a stream without any event, unless it resumes an earlier one.
+// stream is truncated. So does a stream without any event that must have some.
 func (s *stream) finish(resp Response, rest []byte) error {
 	if len(rest) > 0 {
 		return fmt.Errorf("stream ends within an event: %w", ErrInvalidResponse)
 	}
-	if p := s.r.Prompt; p != nil && p.MaxOutputTokens > 0 && s.events == 0 && s.lastEvent == "" {
+	if p := s.r.Prompt; p != nil && p.MaxOutputTokens > 0 && s.runEvents == 0 && s.mustHaveEvents(resp) {
 		return fmt.Errorf("stream ends without an event: %w", ErrInvalidResponse)
 	}
 	if !s.started {
@@ -485,6 +485,16 @@
 	return nil
 }
 
+// mustHaveEvents reports whether a response without events is truncated. One that resumes a stream
+// may have none left, but if another target has broken off, an end that is not marked is more
+// likely that of a target that has crashed as well.
+func (s *stream) mustHaveEvents(resp Response) bool {
+	if s.events > 0 {
+		return !resp.EndMarked()
+	}
+	return s.lastEvent == ""
+}
+
 func (s *stream) callerGone() error {
 	return &outcomeError{s.callerAttempt.Refuse(types.RefusedCallerGone)}
 }
