--- a/server/node/crashes_test.go
+++ b/server/node/crashes_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/poll"
 
 	"github.com/lentilpick/lentilpick/clock"
+	"github.com/lentilpick/lentilpick/crashguard"
 	"github.com/lentilpick/lentilpick/daemon"
 	"github.com/lentilpick/lentilpick/directory"
 	"github.com/lentilpick/lentilpick/platform"
@@ -98,16 +99,28 @@
 	assert.Equal(t, w.send("sound", "/chat/x", "prompt").status, http.StatusOK)
 }
 
-// Guards against a broken connection that counts as a crash although the engine goes on.
-func TestBrokenConnectionIsNoCrash(t *testing.T) {
+// newTestDetector returns a detector for targets that are all reachable or not.
+func newTestDetector(t *testing.T, reachable func() bool) *crashDetector {
 	m, err := daemon.NewMetrics("test")
 	assert.NilError(t, err)
 	c, err := newCounters(m)
 	assert.NilError(t, err)
+	d, err := newCrashDetector(daemon.NewLogger(io.Discard, "error", "node"), c, func() {})
+	assert.NilError(t, err)
+	d.reachable = func(*directory.Target) bool { return reachable() }
+	return d
+}
+
+// evaluateChecks waits for all checks and returns the parts that the guard blocks then.
+func evaluateChecks(t *testing.T, d *crashDetector) []crashguard.Blocking {
+	assert.NilError(t, d.checks.pool.ReleaseTimeout(10*time.Second))
+	return d.guard.Evaluate(clock.Now().Add(time.Second)).Blocked
+}
+
+// Guards against a broken connection that counts as a crash although the engine goes on.
+func TestBrokenConnectionIsNoCrash(t *testing.T) {
 	for _, reachable := range []bool{true, false} {
-		d, err := newCrashDetector(daemon.NewLogger(io.Discard, "error", "node"), c, func() {})
-		assert.NilError(t, err)
-		d.reachable = func(*directory.Target) bool { return reachable }
+		d := newTestDetector(t, func() bool { return reachable })
 		engine := &directory.Target{Hash: 7}
 		d.RecordBroken(engine, []directory.Part{{ID: 0xbad}}, 0)
 		assert.NilError(t, d.checks.pool.ReleaseTimeout(10*time.Second))
@@ -118,17 +131,11 @@
 // Guards against a bad part that is not among the suspects of a crash, because more requests of the
 // engine broke with its own than targets are checked at the same time.
 func TestAllSuspectsOfACrashAreRecorded(t *testing.T) {
-	m, err := daemon.NewMetrics("test")
-	assert.NilError(t, err)
-	c, err := newCounters(m)
-	assert.NilError(t, err)
-	d, err := newCrashDetector(daemon.NewLogger(io.Discard, "error", "node"), c, func() {})
-	assert.NilError(t, err)
 	broken := make(chan struct{})
-	d.reachable = func(*directory.Target) bool {
+	d := newTestDetector(t, func() bool {
 		<-broken
 		return false
-	}
+	})
 	const engines, soundRequests = 3, 2 * maxReachabilityChecks
 	for e := range uint64(engines) {
 		engine := &directory.Target{Hash: 1 + e}
@@ -138,8 +145,7 @@
 		d.RecordBroken(engine, []directory.Part{{ID: 0xbad}}, 1)
 	}
 	close(broken)
-	assert.NilError(t, d.checks.pool.ReleaseTimeout(10*time.Second))
-	blocked := d.guard.Evaluate(clock.Now().Add(time.Second)).Blocked
+	blocked := evaluateChecks(t, d)
 	assert.Equal(t, len(blocked), 1)
 	assert.Equal(t, blocked[0].Part, uint64(0xbad))
 }
@@ -148,22 +154,14 @@
 // engine goes on, so that sound parts are blocked, and against those of a crashed engine that
 // count as answers.
 func TestUnmarkedEndIsAnAnswerOfAReachableTarget(t *testing.T) {
-	m, err := daemon.NewMetrics("test")
-	assert.NilError(t, err)
-	c, err := newCounters(m)
-	assert.NilError(t, err)
 	parts := []directory.Part{{ID: 0xbad}}
 	for _, reachable := range []bool{true, false} {
-		d, err := newCrashDetector(daemon.NewLogger(io.Discard, "error", "node"), c, func() {})
-		assert.NilError(t, err)
-		d.reachable = func(*directory.Target) bool { return reachable }
+		d := newTestDetector(t, func() bool { return reachable })
 		for i := range uint64(3) {
 			d.guard.RecordCrash(directory.Lifetime{Target: i}, parts, clock.Now())
 		}
 		d.RecordUnmarkedEnd(&directory.Target{Hash: 7}, parts, 1)
-		assert.NilError(t, d.checks.pool.ReleaseTimeout(10*time.Second))
-		blocked := d.guard.Evaluate(clock.Now().Add(time.Second)).Blocked
-		assert.Equal(t, len(blocked) == 0, reachable)
+		assert.Equal(t, len(evaluateChecks(t, d)) == 0, reachable)
 	}
 }
 
