--- a/server/node/path_test.go
+++ b/server/node/path_test.go
@@ -37,7 +37,11 @@
 	seeds   []string   // of the next node
 	parts   string     // of the prompts of the next requests, instead of the default
 	vm      types.VMID // of the next node
-	stop    func()
+	// gracePeriod is the time from SIGTERM to SIGKILL of the next node.
+	gracePeriod time.Duration
+	stop        func()
+	// beginStop requests the stop of the node without waiting for its end.
+	beginStop func()
 	// runError is the first error that Run of a node returned.
 	runError atomic.Pointer[error]
 }
@@ -85,7 +89,7 @@
 
 // newEnv starts the stand-ins only.
 func newEnv(t *testing.T) *testEnv {
-	w := &testEnv{t: t, vm: "vm1"}
+	w := &testEnv{t: t, vm: "vm1", gracePeriod: 8 * time.Second}
 	var err error
 	w.store, err = standin.NewStore("127.0.0.1:0")
 	assert.NilError(t, err)
@@ -111,7 +115,7 @@
 	m := &platform.Settings{
 		VM: w.vm, DataCentre: "dc1", IP: netip.MustParseAddr("127.0.0.1"), CallerAddress: port(), ReadyAddress: port(),
 		InternalPort: freePort(w.t), MetricsPort: freePort(w.t), StoreAddress: w.store.Address(), MemoryBytes: 1 << 30,
-		StopGracePeriod: 8 * time.Second, MaxDrainDelay: 2 * time.Second, MaxConfigDelay: 2 * time.Second, MinHolderGap: 3 * time.Second,
+		StopGracePeriod: w.gracePeriod, MaxDrainDelay: 2 * time.Second, MaxConfigDelay: 2 * time.Second, MinHolderGap: 3 * time.Second,
 		RetryRatio: 0.2, RetryExtra: 100, RetryWindow: 10 * time.Second,
 		ControlAddress: port(), SeedAddresses: w.seeds,
 	}
@@ -128,6 +132,7 @@
 		}
 		ended <- err
 	}()
+	w.beginStop = cancel
 	w.stop = func() {
 		cancel()
 		assert.NilError(w.t, <-ended)
