node: logs and metrics of planned stops

The state of the stop is a shutdown.State, which replaces the node's own flag. What is in progress when the process ends still has no line of its own, because it has no outcome.

--- a/server/node/counters.go
+++ b/server/node/counters.go
@@ -33,6 +33,8 @@
 	crashes metric.Int64Counter
 	// broken counts the responses whose connection broke, by what that proves.
 	broken *daemon.ReasonCounter
+	// stopping counts the requests that ended during a planned stop.
+	stopping *daemon.ReasonCounter
 }
 
 // firstEventBuckets are the bucket bounds of the time to the first event or the complete response,
@@ -107,6 +109,9 @@
 	if c.broken, err = m.NewReasonCounter("lentilpick_broken_responses", "Responses to prompts whose connection broke, by what that proves about the target.", brokenNames); err != nil {
 		return nil, err
 	}
+	if c.stopping, err = m.NewReasonCounter("lentilpick_stop_requests", "Requests that ended during a planned stop, by their arrival before or during it and by their end.", stopOutcomeNames[:]); err != nil {
+		return nil, err
+	}
 	if c.pauses, err = m.Meter.Int64Counter("lentilpick_pauses", metric.WithDescription("Refusals with which a target requested a pause.")); err != nil {
 		return nil, err
 	}
--- a/server/node/node.go
+++ b/server/node/node.go
@@ -12,7 +12,6 @@
 	"os"
 	"runtime/debug"
 	"strconv"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -31,6 +30,7 @@
 	"github.com/lentilpick/lentilpick/mirror"
 	"github.com/lentilpick/lentilpick/placement"
 	"github.com/lentilpick/lentilpick/platform"
+	"github.com/lentilpick/lentilpick/shutdown"
 	"github.com/lentilpick/lentilpick/transport"
 )
 
@@ -51,11 +51,6 @@
 	// memberReadInterval is the time between two reads of the member list, and the maximum delay
 	// after a failed one.
 	memberReadInterval = 3 * time.Second
-	// readinessDrainTime is how long a stopping node still accepts connections: the platform sends
-	// new ones until two readiness checks, 1 s apart, have failed, plus a margin.
-	readinessDrainTime = 2500 * time.Millisecond
-	// stopMargin is the time between the end of the graceful stop and the platform's SIGKILL.
-	stopMargin = 500 * time.Millisecond
 	// retryBudgetShare is the fraction of the platform's retry budget that is used, so that
 	// requests in flight do not exceed the budget.
 	retryBudgetShare = 0.8
@@ -100,7 +95,11 @@
 	// the store.
 	mirrors [len(wireFeeds)]mirror.Feed
 
-	configLoaded, registrationsLoaded, stopping atomic.Bool
+	configLoaded, registrationsLoaded atomic.Bool
+	// shutdown is the state of the planned stop, and stopped what became of the requests that
+	// ended during it.
+	shutdown shutdown.State
+	stopped  stopTally
 }
 
 // New returns a node that does not serve requests until Run is called. The error wraps ErrStart
@@ -135,6 +134,7 @@
 	}
 	n.exchanger.ExchangeCrashes(n.crashes.guard)
 	o := newObserver(log, c, s.SampleEvery, s.LogRate)
+	o.shutdown, o.stopped = &n.shutdown, &n.stopped
 	n.targets = platform.NewTargets(newTargetSignals(log, c, n.directory, n.exchanger.NotifyLeaving, n.exchanger.NotifyLimit))
 	n.crashes.reachable = n.targets.Reachable
 	n.gateway = gateway.New(n.gatewaySettings(), n.directory, n.targets, n.exchanger, o)
@@ -387,7 +387,7 @@
 // ready reports whether a configuration and the registrations are loaded and the node is not
 // stopping.
 func (n *Node) ready() bool {
-	return n.configLoaded.Load() && n.registrationsLoaded.Load() && !n.stopping.Load()
+	return n.configLoaded.Load() && n.registrationsLoaded.Load() && n.shutdown.Schedule() == nil
 }
 
 func (n *Node) handleReady(ctx *fasthttp.RequestCtx) {
@@ -406,20 +406,3 @@
 	}
 	n.log.WithField("store", m.StoreAddress).Info("settings reloaded")
 }
-
-// stop shuts the node down: it fails its readiness checks so that the platform sends no new
-// connections, then closes idle connections, and the others after their responses.
-func (n *Node) stop(callers net.Listener) {
-	n.log.Info("stopping")
-	n.stopping.Store(true)
-	n.front.DisableKeepAlive()
-	ctx, cancel := context.WithTimeout(context.Background(), n.machine.StopGracePeriod-stopMargin)
-	defer cancel()
-	var unregistered sync.WaitGroup
-	unregistered.Go(func() { unregisterMember(n.store, n.self()) })
-	daemon.Sleep(ctx, readinessDrainTime)
-	n.front.Stop(ctx)
-	_ = callers.Close()
-	unregistered.Wait()
-	n.log.Info("stopped")
-}
--- a/server/node/observer.go
+++ b/server/node/observer.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"maps"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -11,6 +12,7 @@
 	"github.com/lentilpick/lentilpick/daemon"
 	"github.com/lentilpick/lentilpick/directory"
 	"github.com/lentilpick/lentilpick/gateway"
+	"github.com/lentilpick/lentilpick/shutdown"
 	"github.com/lentilpick/lentilpick/types"
 )
 
@@ -42,6 +44,10 @@
 	// limit applies to all lines, unroutedLimit to those about requests without a route.
 	limit, unroutedLimit lineLimit
 	droppedLines         atomic.Int64
+	// shutdown is the state of the planned stop of the node, and stopped counts how requests ended
+	// during it.
+	shutdown *shutdown.State
+	stopped  *stopTally
 }
 
 // unroutedDivisor limits the lines about requests without a route to the log rate divided by it, so
@@ -52,6 +58,7 @@
 	return &observer{
 		log: log, counters: c, sampleEvery: uint64(sample),
 		limit: lineLimit{rate: int64(rate)}, unroutedLimit: lineLimit{rate: int64(rate) / unroutedDivisor},
+		shutdown: &shutdown.State{}, stopped: &stopTally{},
 	}
 }
 
@@ -59,16 +66,20 @@
 func (o *observer) ObserveDecision(e *gateway.Event) { o.counters.count(e) }
 
 // ObserveEnd implements gateway.Observer. It logs either all decisions about a request or none.
+// Every request that ends during a planned stop is logged.
 func (o *observer) ObserveEnd(events []gateway.Event) {
-	if end := &events[len(events)-1]; !o.shouldLog(end) || !o.allow(end, len(events)) {
+	end := &events[len(events)-1]
+	stop := o.observeStop(end)
+	if stop == nil && !o.shouldLog(end) || !o.allow(end, len(events)) {
 		return
 	}
 	for i := range events {
-		o.write(&events[i])
+		o.write(&events[i], stop)
 	}
 }
 
-func (o *observer) write(e *gateway.Event) {
+// write logs a decision. stop holds the fields of requests that end during a planned stop.
+func (o *observer) write(e *gateway.Event, stop logrus.Fields) {
 	f := logrus.Fields{daemon.FieldRequest: e.Request.ID, fieldElapsed: millis(e.Elapsed)}
 	if e.Route != "" {
 		f[fieldRoute], f[daemon.FieldService] = e.Route, e.Service
@@ -95,6 +106,9 @@
 			f[logrus.ErrorKey] = e.Err.Error()
 		}
 	}
+	if e.Kind == gateway.KindOutcome {
+		maps.Copy(f, stop)
+	}
 	o.log.WithTime(e.Request.Arrived.Add(e.Elapsed)).WithFields(f).Info(string(e.Kind))
 }
 
--- a/server/node/observer_test.go
+++ b/server/node/observer_test.go
@@ -14,6 +14,7 @@
 	"github.com/lentilpick/lentilpick/directory"
 	"github.com/lentilpick/lentilpick/gateway"
 	"github.com/lentilpick/lentilpick/placement"
+	"github.com/lentilpick/lentilpick/shutdown"
 	"github.com/lentilpick/lentilpick/types"
 )
 
@@ -127,3 +128,28 @@
 	assert.Assert(t, strings.Contains(lines[1], `"events":4`))
 	assert.Assert(t, strings.Contains(lines[1], `"parts":"5c1e07a2,91bd3f06"`))
 }
+
+// Guards against stop logs that do not tell what was in progress at SIGTERM from what was accepted
+// since, or that leave out requests which are answered in time.
+func TestRequestsThatEndDuringAStopAreLogged(t *testing.T) {
+	var out bytes.Buffer
+	o := testObserver(t, &out, 1000)
+	began := time.Now()
+	o.shutdown.Begin(shutdown.Schedule{Began: began, End: began.Add(7500 * time.Millisecond)})
+	end := func(arrived time.Time, elapsed time.Duration, out types.Outcome) {
+		e := gateway.Event{Kind: gateway.KindOutcome, Request: &gateway.Request{Arrived: arrived, Hash: 1}, Outcome: out, Elapsed: elapsed}
+		o.ObserveEnd([]gateway.Event{e})
+	}
+	var a types.Attempt
+	end(began.Add(-time.Second), 3*time.Second, types.Answered{})
+	end(began.Add(2*time.Second), time.Second, types.Answered{})
+	end(began.Add(2*time.Second), 0, a.Refuse(types.RefusedStopping))
+	assert.DeepEqual(t, o.stopped.fields(), logrus.Fields{
+		"earlier_answered": int64(1), "earlier_refused": int64(0), "earlier_failed": int64(0),
+		"later_answered": int64(1), "later_refused": int64(1), "later_failed": int64(0),
+	})
+	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	assert.Equal(t, len(lines), 3)
+	assert.Assert(t, strings.Contains(lines[0], `"grace_left_ms":5500`) && strings.Contains(lines[0], `"since_stop_ms":-1000`), lines[0])
+	assert.Assert(t, strings.Contains(lines[1], `"grace_left_ms":4500`) && strings.Contains(lines[1], `"since_stop_ms":2000`), lines[1])
+}
