gateway: refuse requests that the process cannot end before it stops

Requests come for 2.5 s on new connections, until the platform has noticed the failed readiness checks, and at any time of the stop on a connection that an earlier response has promised to keep open.

A request that arrives during a stop now begins only if its own deadline lies before the end of the stop, or if the longest recent response of its route, with a margin, fits into the rest. A request that is refused by mistake costs its caller a round trip; one that is cut costs all.

TestRequestsThatOutlastTheProcessReachNoTarget covers the decision in virtual time.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -51,6 +51,11 @@
 
 func (x *exchange) now() time.Time { return x.g.settings.Now() }
 
+// mayBegin reports whether the process lives long enough for the request.
+func (x *exchange) mayBegin() bool {
+	return x.g.settings.Shutdown.Allows(x.now(), x.deadline, x.g.durations.Longest(x.route.Name))
+}
+
 func (x *exchange) serve() types.Outcome {
 	if x.ctx.Err() != nil {
 		return x.callerAttempt.Refuse(types.RefusedDeadline)
@@ -69,6 +74,9 @@
 	if reason, failed := types.ReasonOf(o); failed && reason == types.RefusedInternal {
 		e.Err = x.lastErr
 	}
+	if _, answered := o.(types.Answered); answered {
+		x.g.durations.Record(e.Route, e.Elapsed)
+	}
 	x.recordDecision(e)
 	x.releaseBuffers()
 	x.g.observer.ObserveEnd(x.decisions)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/lentilpick/lentilpick/directory"
 	"github.com/lentilpick/lentilpick/placement"
 	"github.com/lentilpick/lentilpick/routes"
+	"github.com/lentilpick/lentilpick/shutdown"
 	"github.com/lentilpick/lentilpick/types"
 )
 
@@ -206,6 +207,9 @@
 	Demand *demand.Table
 	// Crashes decides which prompts are refused because they crash engines. With nil none are.
 	Crashes CrashGuard
+	// Shutdown decides which requests may begin while the process stops. With nil it never
+	// stops.
+	Shutdown *shutdown.State
 	// Now returns the current time.
 	Now func() time.Time
 }
@@ -219,6 +223,7 @@
 	publisher LoadPublisher
 	observer  Observer
 	budgets   budgets
+	durations shutdown.Durations
 	buffered  atomic.Int64 // bytes of buffered responses
 	panics    atomic.Int64
 }
@@ -228,6 +233,9 @@
 	if s.Crashes == nil {
 		s.Crashes = noCrashGuard{}
 	}
+	if s.Shutdown == nil {
+		s.Shutdown = &shutdown.State{}
+	}
 	return &Gateway{settings: s, directory: d, targets: t, publisher: publisher, observer: o}
 }
 
@@ -292,6 +300,9 @@
 	if !r.Deadline.IsZero() && r.Deadline.Before(x.deadline) {
 		x.deadline = r.Deadline
 	}
+	if !x.mayBegin() {
+		return x.end(x.refuse(types.RefusedStopping, minRetryAfter))
+	}
 	deadlineCtx, cancel := context.WithDeadline(ctx, x.deadline)
 	defer cancel()
 	x.callerCtx, x.ctx = ctx, deadlineCtx
--- /dev/null
+++ b/gateway/shutdown_test.go
@@ -0,0 +1,47 @@
+package gateway
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lentilpick/lentilpick/shutdown"
+)
+
+// beginStop makes the gateway one of a process that ends after the given time.
+func (w *testGateway) beginStop(after time.Duration) {
+	now := time.Now()
+	w.g.settings.Shutdown.Begin(shutdown.Schedule{Began: now, End: now.Add(after)})
+}
+
+// Guards against a stopping process that sends a request to a target although it has to cut the
+// response, and against one that refuses requests which end in time.
+func TestRequestsThatOutlastTheProcessReachNoTarget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		events := []string{"id: 1\n\n", "id: 2\n\n"}
+		w := newTestGateway()
+		w.targets.send = func(context.Context, *Call) (Response, error) {
+			return &pacedResponse{fakeResponse{status: 200, pieces: events}, 500 * time.Millisecond, false}, nil
+		}
+		w.beginStop(3900 * time.Millisecond)
+		r, _ := w.serve(t.Context(), "/chat/x")
+		assert.Equal(t, outcomeText(r.Outcome), "not_run stopping", "nothing is known about the route, whose time-out is after the stop")
+		assert.Assert(t, r.RetryAfter > 0)
+		assert.Equal(t, len(w.targets.calls), 0)
+
+		w.g.settings.Shutdown = &shutdown.State{}
+		r, _ = w.serve(t.Context(), "/chat/x")
+		assert.Equal(t, outcomeText(r.Outcome), "answered")
+		w.beginStop(3900 * time.Millisecond)
+		r, _ = w.serve(t.Context(), "/chat/x")
+		assert.Equal(t, outcomeText(r.Outcome), "answered", "earlier responses of the route were short")
+		time.Sleep(2 * time.Second)
+		calls := len(w.targets.calls)
+		r, _ = w.serve(t.Context(), "/chat/x")
+		assert.Equal(t, outcomeText(r.Outcome), "not_run stopping")
+		assert.Equal(t, len(w.targets.calls), calls)
+	})
+}
--- a/server/node/node.go
+++ b/server/node/node.go
@@ -179,7 +179,7 @@
 		Speed: placement.EngineSpeed{
 			PrefillTokensPerMs: float64(n.settings.PrefillTokensPerMs), PairsPerToken: float64(n.settings.PairsPerToken), PrefillSetup: prefillSetupTime, IterationTime: iterationTime, IterationTimePerStream: iterationTimePerStream,
 		},
-		TransferCostPerToken: transferCostPerToken, FetchCostPerToken: fetchCostPerToken, MaxBufferedBytes: n.machine.MemoryBytes / bufferDivisor, Demand: &n.demand, Crashes: n.crashes, Now: time.Now,
+		TransferCostPerToken: transferCostPerToken, FetchCostPerToken: fetchCostPerToken, MaxBufferedBytes: n.machine.MemoryBytes / bufferDivisor, Demand: &n.demand, Crashes: n.crashes, Shutdown: &n.shutdown, Now: time.Now,
 	}
 }
 
