gateway: no retry that the process cannot end before it stops

Retries before the first event now meet the same condition as new requests. A request that has not run is refused as 'stopping' with a short Retry-After. A stream that has begun may still be resumed, since its caller has nothing to win by an earlier end.

TestNoRetryThatOutlastsTheProcess failed before: a second call was made ('not_run no_target').

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -51,7 +51,8 @@
 
 func (x *exchange) now() time.Time { return x.g.settings.Now() }
 
-// mayBegin reports whether the process lives long enough for the request.
+// mayBegin reports whether the process lives long enough for the request, or for another
+// attempt of it.
 func (x *exchange) mayBegin() bool {
 	return x.g.settings.Shutdown.Allows(x.now(), x.deadline, x.g.durations.Longest(x.route.Name))
 }
@@ -232,6 +233,14 @@
 	return ok
 }
 
+// giveUp ends a request after a failed call that is not retried.
+func (x *exchange) giveUp(f failure) types.Outcome {
+	if !x.callerAttempt.Sent() && !x.mayBegin() {
+		return x.refuse(types.RefusedStopping, minRetryAfter)
+	}
+	return x.refuse(f.refusal, x.route.Objective)
+}
+
 // retryCost returns how many requests a retry sends in addition to those of a request
 // without failures. A retry after a failed prefill costs nothing: a rejected prefill has
 // already been charged, and the first accepted one is free. After a failed run the
@@ -247,7 +256,7 @@
 }
 
 func (x *exchange) retryAllowed(f failure, prefill bool) bool {
-	if x.attempts+x.prefills >= maxAttempts+1 {
+	if x.attempts+x.prefills >= maxAttempts+1 || !x.started && !x.mayBegin() {
 		return false
 	}
 	if f.notRun || prefill {
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -45,7 +45,7 @@
 			return o
 		}
 		if !x.mayRetry(f, false) {
-			return x.refuse(f.refusal, x.route.Objective)
+			return x.giveUp(f)
 		}
 	}
 }
--- a/gateway/shutdown_test.go
+++ b/gateway/shutdown_test.go
@@ -45,3 +45,20 @@
 		assert.Equal(t, len(w.targets.calls), calls)
 	})
 }
+
+// Guards against a retry that a stopping process begins and cannot end, while the request is known
+// not to have run and another process can take it.
+func TestNoRetryThatOutlastsTheProcess(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newTestGateway()
+		w.targets.send = func(context.Context, *Call) (Response, error) {
+			if w.g.settings.Shutdown.Schedule() == nil {
+				w.beginStop(3 * time.Second)
+			}
+			return nil, ErrRefused
+		}
+		r, _ := w.serve(t.Context(), "/read/x")
+		assert.Equal(t, outcomeText(r.Outcome), "not_run stopping")
+		assert.Equal(t, len(w.targets.calls), 1)
+	})
+}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -71,7 +71,7 @@
 			f.notRun = true
 		}
 		if !x.mayRetry(f, s.prefillFailed) {
-			return x.refuse(f.refusal, x.route.Objective)
+			return x.giveUp(f)
 		}
 		s.prefillFailed = false
 	}
