--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -212,6 +212,8 @@
 // contextOutcome returns the outcome of a request whose context has ended, or nil.
 func (x *exchange) contextOutcome() types.Outcome {
 	switch {
+	case errors.Is(context.Cause(x.callerCtx), ErrStopping):
+		return x.refuse(types.RefusedStopping, minRetryAfter)
 	case x.callerCtx.Err() != nil:
 		return x.callerAttempt.Refuse(types.RefusedCallerGone)
 	case x.ctx.Err() != nil:
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -50,6 +50,10 @@
 	ErrCanceled = errors.New("request was canceled")
 )
 
+// ErrStopping is the cause with which a front end cancels the context of a request that is
+// in progress at the end of a planned stop.
+var ErrStopping = errors.New("process is stopping")
+
 // Request is one attempt of a caller, decoded by a front end.
 type Request struct {
 	ID types.RequestID
@@ -275,7 +279,7 @@
 }
 
 // Serve serves one request and returns its result. The context must end when the caller
-// disconnects. A panic ends the request with RefusedInternal; it is reported to the
+// disconnects, or with the cause ErrStopping when the process is about to end. A panic ends the request with RefusedInternal; it is reported to the
 // observer with its stack.
 func (g *Gateway) Serve(ctx context.Context, r *Request, w Responder) (res Result) {
 	x := exchange{g: g, r: r, w: w}
--- a/gateway/shutdown_test.go
+++ b/gateway/shutdown_test.go
@@ -62,3 +62,20 @@
 		assert.Equal(t, len(w.targets.calls), 1)
 	})
 }
+
+// Guards against requests in progress at the end of a stop whose outcome is not told, or counted as
+// that of a caller who has left, and against a refusal of one that may have run.
+func TestRequestsInProgressEndWithTheStop(t *testing.T) {
+	for path, want := range map[string]string{"/once/x": "unknown stopping", "/chat/x": "not_run stopping"} {
+		synctest.Test(t, func(t *testing.T) {
+			w := newTestGateway()
+			ctx, cancel := context.WithCancelCause(t.Context())
+			w.targets.prefill = func(*Call) (Handle, error) { <-ctx.Done(); return Handle{}, ErrCanceled }
+			w.targets.send = func(context.Context, *Call) (Response, error) { <-ctx.Done(); return nil, ErrCanceled }
+			time.AfterFunc(time.Second, func() { cancel(ErrStopping) })
+			r, caller := w.serve(ctx, path)
+			assert.Equal(t, outcomeText(r.Outcome), want)
+			assert.Assert(t, !r.Started && !caller.ended)
+		})
+	}
+}
