node: SIGHUP during the start does not end the process

A node whose settings file changed just after its start ended, so that callers had one node less until it was started again: SIGHUP has its default action until signal.Notify is called, and main called it after the settings were read and the node's sockets were open.

main now handles the signals before anything else. A process that gets SIGTERM during its start ends without serving, as before.

--- a/cmd/lentilpick-node/main.go
+++ b/cmd/lentilpick-node/main.go
@@ -20,6 +20,11 @@
 }
 
 func main() {
+	ctx, cancel := daemon.SignalContext()
+	defer cancel()
+	// SIGHUP ends a process that does not handle it yet.
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
 	k := kong.Parse(&cli, kong.Description("Accepts callers' requests on a VM of the platform and routes them to targets."))
 	s := node.DefaultSettings()
 	k.FatalIfErrorf(daemon.LoadSettings(cli.Settings, s))
@@ -32,9 +37,8 @@
 		WithField(daemon.FieldVM, m.VM).WithField(daemon.FieldDataCentre, m.DataCentre)
 	n, err := node.New(s, m, log)
 	k.FatalIfErrorf(err)
-	ctx, cancel := daemon.SignalContext()
-	defer cancel()
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
+	if ctx.Err() != nil {
+		return
+	}
 	k.FatalIfErrorf(n.Run(ctx, hup))
 }
