node: log lines that are queued at the end are written

The last lines of a process could be missing from its log, among them "stopped" and the outcomes of the last requests: lines are queued for a writer goroutine, and the process ended without a wait for it.

LineWriter.Close writes what is queued and waits for it, 200 ms at most, as the reader of standard output may not read. main calls it after Run.

TestLineWriterWritesQueuedLinesAtTheEnd has a writer that takes 1 ms for a line and one that blocks. There was no such call before.

--- a/cmd/lentilpick-node/main.go
+++ b/cmd/lentilpick-node/main.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/alecthomas/kong"
 
@@ -19,6 +20,10 @@
 	Check    bool   `help:"Validate the settings and exit."`
 }
 
+// logFlushTimeout bounds the wait for a blocked standard output at the end of the process. It is
+// shorter than the time between the end of a graceful stop and the platform's SIGKILL.
+const logFlushTimeout = 200 * time.Millisecond
+
 func main() {
 	ctx, cancel := daemon.SignalContext()
 	defer cancel()
@@ -33,12 +38,15 @@
 	}
 	m, err := platform.LoadSettings()
 	k.FatalIfErrorf(err)
-	log := daemon.NewLogger(node.NewLineWriter(os.Stdout), s.LogLevel, "node").
+	lines := node.NewLineWriter(os.Stdout)
+	log := daemon.NewLogger(lines, s.LogLevel, "node").
 		WithField(daemon.FieldVM, m.VM).WithField(daemon.FieldDataCentre, m.DataCentre)
 	n, err := node.New(s, m, log)
 	k.FatalIfErrorf(err)
 	if ctx.Err() != nil {
 		return
 	}
-	k.FatalIfErrorf(n.Run(ctx, hup))
+	err = n.Run(ctx, hup)
+	_ = lines.Close(logFlushTimeout)
+	k.FatalIfErrorf(err)
 }
--- a/server/node/observer.go
+++ b/server/node/observer.go
@@ -4,9 +4,11 @@
 	"io"
 	"maps"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/ansel1/merry/v2"
 	"github.com/sirupsen/logrus"
 
 	"github.com/lentilpick/lentilpick/daemon"
@@ -178,20 +180,38 @@
 type LineWriter struct {
 	lines   chan []byte
 	dropped atomic.Int64
+	closing chan struct{}
+	closed  chan struct{} // closed once the queued lines are written after Close
+	once    sync.Once
 }
 
 // lineQueueLength is the maximum number of lines in the queue of a LineWriter.
 const lineQueueLength = 256
 
+// ErrLinesLost reports that a writer did not accept all queued log lines in time.
+var ErrLinesLost = merry.New("queued log lines are lost")
+
 // NewLineWriter returns a LineWriter that writes to w.
 func NewLineWriter(w io.Writer) *LineWriter {
-	l := &LineWriter{lines: make(chan []byte, lineQueueLength)}
-	go func() {
-		for b := range l.lines {
+	l := &LineWriter{lines: make(chan []byte, lineQueueLength), closing: make(chan struct{}), closed: make(chan struct{})}
+	go l.run(w)
+	return l
+}
+
+func (l *LineWriter) run(w io.Writer) {
+	defer close(l.closed)
+	for {
+		select {
+		case b := <-l.lines:
 			_, _ = w.Write(b)
+		case <-l.closing:
+			// Lines may still be added, so only those are written that are queued now.
+			for range len(l.lines) {
+				_, _ = w.Write(<-l.lines)
+			}
+			return
 		}
-	}()
-	return l
+	}
 }
 
 // Write implements io.Writer. It never blocks and returns no error.
@@ -203,3 +223,17 @@
 	}
 	return len(p), nil
 }
+
+// Close writes the queued lines and discards later ones. It waits up to the timeout, as the writer
+// may block; after that the error is ErrLinesLost.
+func (l *LineWriter) Close(timeout time.Duration) error {
+	l.once.Do(func() { close(l.closing) })
+	t := time.NewTimer(timeout)
+	defer t.Stop()
+	select {
+	case <-l.closed:
+		return nil
+	case <-t.C:
+		return ErrLinesLost
+	}
+}
--- a/server/node/observer_test.go
+++ b/server/node/observer_test.go
@@ -4,7 +4,9 @@
 	"bytes"
 	"io"
 	"strings"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -112,6 +114,40 @@
 	assert.Equal(t, w.dropped.Load(), int64(lineQueueLength))
 }
 
+// slowWriter is a writer that takes the given time for each line.
+type slowWriter struct {
+	delay time.Duration
+	lines atomic.Int64
+}
+
+func (s *slowWriter) Write(p []byte) (int, error) {
+	time.Sleep(s.delay)
+	s.lines.Add(1)
+	return len(p), nil
+}
+
+// Guards against the loss of the last log lines of a process, and against one that cannot end
+// because the reader of standard output does not read.
+func TestLineWriterWritesQueuedLinesAtTheEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &slowWriter{delay: time.Millisecond}
+		w := NewLineWriter(s)
+		for range 100 {
+			_, _ = w.Write([]byte("line\n"))
+		}
+		assert.NilError(t, w.Close(time.Second))
+		assert.Equal(t, s.lines.Load(), int64(100))
+		_, _ = w.Write([]byte("late\n"))
+		assert.NilError(t, w.Close(time.Second), "closed twice")
+		slow := NewLineWriter(&slowWriter{delay: time.Minute})
+		_, _ = slow.Write([]byte("line\n"))
+		began := time.Now()
+		assert.ErrorIs(t, slow.Close(time.Second), ErrLinesLost)
+		assert.Equal(t, time.Since(began), time.Second)
+		time.Sleep(time.Hour)
+	})
+}
+
 // Guards against a failed stream whose log lines do not show which parts its prompt has and
 // whether the target had generated anything.
 func TestFailedStreamsAreLoggedWithTheirPromptParts(t *testing.T) {
