soak: series of planned stops under callers that keep their connections

The soak stopped nodes only under streams of 30 ms, and its callers stayed with a node, so that no request was in progress at the end of a grace period.

--- a/Makefile
+++ b/Makefile
@@ -23,8 +23,10 @@
 
 RUNS ?= 1
 DURATION ?= 8s
-soak: build ## Runs nodes under random faults; set SEED, RUNS and DURATION (of each run).
-	./$(BIN)/lentilpick-load soak --bin $(BIN) --seed $(SEED) --runs $(RUNS) --duration $(DURATION)
+SCENARIO ?= faults
+STOPS ?=
+soak: build ## Runs nodes under random faults, or planned stops with SCENARIO=stops; set SEED, RUNS, DURATION (of each run) and STOPS (flags of the stops).
+	./$(BIN)/lentilpick-load soak --bin $(BIN) --scenario $(SCENARIO) --seed $(SEED) --runs $(RUNS) --duration $(DURATION) $(STOPS)
 
 faults: build ## Runs the fault scenarios with real processes; writes out/faults.json.
 	./$(BIN)/lentilpick-load faults --bin $(BIN) --examples examples --out out
--- a/cmd/internal/soak/deployment.go
+++ b/cmd/internal/soak/deployment.go
@@ -11,6 +11,7 @@
 	"os/exec"
 	"path/filepath"
 	"strconv"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -45,40 +46,52 @@
 	restarting bool
 }
 
+// targetSpec describes a target. phase is empty for plain services.
+type targetSpec struct{ id, service, phase string }
+
+// layout describes the deployment of a scenario.
+type layout struct {
+	dataCentres  int
+	targets      []targetSpec
+	behaviour    standin.Behaviour
+	routeTimeout time.Duration
+	prefillShare int64 // in thousandths, 0 for a share that follows the demand
+}
+
 // deployment is a set of nodes, targets and a store on loopback addresses.
 type deployment struct {
+	layout
 	binDir, outDir string
 	store          *standin.Store
 	targets        []*standin.Target
 	targetLinks    []*link // in front of the targets
 	nodes          []*node
 	configVersion  int
+	// plannedShare is the share of prefill engines in the settings of nodes that start.
+	plannedShare atomic.Int64
 	// targetsDisturbedUntil is the end of the latest fault of a target or its link.
 	targetsDisturbedUntil time.Time
 }
 
-func newDeployment(binDir, outDir string) (*deployment, error) {
-	d := &deployment{binDir: binDir, outDir: outDir}
+func newDeployment(binDir, outDir string, l layout) (*deployment, error) {
+	d := &deployment{layout: l, binDir: binDir, outDir: outDir}
+	d.plannedShare.Store(l.prefillShare)
 	var err error
 	if d.store, err = standin.NewStore("127.0.0.1:0"); err != nil {
 		return nil, err
 	}
-	roles := []struct{ id, service, phase string }{
-		{"i-p1", "llm", "prefill"}, {"i-p2", "llm", "prefill"}, {"i-d1", "llm", "decode"}, {"i-d2", "llm", "decode"},
-		{"i-a", "desk", ""}, {"i-b", "desk", ""}, {"i-c", "desk", ""},
-	}
-	for i, r := range roles {
-		t, err := standin.NewTarget(d.store, r.id, r.service, dataCentre(i), r.phase, "127.0.0.1:0")
+	for i, r := range l.targets {
+		t, err := standin.NewTarget(d.store, r.id, r.service, d.dataCentre(i), r.phase, "127.0.0.1:0")
 		if err != nil {
 			return nil, err
 		}
-		t.SetBehaviour(healthyBehaviour)
-		l, err := newLink(t.Address())
+		t.SetBehaviour(l.behaviour)
+		link, err := newLink(t.Address())
 		if err != nil {
 			return nil, err
 		}
-		t.SetProxyAddress(l.address())
-		d.targets, d.targetLinks = append(d.targets, t), append(d.targetLinks, l)
+		t.SetProxyAddress(link.address())
+		d.targets, d.targetLinks = append(d.targets, t), append(d.targetLinks, link)
 	}
 	d.configure()
 	for i := range nodeCount {
@@ -89,10 +102,22 @@
 	return d, nil
 }
 
+// faultsLayout is the deployment under random faults.
+func faultsLayout() layout {
+	return layout{
+		dataCentres: 2,
+		targets: []targetSpec{
+			{"i-p1", "llm", "prefill"}, {"i-p2", "llm", "prefill"}, {"i-d1", "llm", "decode"}, {"i-d2", "llm", "decode"},
+			{"i-a", "desk", ""}, {"i-b", "desk", ""}, {"i-c", "desk", ""},
+		},
+		behaviour: healthyBehaviour, routeTimeout: standin.DefaultTimeout, prefillShare: 500,
+	}
+}
+
 // healthyBehaviour is the behaviour of a target without faults.
 var healthyBehaviour = standin.Behaviour{Work: 5 * time.Millisecond, TokensPerMs: 50}
 
-func dataCentre(i int) string { return fmt.Sprintf("dc%d", i%2+1) }
+func (d *deployment) dataCentre(i int) string { return fmt.Sprintf("dc%d", i%d.dataCentres+1) }
 
 func freePort() (int, error) {
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
@@ -129,7 +154,7 @@
 	}
 	n.callerAddress, n.readyAddress = net.JoinHostPort(ip, strconv.Itoa(ports[0])), net.JoinHostPort(ip, strconv.Itoa(ports[1]))
 	n.settingsPath = filepath.Join(d.outDir, n.name+".toml")
-	m := standin.NodeSettings{Name: n.name, IP: ip, Zone: dataCentre(i), CallerAddress: n.callerAddress, ReadyAddress: n.readyAddress, StoreAddress: l.address(), ControlAddress: controlAddress(i)}
+	m := standin.NodeSettings{Name: n.name, IP: ip, Zone: d.dataCentre(i), CallerAddress: n.callerAddress, ReadyAddress: n.readyAddress, StoreAddress: l.address(), ControlAddress: controlAddress(i)}
 	for seed := range seedCount {
 		m.SeedAddresses = append(m.SeedAddresses, controlAddress(seed))
 	}
@@ -144,8 +169,9 @@
 }
 
 func (d *deployment) startNode(n *node) error {
-	settings := filepath.Join(d.outDir, "node.toml")
-	if err := os.WriteFile(settings, []byte("prefill_share = 500\nsample_one = 1\nlog_rate = 10000\n"), 0o600); err != nil {
+	settings := filepath.Join(d.outDir, n.name+"-settings.toml")
+	text := fmt.Sprintf("prefill_share = %d\nsample_one = 1\nlog_rate = 10000\n", d.plannedShare.Load())
+	if err := os.WriteFile(settings, []byte(text), 0o600); err != nil {
 		return err
 	}
 	n.cmd = exec.Command(filepath.Join(d.binDir, "lentilpick-node"), "--settings", settings)
@@ -193,5 +219,5 @@
 // configure publishes the next version of the configuration.
 func (d *deployment) configure() {
 	d.configVersion++
-	d.store.Configure(d.configVersion)
+	d.store.ConfigureTimeout(d.configVersion, d.routeTimeout)
 }
--- a/cmd/internal/soak/soak.go
+++ b/cmd/internal/soak/soak.go
@@ -23,6 +23,8 @@
 	Seed     uint64        `default:"1" help:"First seed."`
 	Runs     int           `default:"1" help:"Number of consecutive seeds to run, one after the other."`
 	Duration time.Duration `default:"8s" help:"Duration of fault injection in each run."`
+	Scenario string        `default:"faults" enum:"faults,stops" help:"faults: random faults of all kinds; stops: series of planned stops."`
+	Stops    StopsSettings `embed:"" prefix:"stops-"`
 }
 
 // Run implements the command.
@@ -30,7 +32,7 @@
 	var failed error
 	for i := range c.Runs {
 		seed := c.Seed + uint64(i)
-		summary, err := runSeed(c.Bin, fmt.Sprintf("%s/%d", c.Out, seed), seed, c.Duration)
+		summary, err := c.runSeed(seed)
 		fmt.Printf("soak: seed=%d %s\n", seed, summary)
 		if err != nil {
 			fmt.Printf("soak: seed=%d FAILED: %v\n", seed, err)
@@ -40,6 +42,14 @@
 	return failed
 }
 
+func (c *Cmd) runSeed(seed uint64) (string, error) {
+	out := fmt.Sprintf("%s/%d", c.Out, seed)
+	if c.Scenario == "stops" {
+		return runStops(c.Bin, out, seed, c.Duration, c.Stops)
+	}
+	return runFaults(c.Bin, out, seed, c.Duration)
+}
+
 const (
 	startTimeout    = 10 * time.Second
 	recoveryTimeout = 12 * time.Second
@@ -60,11 +70,11 @@
 	faultsInjected int
 }
 
-func runSeed(binDir, outDir string, seed uint64, faultDuration time.Duration) (string, error) {
+func runFaults(binDir, outDir string, seed uint64, faultDuration time.Duration) (string, error) {
 	if err := os.MkdirAll(outDir, 0o755); err != nil {
 		return "", err
 	}
-	dep, err := newDeployment(binDir, outDir)
+	dep, err := newDeployment(binDir, outDir, faultsLayout())
 	if err != nil {
 		return "", err
 	}
