shutdown, gateway: responses in progress count for the estimate

With the estimate from complete responses only, a node that had started some seconds ago knew the short responses of a route and not the long ones, which had not ended yet: it began streams of 12 s up to 2.4 s after SIGTERM, and cut them.

A response in progress extends the estimate with each event, and the estimate counts only once the process has served the route for as long as is left of the stop, because it cannot have seen longer responses before.

TestResponsesInProgressCountForTheEstimate failed before ('answered != not_run stopping').

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -10,6 +10,7 @@
 	"github.com/lentilpick/lentilpick/directory"
 	"github.com/lentilpick/lentilpick/placement"
 	"github.com/lentilpick/lentilpick/routes"
+	"github.com/lentilpick/lentilpick/shutdown"
 	"github.com/lentilpick/lentilpick/types"
 )
 
@@ -23,6 +24,7 @@
 	service   *routes.Service
 	serviceID types.ServiceID
 	budget    *admission.RetryBudget
+	durations *shutdown.RouteDurations
 	deadline  time.Time
 	callerCtx context.Context // ends when the caller disconnects
 	ctx       context.Context // ends at the deadline as well
@@ -54,7 +56,8 @@
 // mayBegin reports whether the process lives long enough for the request, or for another
 // attempt of it.
 func (x *exchange) mayBegin() bool {
-	return x.g.settings.Shutdown.Allows(x.now(), x.deadline, x.g.durations.Longest(x.route.Name))
+	now := x.now()
+	return x.g.settings.Shutdown.Allows(now, x.deadline, x.durations.Estimate(now))
 }
 
 func (x *exchange) serve() types.Outcome {
@@ -76,7 +79,7 @@
 		e.Err = x.lastErr
 	}
 	if _, answered := o.(types.Answered); answered {
-		x.g.durations.Record(e.Route, e.Elapsed)
+		x.durations.Record(e.Elapsed)
 	}
 	x.recordDecision(e)
 	x.releaseBuffers()
--- a/gateway/shutdown_test.go
+++ b/gateway/shutdown_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -35,6 +36,7 @@
 		w.g.settings.Shutdown = &shutdown.State{}
 		r, _ = w.serve(t.Context(), "/chat/x")
 		assert.Equal(t, outcomeText(r.Outcome), "answered")
+		time.Sleep(4 * time.Second)
 		w.beginStop(3900 * time.Millisecond)
 		r, _ = w.serve(t.Context(), "/chat/x")
 		assert.Equal(t, outcomeText(r.Outcome), "answered", "earlier responses of the route were short")
@@ -79,3 +81,27 @@
 		})
 	}
 }
+
+// Guards against an estimate from short responses only, while long ones that have not ended yet show
+// that a request may outlast the process.
+func TestResponsesInProgressCountForTheEstimate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newTestGateway()
+		respond := func(interval time.Duration, events ...string) {
+			w.targets.send = func(context.Context, *Call) (Response, error) {
+				return &pacedResponse{fakeResponse{status: 200, pieces: events}, interval, false}, nil
+			}
+		}
+		respond(time.Millisecond, "id: 1\n\n")
+		w.serve(t.Context(), "/chat/x")
+		time.Sleep(4 * time.Second)
+		respond(time.Second, "id: 1\n\n", "id: 2\n\n", "id: 3\n\n")
+		var running sync.WaitGroup
+		running.Go(func() { w.serve(t.Context(), "/chat/x") })
+		time.Sleep(2500 * time.Millisecond)
+		w.beginStop(2900 * time.Millisecond)
+		r, _ := w.serve(t.Context(), "/chat/x")
+		assert.Equal(t, outcomeText(r.Outcome), "not_run stopping")
+		running.Wait()
+	})
+}
--- a/shutdown/shutdown.go
+++ b/shutdown/shutdown.go
@@ -33,19 +33,21 @@
 // is cut off loses all of it.
 const durationMargin = 1.5
 
-// Allows reports whether a request may begin now: its caller stops waiting at deadline, and
-// its response is expected to take the given time, 0 if that is unknown. While the process
-// stops, it may if it ends by itself before the process does, or if it is expected to.
-func (s *State) Allows(now, deadline time.Time, expected time.Duration) bool {
+// Allows reports whether a request may begin now: its caller stops waiting at deadline, and e
+// is known about its route. While the process stops, it may if it ends by itself before the
+// process does, or if its response is expected to. A process that has served the route for a
+// shorter time than is left cannot know of longer responses.
+func (s *State) Allows(now, deadline time.Time, e Estimate) bool {
 	x := s.schedule.Load()
 	if x == nil {
 		return true
 	}
-	if !now.Before(x.End) {
+	rest := x.End.Sub(now)
+	if rest <= 0 {
 		return false
 	}
 	if !deadline.After(x.End) {
 		return true
 	}
-	return expected > 0 && !now.Add(time.Duration(durationMargin*float64(expected))).After(x.End)
+	return e.Longest > 0 && e.Watched >= rest && time.Duration(durationMargin*float64(e.Longest)) <= rest
 }
