shutdown: estimate the share of responses that outlast a stop

And any estimate may be wrong; a request that comes late, on a connection that an earlier response has promised to keep open, is then cut although nothing excuses it.

The estimator of Kaplan and Meier has responses in progress, or cut, count up to their present age. During the time in which callers come on new connections a request begins if at most a tenth of the responses of its route outlast the stop; after it only if its own deadline ends it.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -25,6 +25,7 @@
 	serviceID types.ServiceID
 	budget    *admission.RetryBudget
 	durations *shutdown.RouteDurations
+	progress  shutdown.Progress
 	deadline  time.Time
 	callerCtx context.Context // ends when the caller disconnects
 	ctx       context.Context // ends at the deadline as well
@@ -56,8 +57,7 @@
 // mayBegin reports whether the process lives long enough for the request, or for another
 // attempt of it.
 func (x *exchange) mayBegin() bool {
-	now := x.now()
-	return x.g.settings.Shutdown.Allows(now, x.deadline, x.durations.Estimate(now))
+	return x.g.settings.Shutdown.Allows(x.now(), x.deadline, x.durations)
 }
 
 func (x *exchange) serve() types.Outcome {
@@ -79,7 +79,7 @@
 		e.Err = x.lastErr
 	}
 	if _, answered := o.(types.Answered); answered {
-		x.durations.Record(e.Elapsed)
+		x.progress.End(e.Elapsed)
 	}
 	x.recordDecision(e)
 	x.releaseBuffers()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -304,7 +304,8 @@
 	if !r.Deadline.IsZero() && r.Deadline.Before(x.deadline) {
 		x.deadline = r.Deadline
 	}
-	x.durations = g.durations.Route(x.route.Name, r.Arrived)
+	x.durations = g.durations.Route(x.route.Name)
+	x.progress = x.durations.Begin()
 	if !x.mayBegin() {
 		return x.end(x.refuse(types.RefusedStopping, minRetryAfter))
 	}
--- a/gateway/shutdown_test.go
+++ b/gateway/shutdown_test.go
@@ -15,7 +15,7 @@
 // beginStop makes the gateway one of a process that ends after the given time.
 func (w *testGateway) beginStop(after time.Duration) {
 	now := time.Now()
-	w.g.settings.Shutdown.Begin(shutdown.Schedule{Began: now, End: now.Add(after)})
+	w.g.settings.Shutdown.Begin(shutdown.Schedule{Began: now, AcceptUntil: now.Add(after), End: now.Add(after)})
 }
 
 // Guards against a stopping process that sends a request to a target although it has to cut the
@@ -34,9 +34,10 @@
 		assert.Equal(t, len(w.targets.calls), 0)
 
 		w.g.settings.Shutdown = &shutdown.State{}
-		r, _ = w.serve(t.Context(), "/chat/x")
-		assert.Equal(t, outcomeText(r.Outcome), "answered")
-		time.Sleep(4 * time.Second)
+		for range 20 {
+			r, _ = w.serve(t.Context(), "/chat/x")
+			assert.Equal(t, outcomeText(r.Outcome), "answered")
+		}
 		w.beginStop(3900 * time.Millisecond)
 		r, _ = w.serve(t.Context(), "/chat/x")
 		assert.Equal(t, outcomeText(r.Outcome), "answered", "earlier responses of the route were short")
@@ -93,11 +94,14 @@
 			}
 		}
 		respond(time.Millisecond, "id: 1\n\n")
-		w.serve(t.Context(), "/chat/x")
-		time.Sleep(4 * time.Second)
+		for range 20 {
+			w.serve(t.Context(), "/chat/x")
+		}
 		respond(time.Second, "id: 1\n\n", "id: 2\n\n", "id: 3\n\n")
 		var running sync.WaitGroup
-		running.Go(func() { w.serve(t.Context(), "/chat/x") })
+		for range 5 {
+			running.Go(func() { w.serve(t.Context(), "/chat/x") })
+		}
 		time.Sleep(2500 * time.Millisecond)
 		w.beginStop(2900 * time.Millisecond)
 		r, _ := w.serve(t.Context(), "/chat/x")
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -432,7 +432,7 @@
 				s.runEvents += countEvents(events)
 				s.lastEvent = lastID(events, s.lastEvent)
 				s.pace.record(s.lastEvent, at, t)
-				s.durations.Extend(at.Sub(s.r.Arrived))
+				s.progress.Extend(at.Sub(s.r.Arrived))
 				// A caller that reads slowly does not make its target silent.
 				lastProgress = s.now()
 				b.drop(len(events))
--- a/server/node/stop.go
+++ b/server/node/stop.go
@@ -38,7 +38,7 @@
 func (n *Node) stop(callers net.Listener) {
 	began := time.Now()
 	end := began.Add(n.machine.StopGracePeriod - stopMargin)
-	n.shutdown.Begin(shutdown.Schedule{Began: began, End: end})
+	n.shutdown.Begin(shutdown.Schedule{Began: began, AcceptUntil: began.Add(readinessDrainTime), End: end})
 	n.log.WithFields(logrus.Fields{fieldInProgress: n.front.InFlight(), fieldGraceLeft: millis(end.Sub(began))}).Info("stopping")
 	n.front.DisableKeepAlive()
 	ctx, cancel := context.WithDeadline(context.Background(), end)
--- a/shutdown/durations.go
+++ b/shutdown/durations.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,25 +15,8 @@
 	mu     sync.Mutex // serialises additions
 }
 
-// RouteDurations is how long the responses of one route take, from the arrival of a request
-// to the end of its response.
-type RouteDurations struct {
-	since   time.Time    // of the first request
-	longest atomic.Int64 // nanoseconds
-}
-
-// Estimate is what is known about the duration of the responses of a route.
-type Estimate struct {
-	// Longest is the time of the longest recent response, complete or in progress; 0 if
-	// there was none.
-	Longest time.Duration
-	// Watched is the time since the first request. No longer response can have been seen.
-	Watched time.Duration
-}
-
-// Route returns the durations of a route. It adds the route if it is new: a request to it
-// arrives now.
-func (d *Durations) Route(name string, now time.Time) *RouteDurations {
+// Route returns the durations of a route. It adds the route if it is new.
+func (d *Durations) Route(name string) *RouteDurations {
 	if m := d.routes.Load(); m != nil {
 		if v := (*m)[name]; v != nil {
 			return v
@@ -47,38 +31,87 @@
 		}
 		maps.Copy(next, *m)
 	}
-	v := &RouteDurations{since: now}
+	v := &RouteDurations{}
 	next[name] = v
 	d.routes.Store(&next)
 	return v
 }
 
-// durationDecayShift sets the share of the difference to a shorter response by which the
-// longest one decays with each response, 1/2^durationDecayShift.
-const durationDecayShift = 6
+const (
+	// Durations are divided into intervals whose bounds grow by the factor of the square root
+	// of 2, from firstBound to some 45 s.
+	firstBound    = 125 * time.Millisecond
+	intervalCount = 18
+	// maxSamples is the number of complete responses after which the weight of all samples is
+	// halved, so that the estimate follows changes.
+	maxSamples = 256
+)
 
-// Record records the duration of a complete response. A longer one than before counts at
-// once, and is forgotten over some hundred shorter ones.
-func (r *RouteDurations) Record(took time.Duration) {
-	for {
-		old := r.longest.Load()
-		next := max(int64(took), old-(old-int64(took))>>durationDecayShift, 1)
-		if r.longest.CompareAndSwap(old, next) {
-			return
-		}
+// bounds are the ends of the intervals.
+var bounds = func() (b [intervalCount]time.Duration) {
+	for i := range b {
+		b[i] = time.Duration(float64(firstBound) * math.Pow(2, float64(i)/2))
 	}
+	return b
+}()
+
+// RouteDurations estimates how long the responses of one route take, from the arrival of a
+// request to the end of its response. It is the estimator of Kaplan and Meier (1958), in
+// which responses that are in progress, or were cut, count up to their present age: complete
+// responses alone would leave out the long ones of a process that has just started. It is
+// safe for concurrent use.
+type RouteDurations struct {
+	// ended are the responses that ended within each interval, and passed those that lasted
+	// longer.
+	ended, passed [intervalCount]atomic.Int64
+	samples       atomic.Int64
 }
 
-// Extend records that a response is still in progress, or was cut, after the given time.
-func (r *RouteDurations) Extend(elapsed time.Duration) {
-	for old := r.longest.Load(); int64(elapsed) > old; old = r.longest.Load() {
-		if r.longest.CompareAndSwap(old, int64(elapsed)) {
-			return
-		}
+// Progress is the age of one response. It is not safe for concurrent use.
+type Progress struct {
+	route    *RouteDurations
+	interval int // the first one that has not passed
+}
+
+// Begin begins to observe a response.
+func (r *RouteDurations) Begin() Progress { return Progress{route: r} }
+
+// Extend records that the response is still in progress after the given time.
+func (p *Progress) Extend(elapsed time.Duration) {
+	for p.interval < intervalCount && elapsed > bounds[p.interval] {
+		p.route.passed[p.interval].Add(1)
+		p.interval++
+	}
+}
+
+// End records that the response is complete after the given time.
+func (p *Progress) End(elapsed time.Duration) {
+	p.Extend(elapsed)
+	if p.interval == intervalCount {
+		return
+	}
+	p.route.ended[p.interval].Add(1)
+	if p.route.samples.Add(1) == maxSamples {
+		p.route.halve()
 	}
 }
 
-// Estimate returns what is known at the given time.
-func (r *RouteDurations) Estimate(now time.Time) Estimate {
-	return Estimate{Longest: time.Duration(r.longest.Load()), Watched: now.Sub(r.since)}
+func (r *RouteDurations) halve() {
+	r.samples.Add(-maxSamples / 2)
+	for i := range intervalCount {
+		r.ended[i].Add(-r.ended[i].Load() / 2)
+		r.passed[i].Add(-r.passed[i].Load() / 2)
+	}
+}
+
+// Outlasting returns the share of responses, from 0 to 1, that take longer than d. One
+// response more than seen is assumed to pass each interval, so that a few samples do not
+// exclude longer ones. It is 1 if nothing is known.
+func (r *RouteDurations) Outlasting(d time.Duration) float64 {
+	share := 1.0
+	for i := 0; i < intervalCount && bounds[i] <= d; i++ {
+		ended, passed := float64(r.ended[i].Load()), float64(r.passed[i].Load())
+		share *= (passed + 1) / (ended + passed + 1)
+	}
+	return share
 }
--- a/shutdown/shutdown.go
+++ b/shutdown/shutdown.go
@@ -13,6 +13,9 @@
 type Schedule struct {
 	// Began is the time at which the stop was requested.
 	Began time.Time
+	// AcceptUntil is the time until which callers that have not noticed the stop are expected
+	// on new connections. Later requests begin only if they end by themselves.
+	AcceptUntil time.Time
 	// End is the time by which every request has to have its response.
 	End time.Time
 }
@@ -28,26 +31,24 @@
 // Schedule returns the schedule of the stop, or nil while the process serves.
 func (s *State) Schedule() *Schedule { return s.schedule.Load() }
 
-// durationMargin is the factor by which a response may take longer than the longest recent
-// one. A refused caller loses one round trip to another process, and a caller whose response
-// is cut off loses all of it.
-const durationMargin = 1.5
+// maxCutShare is the share of responses that a stopping process may begin and not end. A
+// caller whose response is cut loses all of it, and a refused one a round trip and one of a
+// few retries, about a tenth of that.
+const maxCutShare = 0.1
 
-// Allows reports whether a request may begin now: its caller stops waiting at deadline, and e
-// is known about its route. While the process stops, it may if it ends by itself before the
-// process does, or if its response is expected to. A process that has served the route for a
-// shorter time than is left cannot know of longer responses.
-func (s *State) Allows(now, deadline time.Time, e Estimate) bool {
+// Allows reports whether a request may begin now: its caller stops waiting at deadline, and r
+// holds how long responses of its route take. While the process stops, a request may begin if
+// it ends by itself before the process does, or if its response is likely to. The latter
+// counts only while a refusal would concern all callers, as it can be wrong.
+func (s *State) Allows(now, deadline time.Time, r *RouteDurations) bool {
 	x := s.schedule.Load()
-	if x == nil {
+	switch {
+	case x == nil:
 		return true
-	}
-	rest := x.End.Sub(now)
-	if rest <= 0 {
+	case !now.Before(x.End):
 		return false
-	}
-	if !deadline.After(x.End) {
+	case !deadline.After(x.End):
 		return true
 	}
-	return e.Longest > 0 && e.Watched >= rest && time.Duration(durationMargin*float64(e.Longest)) <= rest
+	return !now.After(x.AcceptUntil) && r.Outlasting(x.End.Sub(now)) <= maxCutShare
 }
