node: a stopping node sends no role orders

A node went on to plan roles, claim the lease and order engines to change their roles until its process ended, up to 7.5 s after SIGTERM. Engines that it took out of service then came back after it was gone, so that no node reported them as suspended, and the nodes that serve on waited for its lease.

The role controller ran in the context of the goroutines that serve requests in progress. It now runs in the context that SIGTERM ends. No further order and no claim begins, also not between the read of an engine's state and its order.

TestNoOrdersDuringGracefulStop stops a node before the roles have deviated for long enough.

--- a/server/node/node.go
+++ b/server/node/node.go
@@ -315,7 +315,7 @@
 	go func() { failed <- readiness.Serve(ready) }()
 	go func() { failed <- http.Serve(metrics, n.metricsHandler()) }()
 	go func() { failed <- n.front.Serve(callers) }()
-	n.startBackground(background)
+	n.startBackground(background, ctx)
 	n.log.WithField(daemon.FieldAddress, n.machine.CallerAddress).Info("started")
 	for {
 		select {
@@ -348,8 +348,9 @@
 const callerUserTimeout = 5 * time.Second
 
 // startBackground starts the goroutines that follow the feeds, exchange load with the other
-// nodes, check targets for progress and plan roles.
-func (n *Node) startBackground(ctx context.Context) {
+// nodes, check targets for progress and plan roles. They run until ctx ends, those that plan roles
+// until serving ends: a stopping node gives no orders.
+func (n *Node) startBackground(ctx, serving context.Context) {
 	source := func(name string) outageLogger { return outageLogger{log: n.log.WithField(fieldSource, name)} }
 	go n.exchanger.Run(ctx)
 	go n.watchTargets(ctx)
@@ -373,7 +374,7 @@
 			lease:      newLeaseClaimer(n.store, holder, n.machine.MinHolderGap, n.machine.ChecksFencing),
 			fixedShare: float64(n.settings.PrefillShare) / 1000, bootstrap: n.machine.Bootstrap, demand: n.exchanger.Demand, rank: n.rank, notifySuspended: n.exchanger.NotifyLoadChange,
 		}
-		go k.run(ctx)
+		go k.run(serving)
 	}
 }
 
--- a/server/node/path_test.go
+++ b/server/node/path_test.go
@@ -498,3 +498,22 @@
 	}
 	assert.Equal(t, orders, 1)
 }
+
+// Guards against a node that orders changes of roles while it stops, from a plan that no other node
+// has.
+func TestNoOrdersDuringGracefulStop(t *testing.T) {
+	w := newEnvWithNode(t, 500)
+	third, err := standin.NewTarget(w.store, "i-d2", "llm", "dc1", "decode", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(third.Close)
+	fourth, err := standin.NewTarget(w.store, "i-d3", "llm", "dc1", "decode", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(fourth.Close)
+	w.configure()
+	w.waitFor("the node to be ready", func() bool { return w.node.ready() && w.membersListed() && w.node.directory.Load().Len() == 6 })
+	w.stop()
+	for _, e := range []*standin.Target{w.prefill, w.decode, third, fourth} {
+		assert.Equal(t, len(e.Orders()), 0, e.ID)
+	}
+	assert.Equal(t, len(w.store.Records(leaseTopic)), 0)
+}
--- a/server/node/roles.go
+++ b/server/node/roles.go
@@ -100,20 +100,28 @@
 	}
 }
 
-// sendOrders claims the lease and sends an order for each change. It stops when the grant expires.
+// sendOrders claims the lease and sends an order for each change. It stops when the grant expires
+// or ctx ends. An order that was sent by then is recorded and published.
 func (k *roleController) sendOrders(ctx context.Context, changes []planning.ShareChange) error {
+	if err := ctx.Err(); err != nil {
+		return err
+	}
 	g, err := k.lease.claim(ctx)
 	if err != nil {
 		return err
 	}
 	k.log.WithField(daemon.FieldFencingNumber, g.fence).Info("lease taken")
+	check := func() error { return errors.Join(ctx.Err(), g.check()) }
 	var failed error
 	for _, c := range changes {
+		if err := ctx.Err(); err != nil {
+			return errors.Join(failed, err)
+		}
 		t := k.directory.Load().Target(c.Engine)
 		if t == nil {
 			continue
 		}
-		outcome, err := k.targets.SetRole(t, c.Role, k.self, g.fence, g.check)
+		outcome, err := k.targets.SetRole(t, c.Role, k.self, g.fence, check)
 		k.log.WithFields(logrus.Fields{
 			daemon.FieldTarget: c.Engine, "role": c.Role.String(), fieldOutcome: outcome.String(),
 			daemon.FieldFencingNumber: g.fence, logrus.ErrorKey: err,
--- a/server/node/roles_test.go
+++ b/server/node/roles_test.go
@@ -132,9 +132,16 @@
 type fakeRoleSetter struct {
 	orders  []types.TargetID
 	respond func() (authority.Outcome, error)
+	read    func() // called while the state of the engine is read, unless nil
 }
 
-func (o *fakeRoleSetter) SetRole(e *directory.Target, _ types.Role, _ types.VMID, _ types.FencingNumber, _ func() error) (authority.Outcome, error) {
+func (o *fakeRoleSetter) SetRole(e *directory.Target, _ types.Role, _ types.VMID, _ types.FencingNumber, check func() error) (authority.Outcome, error) {
+	if o.read != nil {
+		o.read()
+	}
+	if err := check(); err != nil {
+		return authority.OutcomeNotSent, err
+	}
 	o.orders = append(o.orders, e.ID)
 	return o.respond()
 }
@@ -200,3 +207,33 @@
 		assert.Assert(t, len(o.orders) > 4 && len(o.orders) < 14, "%d orders", len(o.orders))
 	})
 }
+
+// Guards against a stopping node that sends further orders, or takes the lease from the nodes that
+// serve on.
+func TestStoppingNodeSendsNoOrders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		accept := func() (authority.Outcome, error) { return authority.OutcomeAccepted, nil }
+		deviate := func(ctx context.Context, k *roleController) {
+			k.step(ctx, time.Now())
+			time.Sleep(2 * roleSettleTime)
+			k.step(ctx, time.Now())
+		}
+		ctx, stop := context.WithCancel(context.Background())
+		o := &fakeRoleSetter{respond: func() (authority.Outcome, error) { stop(); return accept() }}
+		k := newTestRoleController(o, 0)
+		deviate(ctx, k)
+		assert.Equal(t, len(o.orders), 1, "stopped after the first order")
+		assert.Equal(t, len(k.ordered), 1, "the order in progress is recorded")
+
+		ctx, stop = context.WithCancel(context.Background())
+		o = &fakeRoleSetter{respond: accept, read: stop}
+		deviate(ctx, newTestRoleController(o, 0))
+		assert.Equal(t, len(o.orders), 0, "stopped while the state of the engine was read")
+
+		l := &fakeLog{}
+		k = newTestRoleController(o, 0)
+		k.lease = newTestClaimer(l, "vm")
+		deviate(ctx, k)
+		assert.Equal(t, len(l.records), 0, "claim of a stopping node")
+	})
+}
