planning: a node that has just started keeps the roles of returning engines

A node without measurements took the share of prefill engines that it saw first as its plan. If engines were missing then, because they were being replaced or had crashed, their return was a deviation from that plan, and the node ordered role changes: with 9 prefill engines and one of three decode engines present at the start, two of the three decode engines after all were back. Without demand there is no limit of changes at the same time either. This fits the role plans with busy_prefill and busy_decode 0 in the users' record.

Without a plan the share is now that of the engines present at each call, so that nothing changes until the demand asks for it. The line "role plan" is written at the start and for each plan, not for each engine that comes or goes.

--- a/planning/balance.go
+++ b/planning/balance.go
@@ -8,7 +8,8 @@
 // BalanceSettings are the settings of a Balancer.
 type BalanceSettings struct {
 	// InitialShare is the share of the engines, from 0 to 1, that have the prefill role
-	// until the demand is known. With 0 the engines keep their roles until then.
+	// until the demand is known. With 0 the engines keep their roles until then, also
+	// those that return after they were missing.
 	InitialShare float64
 	// PrefillReserve and DecodeReserve give the engines of a role beyond those that the
 	// demand keeps busy, as multiples of the square root of the busy ones (square-root
@@ -63,7 +64,7 @@
 	settings    BalanceSettings
 	busy        Demand // average, in busy engines of each role
 	began, last time.Time
-	share       float64   // planned
+	share       float64   // planned; 0 while the engines keep their roles
 	hold        time.Time // end of the time without changes; zero before the first demand
 }
 
@@ -97,6 +98,10 @@
 // Busy returns the average demand in busy engines of each role.
 func (b *Balancer) Busy() Demand { return b.busy }
 
+// HasPlan reports whether the engines have a planned share, so that they do not just keep their
+// roles.
+func (b *Balancer) HasPlan() bool { return b.share != 0 }
+
 // HasDemand reports whether there is enough demand to plan by.
 func (b *Balancer) HasDemand() bool {
 	return b.busy.Prefill+b.busy.Decode >= b.settings.MinBusy
@@ -105,25 +110,27 @@
 // Share returns the planned share of prefill engines among the given number of engines, of
 // which some have the prefill role at present.
 func (b *Balancer) Share(now time.Time, prefill, engines int) float64 {
-	if b.share == 0 && engines > 0 {
-		b.share = float64(prefill) / float64(engines)
+	share := b.share
+	if share == 0 {
+		share = float64(prefill) / float64(max(engines, 1))
 	}
 	if !b.HasDemand() {
-		return b.share
+		return share
 	}
 	if b.hold.IsZero() {
 		b.hold = now.Add(b.settings.WarmUp)
 	}
-	if now.Before(b.hold) {
-		return b.share
+	if now.Before(b.hold) || engines == 0 {
+		return share
 	}
 	wanted := b.settings.share(b.busy)
-	tolerated := max(b.settings.Tolerance, minDeviation/float64(max(engines, 1)))
-	if deviation := wanted - b.share; math.Abs(deviation) > tolerated {
+	tolerated := max(b.settings.Tolerance, minDeviation/float64(engines))
+	if deviation := wanted - share; math.Abs(deviation) > tolerated {
 		// The change stops short of the wanted share: the last engines gain least, and the
 		// estimate is uncertain.
 		b.share = wanted - math.Copysign(tolerated/2, deviation)
 		b.hold = now.Add(b.settings.Hold)
+		return b.share
 	}
-	return b.share
+	return share
 }
--- a/server/node/roleplan.go
+++ b/server/node/roleplan.go
@@ -76,7 +76,8 @@
 		}
 	}
 	share := r.balancer.Share(now, prefill, len(engines))
-	if share != r.share {
+	// Without a plan the share follows the engines that are registered.
+	if share != r.share && (r.share == 0 || r.balancer.HasPlan()) {
 		k.logPlan(s, r, share, prefill, len(engines))
 	}
 	r.share = share
--- a/server/node/roles_test.go
+++ b/server/node/roles_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/lentilpick/lentilpick/authority"
 	"github.com/lentilpick/lentilpick/daemon"
+	"github.com/lentilpick/lentilpick/demand"
 	"github.com/lentilpick/lentilpick/directory"
 	"github.com/lentilpick/lentilpick/gateway"
 	"github.com/lentilpick/lentilpick/logclient"
@@ -237,3 +238,28 @@
 		assert.Equal(t, len(l.records), 0, "claim of a stopping node")
 	})
 }
+
+// Guards against orders of a node that has just started, whose only plan is the roles of the engines
+// that it saw first.
+func TestStartedNodeKeepsRolesOfReturningEngines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o := &fakeRoleSetter{respond: func() (authority.Outcome, error) { return authority.OutcomeAccepted, nil }}
+		k := newTestRoleController(o, 0)
+		k.fixedShare, k.services = 0, map[types.ServiceID]*serviceRoles{}
+		k.demand = func(types.ServiceID) demand.Work { return demand.Work{} }
+		put := func(id types.TargetID, role types.Role) {
+			k.directory.Put(directory.Entry{ID: id, Service: "llm", Role: role, DataCentre: "dc1"})
+		}
+		put("a", types.RolePrefill)
+		put("b", types.RolePrefill)
+		k.directory.Remove("d", time.Now(), 0)
+		for i := range 80 {
+			if i == 4 {
+				put("d", types.RoleDecode)
+			}
+			k.step(context.Background(), time.Now())
+			time.Sleep(roleInterval)
+		}
+		assert.Equal(t, len(o.orders), 0, "%v", o.orders)
+	})
+}
