planning: a node that has just started waits before its first plan

A node that was started again changed the plan 6 s after the first demand, by what it had measured in these seconds: a burst of another mix, which the averages of the other nodes absorb, made it order role changes. It did not know either when another node had last changed the plan, so that the time without changes between two plans did not hold around a restart.

A node without an initial share waits for the hold time, 20 s, before its first plan; a new deployment, whose roles result from no plan, still waits for 6 s.

TestStartedNodeIsCalm failed before with

1 (int) != 0 (int): started node, 6.25s after the start

--- a/planning/balance.go
+++ b/planning/balance.go
@@ -25,7 +25,8 @@
 	// the time for which a change takes an engine out of service.
 	Hold time.Duration
 	// WarmUp is the time from the first demand to the first change of the plan. In the first
-	// seconds prompts are prefilled whose parts are cached from then on.
+	// seconds prompts are prefilled whose parts are cached from then on. Without InitialShare
+	// the time is Hold, if that is longer.
 	WarmUp time.Duration
 	// MinBusy is the demand, in busy engines of both roles, below which the plan does not
 	// change: any share serves it.
@@ -119,6 +120,10 @@
 	}
 	if b.hold.IsZero() {
 		b.hold = now.Add(b.settings.WarmUp)
+		if b.share == 0 {
+			// The roles may result from a plan that another node has just changed.
+			b.hold = now.Add(max(b.settings.WarmUp, b.settings.Hold))
+		}
 	}
 	if now.Before(b.hold) || engines == 0 {
 		return share
--- a/planning/balance_test.go
+++ b/planning/balance_test.go
@@ -96,14 +96,7 @@
 	s := DefaultBalanceSettings()
 	s.InitialShare = 0
 	b, at := NewBalancer(s), time.Unix(1000, 0)
-	var engines []Engine
-	for i := range 12 {
-		role := types.RolePrefill
-		if i >= 9 {
-			role = types.RoleDecode
-		}
-		engines = append(engines, Engine{ID: types.TargetID('a' + rune(i)), Role: role})
-	}
+	engines := enginesWith(9, 12)
 	// Two of the three decode engines are missing at the start.
 	for _, present := range [][]Engine{engines[:10], engines, engines[1:], engines[:11], engines} {
 		prefill := 0
@@ -117,3 +110,50 @@
 		at = at.Add(time.Second)
 	}
 }
+
+// Guards against changes that a node which has just started orders because of a burst of another mix,
+// or soon after the last change of another node.
+func TestStartedNodeIsCalm(t *testing.T) {
+	s := DefaultBalanceSettings()
+	running, at := NewBalancer(s), time.Unix(1000, 0)
+	before, _ := observeFor(running, &at, time.Minute, 6, 1, 12)
+	prefill := int(math.Round(before * 12))
+	s.InitialShare = 0
+	started := NewBalancer(s)
+	const step = 250 * time.Millisecond
+	began := at
+	for at.Before(began.Add(time.Minute)) {
+		decode := 1.0
+		if at.Sub(began) < 3*time.Second {
+			decode = 3
+		}
+		for name, b := range map[string]*Balancer{"running": running, "started": started} {
+			b.Observe(at, 6*step, time.Duration(decode*float64(step)))
+			changes := PlanPrefillShare(enginesWith(prefill, 12), b.Share(at, prefill, 12))
+			assert.Equal(t, len(changes), 0, "%s node, %s after the start", name, at.Sub(began))
+		}
+		at = at.Add(step)
+	}
+	// A change of the mix before the end of the hold time of the others.
+	began = at
+	started = NewBalancer(s)
+	for at.Before(began.Add(s.Hold)) {
+		started.Observe(at, 2*step, 6*step)
+		assert.Equal(t, started.Share(at, prefill, 12), float64(prefill)/12, "%s after the start", at.Sub(began))
+		at = at.Add(step)
+	}
+	started.Observe(at, 2*step, 6*step)
+	assert.Assert(t, started.Share(at.Add(step), prefill, 12) < float64(prefill-1)/12)
+}
+
+// enginesWith returns engines of which the first ones have the prefill role.
+func enginesWith(prefill, n int) (out []Engine) {
+	for i := range n {
+		role := types.RoleDecode
+		if i < prefill {
+			role = types.RolePrefill
+		}
+		out = append(out, Engine{ID: types.TargetID('a' + rune(i)), Role: role})
+	}
+	return out
+}
