planning: nodes do not change roles back and forth

Each node plans from its own history, and a plan stayed until the demand was off by more than the tolerance. Two nodes that started at different times can so have plans that round to another number of engines, and keep them at the same demand for as long as it lasts. The first-ranked node was content with its roles, the next one saw a deviation for as long as its rank demands, took the lease and ordered a change, and the first one ordered it back. Each order takes an engine out of service for seconds.

The share is now compared with the present roles, whichever node has brought them about: they stay while they are within the tolerance of what the demand wants, and a plan that the demand has overtaken does not move them away from it. A plan is carried out up to its rounding error, as before.

TestPlansOfNodesThatStartAtDifferentTimesAgree lets two nodes plan for 12 engines while the demand changes once.

--- a/planning/balance.go
+++ b/planning/balance.go
@@ -66,7 +66,8 @@
 	busy        Demand // average, in busy engines of each role
 	began, last time.Time
 	share       float64   // planned; 0 while the engines keep their roles
-	hold        time.Time // end of the time without changes; zero before the first demand
+	warm        time.Time // end of the warm-up; zero before the first demand
+	hold        time.Time // end of the time without changes of the plan
 }
 
 // NewBalancer returns a Balancer that has observed no demand.
@@ -99,9 +100,9 @@
 // Busy returns the average demand in busy engines of each role.
 func (b *Balancer) Busy() Demand { return b.busy }
 
-// HasPlan reports whether the engines have a planned share, so that they do not just keep their
+// Plan returns the last planned share of prefill engines, 0 while the engines keep their
 // roles.
-func (b *Balancer) HasPlan() bool { return b.share != 0 }
+func (b *Balancer) Plan() float64 { return b.share }
 
 // HasDemand reports whether there is enough demand to plan by.
 func (b *Balancer) HasDemand() bool {
@@ -109,33 +110,46 @@
 }
 
 // Share returns the planned share of prefill engines among the given number of engines, of
-// which some have the prefill role at present.
+// which some have the prefill role at present. It returns the present share while that is
+// within the tolerance of what the demand wants: plans of several nodes depend on when each
+// of them started, so that they would otherwise change the roles back and forth.
 func (b *Balancer) Share(now time.Time, prefill, engines int) float64 {
-	share := b.share
-	if share == 0 {
-		share = float64(prefill) / float64(max(engines, 1))
+	present := float64(prefill) / float64(max(engines, 1))
+	planned := b.share
+	if planned == 0 {
+		planned = present
 	}
-	if !b.HasDemand() {
-		return share
+	if !b.HasDemand() || engines == 0 {
+		return planned
 	}
-	if b.hold.IsZero() {
-		b.hold = now.Add(b.settings.WarmUp)
+	if b.warm.IsZero() {
+		b.warm = now.Add(b.settings.WarmUp)
 		if b.share == 0 {
 			// The roles may result from a plan that another node has just changed.
-			b.hold = now.Add(max(b.settings.WarmUp, b.settings.Hold))
+			b.warm = now.Add(max(b.settings.WarmUp, b.settings.Hold))
 		}
 	}
-	if now.Before(b.hold) || engines == 0 {
-		return share
+	if now.Before(b.warm) {
+		return planned
 	}
 	wanted := b.settings.share(b.busy)
-	tolerated := max(b.settings.Tolerance, minDeviation/float64(engines))
-	if deviation := wanted - share; math.Abs(deviation) > tolerated {
+	rounding := minDeviation / float64(engines)
+	tolerated := max(b.settings.Tolerance, rounding)
+	held := now.Before(b.hold)
+	// A plan of the hold time is carried out up to its rounding error.
+	if math.Abs(wanted-present) <= tolerated && (!held || math.Abs(planned-present) <= rounding) {
+		return present
+	}
+	// An older plan does not move the roles away from what the demand wants now.
+	if held && (wanted-present)*(planned-present) <= 0 {
+		return present
+	}
+	if deviation := wanted - planned; !held && math.Abs(deviation) > tolerated {
 		// The change stops short of the wanted share: the last engines gain least, and the
 		// estimate is uncertain.
 		b.share = wanted - math.Copysign(tolerated/2, deviation)
 		b.hold = now.Add(b.settings.Hold)
 		return b.share
 	}
-	return share
+	return planned
 }
--- a/planning/balance_test.go
+++ b/planning/balance_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"testing"
 	"time"
 
@@ -87,7 +88,7 @@
 	assert.Equal(t, b.Share(now, 0, 0), 0.0)
 	assert.Equal(t, b.Share(now, 3, 12), 0.25)
 	assert.Equal(t, b.Share(now, 5, 12), 5.0/12, "roles that another node has changed are kept as well")
-	assert.Assert(t, !b.HasPlan())
+	assert.Equal(t, b.Plan(), 0.0)
 }
 
 // Guards against changes of roles because a node has started while engines were missing, whose return
@@ -157,3 +158,61 @@
 	}
 	return out
 }
+
+// planner is a node that plans the roles of shared engines.
+type planner struct {
+	b *Balancer
+	// settle is how long the roles deviate from its plan before it changes them.
+	settle        time.Duration
+	deviatesSince time.Time
+}
+
+// step returns the planned number of prefill engines.
+func (p *planner) step(at time.Time, prefill, engines int) int {
+	want := int(math.Round(p.b.Share(at, prefill, engines) * float64(engines)))
+	if want == prefill {
+		p.deviatesSince = time.Time{}
+		return prefill
+	}
+	if p.deviatesSince.IsZero() {
+		p.deviatesSince = at
+	}
+	if at.Sub(p.deviatesSince) < p.settle {
+		return prefill
+	}
+	p.deviatesSince = time.Time{}
+	return want
+}
+
+// Guards against two nodes that change roles back and forth, because the plan of each depends on when
+// it started.
+func TestPlansOfNodesThatStartAtDifferentTimesAgree(t *testing.T) {
+	const engines, step = 12, 250 * time.Millisecond
+	for later := 30 * time.Second; later <= 100*time.Second; later += 5 * time.Second {
+		for decode := 0.6; decode < 3; decode += 0.1 {
+			s := DefaultBalanceSettings()
+			s.InitialShare = 0
+			first, second := &planner{b: NewBalancer(s), settle: 1500 * time.Millisecond}, &planner{b: NewBalancer(s), settle: 5500 * time.Millisecond}
+			began := time.Unix(1000, 0)
+			prefill, changes := 9, []int{9}
+			for at := began; at.Before(began.Add(4 * time.Minute)); at = at.Add(step) {
+				busy := 0.6
+				if at.After(began.Add(time.Minute)) {
+					busy = decode
+				}
+				for _, p := range []*planner{first, second} {
+					if p == second && at.Before(began.Add(later)) {
+						continue
+					}
+					p.b.Observe(at, 4*step, time.Duration(busy*float64(step)))
+					if next := p.step(at, prefill, engines); next != prefill {
+						prefill = next
+						changes = append(changes, next)
+					}
+				}
+			}
+			up, down := slices.IsSorted(changes), slices.IsSortedFunc(changes, func(a, b int) int { return b - a })
+			assert.Assert(t, up || down, "prefill engines %d with %.1f busy decode engines and %s between the starts", changes, decode, later)
+		}
+	}
+}
--- a/server/node/roleplan.go
+++ b/server/node/roleplan.go
@@ -16,7 +16,8 @@
 type serviceRoles struct {
 	balancer *planning.Balancer
 	total    demand.Work // at the previous step
-	share    float64     // planned at the previous step
+	// share and plan are those that were logged last. plan is 0 without one.
+	share, plan float64
 }
 
 // plan returns the role changes that are needed to reach the planned share.
@@ -76,11 +77,11 @@
 		}
 	}
 	share := r.balancer.Share(now, prefill, len(engines))
-	// Without a plan the share follows the engines that are registered.
-	if share != r.share && (r.share == 0 || r.balancer.HasPlan()) {
+	// The share also follows the engines that are registered; only the plan is logged.
+	if plan := r.balancer.Plan(); r.share == 0 && share != 0 || plan != r.plan {
 		k.logPlan(s, r, share, prefill, len(engines))
+		r.share, r.plan = share, plan
 	}
-	r.share = share
 	return share
 }
 
