node: a node whose record is removed late registers again

A stopping node removes its record from the list of nodes with one call of at most 1 s. If the store is slow, it may carry out the call after the next process of the node has registered under the same key. That process wrote its record only once, so it then served without being a member until its end: no node sent it load, claims or updates, it read the store on its own, and the others shared out the retries without it.

A node now checks that the list which it follows has its record, and writes the record again if it has been missing for two reads, 6 s. Registration ends with SIGTERM, so that no retry of it follows the removal.

--- a/server/node/members.go
+++ b/server/node/members.go
@@ -48,12 +48,14 @@
 
 	mu    sync.Mutex
 	byKey map[string]Member
+	// listsSelf reports whether the newest known list has a record of this node.
+	listsSelf bool
 }
 
 // HandleListing implements feed.Handler.
 func (m *memberHandler) HandleListing(l feed.Listing[Member], _ time.Duration) {
 	m.mu.Lock()
-	m.byKey = map[string]Member{}
+	m.byKey, m.listsSelf = map[string]Member{}, false
 	m.mu.Unlock()
 	m.logRegained()
 	m.fold(l.Items)
@@ -77,6 +79,8 @@
 		switch {
 		case i.Err != nil:
 			m.log.WithError(i.Err).WithField(fieldKey, i.Key).Error("member record could not be decoded; skipped")
+		case i.Key == string(m.self):
+			m.listsSelf = i.Value != nil
 		case i.Value == nil:
 			delete(m.byKey, i.Key)
 		case i.Value.VM != m.self:
@@ -92,6 +96,13 @@
 	m.onChange(list)
 }
 
+// isListed reports whether the newest known list has a record of this node.
+func (m *memberHandler) isListed() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.listsSelf
+}
+
 // HandleFailure implements feed.Handler.
 func (m *memberHandler) HandleFailure(err error, unavailable time.Duration) {
 	m.logLost(err, unavailable)
@@ -104,23 +115,34 @@
 
 const (
 	registerRetryInterval = 500 * time.Millisecond
+	// registerCheckTime is how long the record of this node may be missing from the list before it
+	// is written again: two reads of the list.
+	registerCheckTime = 2 * memberReadInterval
 	// unregisterTimeout bounds the call that removes the record of this node.
 	unregisterTimeout = time.Second
 )
 
-// registerMember writes the record of this node and retries until it succeeds or the context ends.
-func registerMember(ctx context.Context, s memberStore, self Member, log *logrus.Entry) {
+// registerMember keeps the record of this node in the store until the context ends. The store may
+// carry out the removal by an earlier process of this node late, so the record is written again when
+// listed, which reports whether the list has it, has been false for some time.
+func registerMember(ctx context.Context, s memberStore, self Member, listed func() bool, log *logrus.Entry) {
 	value, err := json.Marshal(self)
 	if err != nil {
 		log.WithError(err).Error("member record could not be encoded")
 		return
 	}
+	var written time.Time // or last listed
 	for {
-		err := s.Put(ctx, membersTopic, string(self.VM), value)
-		if err == nil {
-			return
+		switch {
+		case !written.IsZero() && listed():
+			written = time.Now()
+		case written.IsZero() || time.Since(written) >= registerCheckTime:
+			if err := s.Put(ctx, membersTopic, string(self.VM), value); err == nil {
+				written = time.Now()
+			} else {
+				log.WithError(err).WithField(daemon.FieldVM, self.VM).Debug("failed to write member record")
+			}
 		}
-		log.WithError(err).WithField(daemon.FieldVM, self.VM).Debug("failed to write member record")
 		if !daemon.Sleep(ctx, registerRetryInterval) {
 			return
 		}
--- a/server/node/node.go
+++ b/server/node/node.go
@@ -348,8 +348,8 @@
 const callerUserTimeout = 5 * time.Second
 
 // startBackground starts the goroutines that follow the feeds, exchange load with the other
-// nodes, check targets for progress and plan roles. They run until ctx ends, those that plan roles
-// until serving ends: a stopping node gives no orders.
+// nodes, check targets for progress and plan roles. They run until ctx ends; those that plan roles
+// or register the node end with serving, when the node begins to stop.
 func (n *Node) startBackground(ctx, serving context.Context) {
 	source := func(name string) outageLogger { return outageLogger{log: n.log.WithField(fieldSource, name)} }
 	go n.exchanger.Run(ctx)
@@ -364,7 +364,7 @@
 	go followFeed(ctx, n.newSharedFeed(feedRegistrations, n.settings.RegistrationInterval, 0), n.store.Registrations(), &registrationHandler{
 		outageLogger: source("registrations"), directory: n.directory, onLoaded: func() { n.registrationsLoaded.Store(true) },
 	}, minReadBackoff, maxReadBackoff)
-	go registerMember(ctx, n.store, n.self(), n.log)
+	go registerMember(serving, n.store, n.self(), n.members.isListed, n.log)
 	go followFeed(ctx, n.newSharedFeed(feedMembers, memberReadInterval, 0), platform.Keyed(n.store, membersTopic, DecodeMember), n.members,
 		registerRetryInterval, memberReadInterval)
 	if n.settings.PlanRoles {
