loadshare: a stopping node learns of the work of the others to its end

A node ends its membership at the beginning of its stop, so that the others pass to the next reader, hub and planner while it still runs. They also stopped sending it their load, claims and leaving targets. The others count its own work to its end, as they do not ask who is a member when they get a message.

Daemons that are no longer members but still send messages get those of the others. They forward none, and get none once they have been silent for the peer timeout.

TestLeavingPeerLearnsOfWork failed before with 3, 8 and 28 daemons:

0 != 2 ((second + 1) * int64(c.size-1)): node 0, 1 s after

--- a/loadshare/exchange_test.go
+++ b/loadshare/exchange_test.go
@@ -39,6 +39,7 @@
 	closed  chan struct{}
 	once    sync.Once
 	sent    int // datagrams
+	arrived int // datagrams that were sent to the address, delivered or not
 }
 
 func (c *virtualConn) ReadFromUDPAddrPort(b []byte) (int, netip.AddrPort, error) {
@@ -56,6 +57,9 @@
 	defer n.mu.Unlock()
 	c.sent++
 	peer := n.conns[to]
+	if peer != nil {
+		peer.arrived++
+	}
 	if peer == nil || n.silent[to] || n.silent[c.address] || n.rnd.Float64() < n.loss {
 		return len(b), nil
 	}
@@ -80,6 +84,13 @@
 	n.silent[address] = silent
 }
 
+// received returns the number of datagrams that were sent to an address.
+func (n *virtualNet) received(address netip.AddrPort) int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.conns[address].arrived
+}
+
 // virtualFleet is a fleet of exchangers that know the same targets.
 type virtualFleet struct {
 	net        *virtualNet
@@ -306,3 +317,38 @@
 	slices.Reverse(members)
 	assert.DeepEqual(t, newGroup(members, 2).hashes, first.hashes)
 }
+
+// Guards against a stopping node that takes the targets for idle, because the others no longer count
+// it as a member, and against datagrams to its address once it has ended.
+func TestLeavingPeerLearnsOfWork(t *testing.T) {
+	for _, c := range []struct{ size, dataCentres int }{{3, 3}, {8, 2}, {28, 2}} {
+		t.Run(fmt.Sprintf("%d in %d", c.size, c.dataCentres), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(context.Background())
+				defer cancel()
+				f := startFleet(ctx, c.size, c.dataCentres, 0)
+				time.Sleep(3 * time.Second)
+				left := f.peers[0]
+				for i := range f.exchangers[1:] {
+					f.exchangers[i+1].SetPeers(f.peers[i+1], slices.DeleteFunc(slices.Clone(f.peers[1:]), func(p Peer) bool { return p.Name == f.peers[i+1].Name }))
+				}
+				for second := range int64(7) {
+					for node := range f.exchangers {
+						load := f.target(node, 0).Load
+						load.Local.Add(directory.Work{Streams: 1})
+						f.exchangers[node].NotifyLoadChange(f.target(node, 0))
+					}
+					time.Sleep(time.Second)
+					for node := range f.exchangers {
+						assert.Equal(t, f.target(node, 0).Load.Peers.Load().Streams, (second+1)*int64(c.size-1), "node %d, %d s after", node, second+1)
+					}
+				}
+				f.net.silence(left.Address, true)
+				time.Sleep(2 * minPeerTimeout)
+				before := f.net.received(left.Address)
+				time.Sleep(5 * time.Second)
+				assert.Equal(t, f.net.received(left.Address)-before, 0)
+			})
+		})
+	}
+}
--- a/loadshare/peers.go
+++ b/loadshare/peers.go
@@ -45,6 +45,9 @@
 	remote []group
 	// others holds the daemons of the local data centre without this one.
 	others []Peer
+	// leaving holds daemons that are no longer members. They get messages, but forward none,
+	// while they send some: a daemon that stops ends its membership before its last requests.
+	leaving []Peer
 }
 
 // len returns the number of other daemons.
@@ -56,6 +59,25 @@
 	return n
 }
 
+// all returns all other daemons, including those that are leaving.
+func (l *peerList) all() []Peer {
+	out := slices.Concat(l.others, l.leaving)
+	for i := range l.remote {
+		out = append(out, l.remote[i].members...)
+	}
+	return out
+}
+
+// contains reports whether the list has a member with the given hash.
+func (l *peerList) contains(hash uint64) bool {
+	return slices.Contains(l.local.hashes, hash) || slices.ContainsFunc(l.remote, func(g group) bool { return slices.Contains(g.hashes, hash) })
+}
+
+// hasDataCentre reports whether a data centre has members.
+func (l *peerList) hasDataCentre(id types.DataCentreID) bool {
+	return id == l.self.DataCentre || slices.ContainsFunc(l.remote, func(g group) bool { return g.members[0].DataCentre == id })
+}
+
 // name returns the name of the peer with the given hash, or "" if there is none.
 func (l *peerList) name(hash uint64) types.VMID {
 	for _, g := range append([]group{l.local}, l.remote...) {
--- a/loadshare/relay.go
+++ b/loadshare/relay.go
@@ -100,15 +100,14 @@
 	local, remote := r.local.take(), r.remote.take()
 	r.mu.Unlock()
 	e := r.exchanger
-	l := e.peers.Load()
+	within, other := e.recipients(e.peers.Load())
 	for _, b := range local {
-		e.send(b, l.others)
+		e.send(b, within)
 	}
-	hubs := e.remoteHubs(l)
 	for _, b := range remote {
-		e.send(b, hubs)
+		e.send(b, other)
 	}
-	return len(local)*len(l.others) + len(remote)*len(hubs)
+	return len(local)*len(within) + len(remote)*len(other)
 }
 
 // sendHeartbeat queues an empty bundle, which shows the group that its hub is alive.
--- a/loadshare/share.go
+++ b/loadshare/share.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -149,13 +150,27 @@
 // or in a larger group, the load of other daemons is known later.
 func (e *Exchanger) SetDatagramRate(perSecond int) { e.datagramRate.Store(int64(max(perSecond, 1))) }
 
-// SetPeers replaces the list of the other daemons. self describes this one.
+// SetPeers replaces the list of the other daemons. self describes this one. It must not be called
+// concurrently.
 func (e *Exchanger) SetPeers(self Peer, others []Peer) {
 	l := newPeerList(self, others)
+	l.leaving = e.live(slices.DeleteFunc(e.peers.Load().all(), func(p Peer) bool { return l.contains(p.hash()) }))
 	e.peers.Store(l)
 	e.hubs.forget(&l.local)
 }
 
+// live returns those of the daemons from which messages have arrived recently.
+func (e *Exchanger) live(peers []Peer) (out []Peer) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, p := range peers {
+		if e.peerStates[p.hash()] != nil {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
 // Feed returns the progress of one feed.
 func (e *Exchanger) Feed(i int) *Progress { return e.feeds[i] }
 
@@ -316,6 +331,21 @@
 	return l.local.relayed() && e.hub(l, now) == nil
 }
 
+// recipients returns the daemons to which this one sends what it forwards within its group, and to
+// other groups. A leaving daemon gets its messages from its group, if that has members.
+func (e *Exchanger) recipients(l *peerList) (local, remote []Peer) {
+	local, remote = slices.Clip(l.others), e.remoteHubs(l)
+	for _, p := range e.live(l.leaving) {
+		switch {
+		case p.DataCentre == l.self.DataCentre:
+			local = append(local, p)
+		case !l.hasDataCentre(p.DataCentre):
+			remote = append(remote, p)
+		}
+	}
+	return local, remote
+}
+
 // remoteHubs returns the daemon of each remote group that forwards messages: the first one
 // that is live, or the first one if none is.
 func (e *Exchanger) remoteHubs(l *peerList) []Peer {
