server/entry: end requests with an outcome at the end of a stop

Callers saw the connection of a request close without a response, or a stream without an end or error event, when the request took longer than stop_timeout. The process then exited with an error.

Cause: a request waits for its target or for the claim of its key without regard to the stop, and the process ends when stop_timeout has expired, whatever is in progress.

Shortly before stop_timeout the daemon now ends the requests in progress: they stop waiting and answer with the reason stopping, not_run if nothing was sent to a target and unknown otherwise; a stream ends with an error event, and the end of a keyed request is recorded. Nothing is sent to a target from then on. The outcome of a completion is determined once, by its worker or by the stop.

--- a/server/entry/call.go
+++ b/server/entry/call.go
@@ -65,8 +65,13 @@
 			return nil, lastFailure.refuse(a, decision.Reason)
 		}
 		reply, err := d.callTarget(c, decision.Target, a)
-		if err == nil {
+		switch {
+		case err == nil:
 			return reply, types.Answered{}
+		case errors.Is(err, errStopped):
+			return nil, a.Refuse(types.RefusedStopping)
+		case errors.Is(err, errPanicked):
+			return nil, a.Refuse(types.RefusedInternal)
 		}
 		d.recordFailure(decision.Target, c.ID, err)
 		f := classify(err)
@@ -82,10 +87,37 @@
 	}
 }
 
+type callResult struct {
+	reply *engine.Reply
+	err   error
+}
+
+// errPanicked ends a dispatch that panicked.
+var errPanicked = errors.New("panic while calling the target")
+
+// callTarget sends a call to a target and waits for the response, but not beyond the end of a stop. The
+// response is read by a goroutine of its own, because reading from a target cannot be cancelled.
 func (d *Daemon) callTarget(c *call, t *routing.Target, a *types.Attempt) (*engine.Reply, error) {
+	if d.requests.Err() != nil {
+		return nil, errStopped
+	}
+	dispatch := a.Begin()
+	results := make(chan callResult, 1)
+	go func() {
+		defer d.recoverPanic(c.ID, func() { results <- callResult{err: errPanicked} })
+		results <- d.exchangeCall(c, t, dispatch)
+	}()
+	select {
+	case r := <-results:
+		return r.reply, r.err
+	case <-d.requests.Done():
+		return nil, errStopped
+	}
+}
+
+func (d *Daemon) exchangeCall(c *call, t *routing.Target, dispatch types.Dispatch) callResult {
 	t.Counters.InFlight.Add(1)
 	defer t.Counters.InFlight.Add(-1)
-	dispatch := a.Begin()
 	reply, err := d.targets.Call(t.Address, &engine.Call{
 		RequestID: c.ID, Method: c.Method, Path: c.Path, ContentType: c.ContentType, Body: c.Body, Key: c.Key,
 	}, c.Deadline)
@@ -96,5 +128,5 @@
 		t.Counters.Failures.Store(0)
 		adaptTargetLimit(t, 0, 0) // calls of plain services have no predicted latency, so the limit only recovers from failures
 	}
-	return reply, err
+	return callResult{reply, err}
 }
--- a/server/entry/completion.go
+++ b/server/entry/completion.go
@@ -58,7 +58,7 @@
 // writeResponse writes the response as a stream or as one JSON object, as the caller requested. A
 // request that fails before its first token gets an error status.
 func (x *exchange) writeResponse(ctx *fasthttp.RequestCtx) {
-	first := <-x.parts
+	first, _ := x.nextPart()
 	if _, ok := first.outcome.(types.Answered); first.outcome != nil && !ok {
 		newRefusal(x.request.ID, first.outcome).write(ctx)
 		return
@@ -106,7 +106,7 @@
 func (x *exchange) writeStream(w *bufio.Writer, p part) {
 	checksum := xxhash.New()
 	tokens := 0
-	for ok := true; ok; p, ok = <-x.parts {
+	for ok := true; ok; p, ok = x.nextPart() {
 		e := streamEvent{RequestID: x.request.ID, Index: p.index, Text: p.text}
 		switch p.outcome.(type) {
 		case nil:
@@ -120,7 +120,10 @@
 			e.Index, e.Error = tokens, &detail
 		}
 		if writeEvent(w, &e) != nil {
-			close(x.callerClosed)
+			x.abandon()
+			return
+		}
+		if p.outcome != nil {
 			return
 		}
 	}
@@ -143,11 +146,12 @@
 	var text strings.Builder
 	tokens := 0
 	outcome := x.attempt.Refuse(types.RefusedTargetFailed) // in case the parts end without an outcome
-	for ok := true; ok; p, ok = <-x.parts {
+	for ok := true; ok; p, ok = x.nextPart() {
 		text.WriteString(p.text)
 		tokens += p.count
 		if p.outcome != nil {
 			outcome = p.outcome
+			break
 		}
 	}
 	if _, answered := outcome.(types.Answered); !answered {
--- a/server/entry/daemon.go
+++ b/server/entry/daemon.go
@@ -25,6 +25,7 @@
 	"github.com/lentilpick/lentilpick/idempotency"
 	"github.com/lentilpick/lentilpick/routing"
 	"github.com/lentilpick/lentilpick/server/localview"
+	"github.com/lentilpick/lentilpick/shutdown"
 	"github.com/lentilpick/lentilpick/transport"
 	"github.com/lentilpick/lentilpick/types"
 )
@@ -58,7 +59,10 @@
 	admission *admission.Controller
 	pool      *ants.Pool
 	demand    demand
-	stopping  atomic.Bool
+	lifecycle shutdown.State
+	// requests is cancelled when a stop ends the requests in progress.
+	requests    context.Context
+	endRequests context.CancelFunc
 	// attemptCount numbers the key claims of this process. incarnation is a random ID of the process,
 	// so that attempt IDs stay unique after a restart.
 	attemptCount atomic.Uint64
@@ -95,6 +99,7 @@
 			MaxAge: s.ConnectionAge, MaxConns: s.MaxInFlight,
 		}),
 	}
+	d.requests, d.endRequests = context.WithCancel(context.Background())
 	d.recordingCtx, d.stopRecording = context.WithCancel(context.Background())
 	d.control = localview.NewClient(s.VM, s.Listen, d.views, s.Control, log)
 	d.keys = d.control
@@ -172,31 +177,6 @@
 // Printf implements fasthttp.Logger.
 func (l debugLogger) Printf(format string, args ...any) { l.entry.Debugf(format, args...) }
 
-// stopGracePeriod is how long connections stay open after a stop begins. In this time, callers that
-// reuse a connection get a refusal instead of a closed connection, and the load balancer notices
-// that the daemon is not ready.
-const stopGracePeriod = time.Second
-
-// stop waits for the requests in progress to finish. New requests are refused with the outcome not
-// run, and their connections are closed after the refusal.
-func (d *Daemon) stop(server *fasthttp.Server) error {
-	d.log.Info("stopping")
-	d.stopping.Store(true)
-	ctx, cancel := context.WithTimeout(context.Background(), d.settings.StopTimeout)
-	defer cancel()
-	graceCtx, cancelGrace := context.WithTimeout(ctx, stopGracePeriod)
-	defer cancelGrace()
-	<-graceCtx.Done()
-	if err := server.ShutdownWithContext(ctx); err != nil {
-		d.log.WithError(err).Error("stop timeout expired with requests in progress")
-		return merry.Wrap(err)
-	}
-	defer context.AfterFunc(ctx, d.stopRecording)()
-	d.pendingFinishes.Wait()
-	d.log.Info("stopped")
-	return nil
-}
-
 // protocolError responds to input that is not a valid HTTP request.
 func (d *Daemon) protocolError(ctx *fasthttp.RequestCtx, err error) {
 	// The server closes the connection after the response. Unread input would then reset the
@@ -236,7 +216,7 @@
 		ctx.SetConnectionClose()
 	})
 	now := time.Now()
-	if d.stopping.Load() {
+	if d.isStopping() {
 		ctx.SetConnectionClose()
 	}
 	path := string(ctx.Path())
@@ -253,7 +233,7 @@
 }
 
 func (d *Daemon) handleHealth(ctx *fasthttp.RequestCtx) {
-	if d.stopping.Load() || d.views.Load().Config.Revision == 0 {
+	if d.isStopping() || d.views.Load().Config.Revision == 0 {
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 	}
 }
@@ -274,7 +254,7 @@
 // releases it.
 func (d *Daemon) admit(v *localview.View, ws types.WorkspaceID, s types.ServiceID, priority int, a *types.Attempt) (*localview.Workspace, admission.Ticket, types.Outcome) {
 	var noTicket admission.Ticket
-	if d.stopping.Load() {
+	if d.isStopping() {
 		return nil, noTicket, a.Refuse(types.RefusedStopping)
 	}
 	w, ok := v.Workspaces[ws]
--- a/server/entry/daemon_test.go
+++ b/server/entry/daemon_test.go
@@ -188,7 +188,7 @@
 	})
 	<-started
 	wg.Go(func() { assert.Check(t, h.stop(h.server)) })
-	for !h.stopping.Load() {
+	for !h.isStopping() {
 		time.Sleep(time.Millisecond)
 	}
 	status, e, _ := h.do(t, reusing, testRequest{"POST", "/v1/services/book/x", "", nil})
--- a/server/entry/exchange.go
+++ b/server/entry/exchange.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/lentilpick/lentilpick/admission"
@@ -37,7 +39,9 @@
 	attempt      types.Attempt
 	route        routing.Request
 	parts        chan part
-	callerClosed chan struct{} // closed when the caller disconnects
+	callerClosed chan struct{} // closed by abandon
+	closeOnce    sync.Once     // closes callerClosed
+	settled      atomic.Bool   // the outcome has been determined
 	tokens       int           // tokens passed to the caller
 	// prefillTarget is the engine that prefills the prompt for the target that selectTarget returned;
 	// nil if prefill and decode are combined.
@@ -58,12 +62,43 @@
 	}
 }
 
-// run serves the request to completion. It delivers exactly one outcome, as the last part.
+// run serves the request to completion. It delivers exactly one outcome, as the last part, unless the
+// end of a stop has determined the outcome before.
 func (x *exchange) run() {
 	defer close(x.parts)
-	o := x.serveAdmitted()
+	if o := x.serveAdmitted(); x.settle(o) {
+		x.deliver(part{outcome: o})
+	}
+}
+
+// settle records the outcome of the request. It returns false if the request already has one.
+func (x *exchange) settle(o types.Outcome) bool {
+	if !x.settled.CompareAndSwap(false, true) {
+		return false
+	}
 	x.daemon.counters.recordOutcome(o)
-	x.deliver(part{outcome: o})
+	return true
+}
+
+// abandon makes the exchange end at its next delivery, because no one reads its parts any more.
+func (x *exchange) abandon() { x.closeOnce.Do(func() { close(x.callerClosed) }) }
+
+// nextPart returns the next part of the response. At the end of a stop it returns the outcome instead of
+// waiting for the target.
+func (x *exchange) nextPart() (part, bool) {
+	if x.daemon.requests.Err() == nil {
+		select {
+		case p, ok := <-x.parts:
+			return p, ok
+		case <-x.daemon.requests.Done():
+		}
+	}
+	if o := x.attempt.Refuse(types.RefusedStopping); x.settle(o) {
+		x.abandon()
+		return part{outcome: o}, true
+	}
+	p, ok := <-x.parts
+	return p, ok
 }
 
 func (x *exchange) serveAdmitted() (o types.Outcome) {
@@ -72,8 +107,8 @@
 	return x.serve()
 }
 
-// deliver passes a part to the goroutine that writes to the caller. It returns false if the caller
-// has disconnected.
+// deliver passes a part to the goroutine that writes to the caller. It returns false if the exchange
+// was abandoned.
 func (x *exchange) deliver(p part) bool {
 	select {
 	case x.parts <- p:
@@ -95,8 +130,11 @@
 		if err == nil {
 			return types.Answered{}
 		}
-		if errors.Is(err, errCallerDisconnected) {
+		switch {
+		case errors.Is(err, errCallerDisconnected):
 			return x.attempt.Refuse(types.RefusedCallerGone)
+		case errors.Is(err, errStopped):
+			return x.attempt.Refuse(types.RefusedStopping)
 		}
 		f := classify(err)
 		lastFailure = f
@@ -183,9 +221,14 @@
 	}
 }
 
-// openStream sends a request to a target and counts it as an attempt.
+// openStream sends a request to a target and counts it as an attempt. It sends nothing after the end of
+// a stop, which it checks after counting, so that nextPart cannot report an attempt as not run.
 func (x *exchange) openStream(t *routing.Target, g *engine.GenerateRequest) (*engine.Stream, error) {
 	d := x.attempt.Begin()
+	if x.daemon.requests.Err() != nil {
+		d.NotStarted()
+		return nil, errStopped
+	}
 	s, err := x.daemon.targets.Generate(t.Address, g, time.Now().Add(x.daemon.settings.MaxAnswerTime))
 	if errors.Is(err, engine.ErrNotSent) {
 		d.NotStarted()
--- a/server/entry/keyed.go
+++ b/server/entry/keyed.go
@@ -47,6 +47,9 @@
 	if err != nil {
 		// The claim may still reach the log; the release makes the key available again.
 		d.finishKey(k, idempotency.KindReleased, nil)
+		if d.requests.Err() != nil {
+			return nil, a.Refuse(types.RefusedStopping)
+		}
 		return nil, a.Refuse(types.RefusedKeyUnavailable)
 	}
 	switch verdict {
@@ -81,10 +84,10 @@
 	return reply, o
 }
 
-// claim claims the key for this attempt, within the caller's deadline. Repeated claims of one attempt
-// are harmless.
+// claim claims the key for this attempt, within the caller's deadline and before the end of a stop.
+// Repeated claims of one attempt are harmless.
 func (d *Daemon) claim(k *keyedCall) (idempotency.Verdict, *idempotency.Response, error) {
-	ctx, cancel := context.WithDeadline(context.Background(), k.Deadline)
+	ctx, cancel := context.WithDeadline(d.requests, k.Deadline)
 	defer cancel()
 	return d.keys.Claim(ctx, k.key, k.attempt, contentDigest(k.call))
 }
--- /dev/null
+++ b/server/entry/stop.go
@@ -0,0 +1,54 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/lentilpick/lentilpick/shutdown"
+)
+
+const (
+	// stopGracePeriod is how long connections stay open after a stop begins. In this time, callers that
+	// reuse a connection get a refusal instead of a closed connection, and the load balancer notices
+	// that the daemon is not ready.
+	stopGracePeriod = time.Second
+	// maxOutcomeReserve bounds the part of the stop timeout that is left for the outcomes of the requests
+	// that it ends: they are written to the callers, and the ends of keyed requests are recorded. A record
+	// takes two batch periods of the control daemons, and a second attempt another finishRetryInterval.
+	maxOutcomeReserve = 2 * time.Second
+)
+
+// errStopped ends a dispatch that is in progress, or about to begin, at the end of a stop.
+var errStopped = errors.New("the daemon has stopped")
+
+func (d *Daemon) isStopping() bool { return d.lifecycle.Schedule() != nil }
+
+// outcomeReserve returns the part of a stop timeout in which no request is in progress any more.
+func outcomeReserve(stopTimeout time.Duration) time.Duration {
+	return min(maxOutcomeReserve, stopTimeout/5)
+}
+
+// stop refuses new requests with the outcome not run, and waits for the requests in progress to finish.
+// Those that have not finished shortly before the stop timeout get their outcome then.
+func (d *Daemon) stop(server *fasthttp.Server) error {
+	timeout := d.settings.StopTimeout
+	began := time.Now()
+	end := began.Add(timeout - outcomeReserve(timeout))
+	d.lifecycle.Begin(shutdown.Schedule{Began: began, End: end})
+	d.log.Info("stopping")
+	defer time.AfterFunc(time.Until(end), d.endRequests).Stop()
+	ctx, cancel := context.WithDeadline(context.Background(), began.Add(timeout))
+	defer cancel()
+	time.Sleep(min(stopGracePeriod, timeout/2))
+	if err := server.ShutdownWithContext(ctx); err != nil {
+		d.log.WithError(err).Error("stop timeout expired with connections in use")
+		return nil
+	}
+	defer context.AfterFunc(ctx, d.stopRecording)()
+	d.pendingFinishes.Wait()
+	d.log.Info("stopped")
+	return nil
+}
