server/entry: send only what can end during a stop

A request that waits for the claim of its key, or whose first target cannot be reached, when SIGTERM comes was sent to a target afterwards, however little time was left. The end of the stop then turned a request that could have been refused as not run into one that may have run.

Cause: only the admission of a request looks at the stop.

Before a request is sent to a target for the first time during a stop, the daemon asks package shutdown whether it can end: by its own deadline, or by the longest recent response of the service. Otherwise it is refused as not_run with the reason stopping, and the key is released. A request that has been sent goes on, retries included, because a refusal could not tell its caller more.

TestStopSendsOnlyWhatCanEnd failed before in the cases "unknown duration" and "too long": "201 (status int) != 503". The stop test also checks now that the ends of keyed requests are recorded before the process ends.

--- a/server/entry/call.go
+++ b/server/entry/call.go
@@ -64,9 +64,13 @@
 		if decision.Target == nil {
 			return nil, lastFailure.refuse(a, decision.Reason)
 		}
+		if !d.mayBegin(a, c.Service, c.Deadline) {
+			return nil, a.Refuse(types.RefusedStopping)
+		}
 		reply, err := d.callTarget(c, decision.Target, a)
 		switch {
 		case err == nil:
+			d.recordDuration(c.Service, c.Arrived)
 			return reply, types.Answered{}
 		case errors.Is(err, errStopped):
 			return nil, a.Refuse(types.RefusedStopping)
--- a/server/entry/completion.go
+++ b/server/entry/completion.go
@@ -86,6 +86,7 @@
 		return nil, o
 	}
 	x := newExchange(d, c, v, retryBudget(v, service))
+	x.service = service
 	x.ticket, x.route.BudgetShare = ticket, ticket.BudgetShare
 	x.release = func() { d.admission.Release(w.Admission) }
 	if err := d.pool.Submit(x.run); err != nil {
--- a/server/entry/daemon.go
+++ b/server/entry/daemon.go
@@ -60,6 +60,7 @@
 	pool      *ants.Pool
 	demand    demand
 	lifecycle shutdown.State
+	durations shutdown.Durations // of answered requests, by service
 	// requests is cancelled when a stop ends the requests in progress.
 	requests    context.Context
 	endRequests context.CancelFunc
--- a/server/entry/exchange.go
+++ b/server/entry/exchange.go
@@ -33,6 +33,7 @@
 	daemon  *Daemon
 	request *completion
 	view    *localview.View
+	service types.ServiceID
 	budget  *admission.RetryBudget
 	release func()
 
@@ -126,8 +127,12 @@
 		if t == nil {
 			return lastFailure.refuse(&x.attempt, reason)
 		}
+		if !x.daemon.mayBegin(&x.attempt, x.service, time.Now().Add(x.daemon.settings.MaxAnswerTime)) {
+			return x.attempt.Refuse(types.RefusedStopping)
+		}
 		err := x.dispatch(t)
 		if err == nil {
+			x.daemon.recordDuration(x.service, x.request.Arrived)
 			return types.Answered{}
 		}
 		switch {
--- a/server/entry/stop.go
+++ b/server/entry/stop.go
@@ -8,6 +8,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/lentilpick/lentilpick/shutdown"
+	"github.com/lentilpick/lentilpick/types"
 )
 
 const (
@@ -26,6 +27,18 @@
 
 func (d *Daemon) isStopping() bool { return d.lifecycle.Schedule() != nil }
 
+// mayBegin reports whether a request may be sent to a target now. During a stop, one of which nothing has
+// been sent is refused unless it can end in time; one that may have run gains nothing from a refusal and
+// goes on until the end of the stop.
+func (d *Daemon) mayBegin(a *types.Attempt, s types.ServiceID, deadline time.Time) bool {
+	return !d.isStopping() || a.Sent() || d.lifecycle.Allows(time.Now(), deadline, d.durations.Route(string(s)))
+}
+
+func (d *Daemon) recordDuration(s types.ServiceID, arrived time.Time) {
+	p := d.durations.Route(string(s)).Begin()
+	p.End(time.Since(arrived))
+}
+
 // outcomeReserve returns the part of a stop timeout in which no request is in progress any more.
 func outcomeReserve(stopTimeout time.Duration) time.Duration {
 	return min(maxOutcomeReserve, stopTimeout/5)
@@ -37,7 +50,7 @@
 	timeout := d.settings.StopTimeout
 	began := time.Now()
 	end := began.Add(timeout - outcomeReserve(timeout))
-	d.lifecycle.Begin(shutdown.Schedule{Began: began, End: end})
+	d.lifecycle.Begin(shutdown.Schedule{Began: began, AcceptUntil: end, End: end})
 	d.log.Info("stopping")
 	defer time.AfterFunc(time.Until(end), d.endRequests).Stop()
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(timeout))
--- a/server/entry/stop_test.go
+++ b/server/entry/stop_test.go
@@ -14,6 +14,8 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/lentilpick/lentilpick/idempotency"
+	"github.com/lentilpick/lentilpick/shutdown"
+	"github.com/lentilpick/lentilpick/types"
 )
 
 // blockingKeys is a KeyService whose claims wait until they are cancelled or release is closed.
@@ -95,8 +97,98 @@
 			assert.Equal(t, e.Reason, "stopping")
 			assert.NilError(t, <-stopped)
 			if c.end != "" {
+				assert.Equal(t, len(ends), 1, "the end is recorded before the process ends")
 				assert.Equal(t, <-ends, c.end)
 			}
 		})
 	}
 }
+
+// recordDurations records twenty answered requests of the given duration, if it is not 0.
+func (d *Daemon) recordDurations(s types.ServiceID, took time.Duration) {
+	for range 20 {
+		if took > 0 {
+			d.recordDuration(s, time.Now().Add(-took))
+		}
+	}
+}
+
+// Guards against a request that is sent to a target during a stop although it cannot end in time: it
+// could have been refused as not run.
+func TestStopSendsOnlyWhatCanEnd(t *testing.T) {
+	for name, c := range map[string]struct {
+		deadlineMs string
+		expected   time.Duration
+		status     int
+		end        idempotency.Kind
+	}{
+		"unknown duration": {"60000", 0, 503, idempotency.KindReleased},
+		"too long":         {"60000", time.Minute, 503, idempotency.KindReleased},
+		"expected in time": {"60000", time.Second, 201, idempotency.KindCompleted},
+		"deadline in time": {"5000", time.Minute, 201, idempotency.KindCompleted},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			h := newHarness(t, nil, respondBooked)
+			h.recordDurations("book", c.expected)
+			k := &blockingKeys{keyStub{ends: make(chan idempotency.Kind, 1)}, make(chan struct{}), make(chan struct{})}
+			h.keys = k
+			h.settings.StopTimeout = 10 * time.Second
+			stopped := make(chan error, 1)
+			go func() {
+				<-k.claimed
+				go func() { stopped <- h.stop(h.server) }()
+				for !h.isStopping() {
+					time.Sleep(time.Millisecond)
+				}
+				close(k.release)
+			}()
+			status, e, body := h.do(t, http.DefaultClient, testRequest{"POST", "/v1/services/book/x", "",
+				map[string]string{"Idempotency-Key": "k", "X-Deadline-Ms": c.deadlineMs}})
+			assert.Equal(t, status, c.status, body)
+			if status == 503 {
+				assert.Equal(t, e.Outcome, outcomeNotRun)
+				assert.Equal(t, e.Reason, "stopping")
+				assert.Assert(t, e.RetryAfterMs > 0)
+			}
+			assert.NilError(t, <-stopped)
+			assert.Equal(t, <-k.ends, c.end)
+		})
+	}
+}
+
+// Guards against a completion that a stop sends for the first time although it cannot end, and against
+// one that a stop no longer resumes.
+func TestStopSendsOnlyCompletionsThatCanEnd(t *testing.T) {
+	for name, c := range map[string]struct {
+		expected time.Duration
+		sent     bool
+		answered bool
+	}{
+		"unknown duration": {0, false, false},
+		"expected in time": {time.Second, false, true},
+		"sent before":      {0, true, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, func(ctx *fasthttp.RequestCtx) { respondTokens(ctx, "a", "b") }, nil)
+			h.recordDurations("llm", c.expected)
+			now := time.Now()
+			h.lifecycle.Begin(shutdown.Schedule{Began: now, AcceptUntil: now.Add(10 * time.Second), End: now.Add(10 * time.Second)})
+			v := h.views.Load()
+			r := &completion{header: header{ID: "r", Arrived: now}, completionBody: completionBody{Model: "m", Prompt: "p", MaxTokens: 2}}
+			x := newExchange(h.Daemon, r, v, retryBudget(v, "llm"))
+			x.service = "llm"
+			if c.sent {
+				x.attempt.Begin()
+			}
+			o := x.serve()
+			if c.answered {
+				assert.Equal(t, o, types.Answered{})
+				return
+			}
+			refused, ok := o.(types.NotRun)
+			assert.Assert(t, ok, "%#v", o)
+			assert.Equal(t, refused.Reason(), types.RefusedStopping)
+		})
+	}
+}
