server/entry: answer what a stop receives on idle connections

A caller that sent its next request on an open connection about one second after SIGTERM saw the connection close without a response, although the daemon had received the request.

Cause: fasthttp's ShutdownWithContext closes idle connections, and drops a request that it reads from one at that moment. It also waits up to 5 s for a connection on which no request came.

The server for callers now stops by itself: it closes the listener and lets each connection wait for a request for a bounded time (half of the reserve for outcomes). What arrives until then is refused as not_run with a response that announces the close. This includes a connection that a stream in progress at SIGTERM had announced to keep open. A request that is sent after the daemon has closed the connection is not received and still gets no response.

TestStopAnswersWhatItReceivedOnIdleConnections failed before with "unexpected EOF" in place of the refusal.

--- a/server/entry/daemon.go
+++ b/server/entry/daemon.go
@@ -155,20 +155,19 @@
 	return d.stop(server)
 }
 
-func (d *Daemon) newServer() *fasthttp.Server {
-	return &fasthttp.Server{
+func (d *Daemon) newServer() *callerServer {
+	return newCallerServer(&fasthttp.Server{
 		Handler:                      d.handle,
 		Name:                         "lentilpick",
 		MaxRequestBodySize:           d.settings.MaxBodyBytes,
 		ReadTimeout:                  30 * time.Second,
 		WriteTimeout:                 d.settings.MaxAnswerTime, // closes connections of callers that do not read
 		IdleTimeout:                  time.Minute,
-		CloseOnShutdown:              true,
 		ErrorHandler:                 d.protocolError,
 		Logger:                       debugLogger{d.log},
 		NoDefaultDate:                true,
 		DisablePreParseMultipartForm: true,
-	}
+	})
 }
 
 // debugLogger logs the messages of the HTTP server at debug level. They concern single connections,
@@ -190,6 +189,8 @@
 		d.refuseInput(ctx, newInputError("body", "is over %d bytes", d.settings.MaxBodyBytes), fasthttp.StatusRequestEntityTooLarge)
 	case errors.As(err, &headerErr):
 		d.refuseInput(ctx, newInputError("header", "is too large"), fasthttp.StatusRequestHeaderFieldsTooLarge)
+	case errors.As(err, &netErr) && netErr.Timeout() && d.isStopping():
+		d.refuseStopping(ctx)
 	case errors.As(err, &netErr) && netErr.Timeout():
 		d.refuseInput(ctx, newInputError("http", "the request did not arrive in time"), fasthttp.StatusRequestTimeout)
 	default:
@@ -217,9 +218,6 @@
 		ctx.SetConnectionClose()
 	})
 	now := time.Now()
-	if d.isStopping() {
-		ctx.SetConnectionClose()
-	}
 	path := string(ctx.Path())
 	switch {
 	case path == "/v1/completions":
@@ -231,6 +229,9 @@
 	default:
 		d.refuseInput(ctx, newInputError("path", "no such path"), fasthttp.StatusNotFound)
 	}
+	if d.isStopping() {
+		ctx.SetConnectionClose()
+	}
 }
 
 func (d *Daemon) handleHealth(ctx *fasthttp.RequestCtx) {
@@ -251,6 +252,14 @@
 	refusal{status, detail}.write(ctx)
 }
 
+// refuseStopping responds to a request that has not arrived completely before the end of a stop.
+func (d *Daemon) refuseStopping(ctx *fasthttp.RequestCtx) {
+	var a types.Attempt
+	o := a.Refuse(types.RefusedStopping)
+	d.counters.recordOutcome(o)
+	newRefusal("", o).write(ctx)
+}
+
 // admit checks that the workspace may call the service and reserves admission capacity. The caller
 // releases it.
 func (d *Daemon) admit(v *localview.View, ws types.WorkspaceID, s types.ServiceID, priority int, a *types.Attempt) (*localview.Workspace, admission.Ticket, types.Outcome) {
--- a/server/entry/daemon_test.go
+++ b/server/entry/daemon_test.go
@@ -35,11 +35,11 @@
 type harness struct {
 	*Daemon
 	address string
-	server  *fasthttp.Server
-	stopped chan struct{} // closed when Serve returns
+	server  *callerServer
+	stopped <-chan struct{} // closed when Serve returns
 }
 
-func startServer(t *testing.T, s *fasthttp.Server) (string, chan struct{}) {
+func startServer(t *testing.T, s interface{ Serve(net.Listener) error }) (string, <-chan struct{}) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
--- a/server/entry/stop.go
+++ b/server/entry/stop.go
@@ -5,8 +5,6 @@
 	"errors"
 	"time"
 
-	"github.com/valyala/fasthttp"
-
 	"github.com/lentilpick/lentilpick/shutdown"
 	"github.com/lentilpick/lentilpick/types"
 )
@@ -46,7 +44,7 @@
 
 // stop refuses new requests with the outcome not run, and waits for the requests in progress to finish.
 // Those that have not finished shortly before the stop timeout get their outcome then.
-func (d *Daemon) stop(server *fasthttp.Server) error {
+func (d *Daemon) stop(server *callerServer) error {
 	timeout := d.settings.StopTimeout
 	began := time.Now()
 	end := began.Add(timeout - outcomeReserve(timeout))
@@ -56,7 +54,7 @@
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(timeout))
 	defer cancel()
 	time.Sleep(min(stopGracePeriod, timeout/2))
-	if err := server.ShutdownWithContext(ctx); err != nil {
+	if err := server.Shutdown(ctx, outcomeReserve(timeout)/2); err != nil {
 		d.log.WithError(err).Error("stop timeout expired with connections in use")
 		return nil
 	}
--- a/server/entry/stop_test.go
+++ b/server/entry/stop_test.go
@@ -5,8 +5,10 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -192,3 +194,86 @@
 		})
 	}
 }
+
+// delayedListener accepts connections that hand over received bytes only when the server acts on the
+// connection, as a busy machine may do.
+type delayedListener struct {
+	net.Listener
+	received chan struct{} // closed when bytes are held back
+	hold     atomic.Bool
+}
+
+func (l *delayedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	return &delayedConn{Conn: c, listener: l, acted: make(chan struct{})}, err
+}
+
+type delayedConn struct {
+	net.Conn
+	listener *delayedListener
+	acted    chan struct{}
+	held     atomic.Bool
+}
+
+func (c *delayedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 && c.listener.hold.Load() && c.held.CompareAndSwap(false, true) {
+		close(c.listener.received)
+		<-c.acted
+	}
+	return n, err
+}
+
+func (c *delayedConn) act() {
+	if c.held.Load() {
+		select {
+		case <-c.acted:
+		default:
+			close(c.acted)
+		}
+	}
+}
+
+func (c *delayedConn) SetReadDeadline(t time.Time) error {
+	defer c.act()
+	return c.Conn.SetReadDeadline(t)
+}
+
+func (c *delayedConn) Close() error {
+	defer c.act()
+	return c.Conn.Close()
+}
+
+// Guards against a request that a stop receives on an idle connection and drops without a response.
+func TestStopAnswersWhatItReceivedOnIdleConnections(t *testing.T) {
+	h := newHarness(t, nil, respondBooked)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	delayed := &delayedListener{Listener: l, received: make(chan struct{})}
+	server := h.newServer()
+	go func() { _ = server.Serve(delayed) }()
+	c, err := net.Dial("tcp", l.Addr().String())
+	assert.NilError(t, err)
+	defer func() { _ = c.Close() }()
+	const header = " HTTP/1.1\r\nHost: h\r\nX-Request-Id: r\r\nX-Workspace: club\r\nX-Deadline-Ms: 5000\r\n\r\n"
+	r := bufio.NewReader(c)
+	_, err = io.WriteString(c, "GET /healthz"+header)
+	assert.NilError(t, err)
+	resp, err := http.ReadResponse(r, nil)
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, 200)
+	delayed.hold.Store(true)
+	_, err = io.WriteString(c, "GET /v1/services/book/x"+header)
+	assert.NilError(t, err)
+	<-delayed.received
+	stopped := make(chan error, 1)
+	go func() { stopped <- h.stop(server) }()
+	resp, err = http.ReadResponse(r, nil)
+	assert.NilError(t, err)
+	var e errorBody
+	assert.NilError(t, json.NewDecoder(resp.Body).Decode(&e))
+	assert.Equal(t, e.Error.Outcome, outcomeNotRun)
+	assert.Equal(t, e.Error.Reason, "stopping")
+	assert.Assert(t, resp.Close, "the response announces that the connection closes")
+	assert.NilError(t, <-stopped)
+}
