server/entry: refuse what has not arrived at the end of a stop

A caller that was still sending its request at the end of the stop timeout saw the connection close without a response, and the stop used up its whole timeout.

Cause: the server waits up to 30 s for the rest of a request, whatever is left of the stop.

At the end of a stop the reads of incomplete requests fail with a timeout, and the requests are refused as not_run with the reason stopping.

TestStopRefusesRequestsThatHaveNotArrived failed before in both cases: no response within a second after the stop ("i/o timeout").

--- a/server/entry/callers.go
+++ b/server/entry/callers.go
@@ -61,6 +61,16 @@
 	}
 }
 
+// EndReads makes the requests that have not arrived completely fail with a timeout.
+func (s *callerServer) EndReads() {
+	s.conns.Range(func(c, _ any) bool {
+		if c := c.(*callerConn); !c.isWaiting() {
+			_ = c.Conn.SetReadDeadline(time.Now())
+		}
+		return true
+	})
+}
+
 type callerListener struct {
 	net.Listener
 	server *callerServer
--- a/server/entry/stop.go
+++ b/server/entry/stop.go
@@ -50,7 +50,10 @@
 	end := began.Add(timeout - outcomeReserve(timeout))
 	d.lifecycle.Begin(shutdown.Schedule{Began: began, AcceptUntil: end, End: end})
 	d.log.Info("stopping")
-	defer time.AfterFunc(time.Until(end), d.endRequests).Stop()
+	defer time.AfterFunc(time.Until(end), func() {
+		d.endRequests()
+		server.EndReads()
+	}).Stop()
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(timeout))
 	defer cancel()
 	time.Sleep(min(stopGracePeriod, timeout/2))
--- a/server/entry/stop_test.go
+++ b/server/entry/stop_test.go
@@ -277,3 +277,32 @@
 	assert.Assert(t, resp.Close, "the response announces that the connection closes")
 	assert.NilError(t, <-stopped)
 }
+
+// Guards against a caller that sends slowly: the end of a stop must refuse its request, which the closed
+// connection alone does not, and must not wait for the rest.
+func TestStopRefusesRequestsThatHaveNotArrived(t *testing.T) {
+	for name, text := range map[string]string{
+		"header": "POST /v1/services/book/x HTTP/1.1\r\nHost: h\r\nX-Req",
+		"body":   "POST /v1/services/book/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: r\r\nContent-Length: 100\r\n\r\nbooked",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			h := newHarness(t, nil, respondBooked)
+			h.settings.StopTimeout = time.Second
+			c, err := net.Dial("tcp", h.address)
+			assert.NilError(t, err)
+			defer func() { _ = c.Close() }()
+			_, err = io.WriteString(c, text)
+			assert.NilError(t, err)
+			time.Sleep(50 * time.Millisecond) // until the daemon reads
+			assert.NilError(t, h.stop(h.server))
+			assert.NilError(t, c.SetReadDeadline(time.Now().Add(time.Second)))
+			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+			assert.NilError(t, err)
+			var e errorBody
+			assert.NilError(t, json.NewDecoder(resp.Body).Decode(&e))
+			assert.Equal(t, e.Error.Outcome, outcomeNotRun)
+			assert.Equal(t, e.Error.Reason, "stopping")
+		})
+	}
+}
