server/entry: log what a stop does to requests

From the log of a stopped daemon nobody could tell how many requests were in progress at SIGTERM, how many it refused since and how many it cut.

The line "stopping" now has the number of requests in progress, the line "stopped" how many the stop refused as not run and how many it ended as unknown, and each of the latter has a line with its request ID. A stop with connections that are still open is a warning, and the process exits with status 0: the requests on them have their outcome.

--- a/server/entry/call.go
+++ b/server/entry/call.go
@@ -73,7 +73,9 @@
 			d.recordDuration(c.Service, c.Arrived)
 			return reply, types.Answered{}
 		case errors.Is(err, errStopped):
-			return nil, a.Refuse(types.RefusedStopping)
+			o := a.Refuse(types.RefusedStopping)
+			d.logEnded(c.ID, o)
+			return nil, o
 		case errors.Is(err, errPanicked):
 			return nil, a.Refuse(types.RefusedInternal)
 		}
--- a/server/entry/counters.go
+++ b/server/entry/counters.go
@@ -17,6 +17,8 @@
 	refusals *daemon.ReasonCounter
 	retries  *daemon.ReasonCounter
 	results  *daemon.ReasonCounter
+	// stopRefused and stopEnded count the requests that a stop ended as not run and as unknown.
+	stopRefused, stopEnded atomic.Int64
 }
 
 const (
@@ -60,9 +62,15 @@
 	case types.NotRun:
 		c.results.Add(resultNotRun)
 		c.recordRefusal(v.Reason())
+		if v.Reason() == types.RefusedStopping {
+			c.stopRefused.Add(1)
+		}
 	case types.Unknown:
 		c.results.Add(resultUnknown)
 		c.recordRefusal(v.Reason())
+		if v.Reason() == types.RefusedStopping {
+			c.stopEnded.Add(1)
+		}
 	}
 }
 
--- a/server/entry/daemon.go
+++ b/server/entry/daemon.go
@@ -152,7 +152,8 @@
 		return merry.Wrap(ErrStart, merry.WithCause(err))
 	case <-ctx.Done():
 	}
-	return d.stop(server)
+	_ = d.stop(server)
+	return nil
 }
 
 func (d *Daemon) newServer() *callerServer {
--- a/server/entry/exchange.go
+++ b/server/entry/exchange.go
@@ -95,6 +95,7 @@
 		}
 	}
 	if o := x.attempt.Refuse(types.RefusedStopping); x.settle(o) {
+		x.daemon.logEnded(x.request.ID, o)
 		x.abandon()
 		return part{outcome: o}, true
 	}
--- a/server/entry/stop.go
+++ b/server/entry/stop.go
@@ -5,6 +5,9 @@
 	"errors"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
+	"github.com/lentilpick/lentilpick/daemon"
 	"github.com/lentilpick/lentilpick/shutdown"
 	"github.com/lentilpick/lentilpick/types"
 )
@@ -43,13 +46,14 @@
 }
 
 // stop refuses new requests with the outcome not run, and waits for the requests in progress to finish.
-// Those that have not finished shortly before the stop timeout get their outcome then.
+// Those that have not finished shortly before the stop timeout get their outcome then. The error, which is
+// logged, reports that connections are open at the stop timeout.
 func (d *Daemon) stop(server *callerServer) error {
 	timeout := d.settings.StopTimeout
 	began := time.Now()
 	end := began.Add(timeout - outcomeReserve(timeout))
 	d.lifecycle.Begin(shutdown.Schedule{Began: began, AcceptUntil: end, End: end})
-	d.log.Info("stopping")
+	d.log.WithField("in_flight", d.admission.InFlight()).Info("stopping")
 	defer time.AfterFunc(time.Until(end), func() {
 		d.endRequests()
 		server.EndReads()
@@ -57,12 +61,23 @@
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(timeout))
 	defer cancel()
 	time.Sleep(min(stopGracePeriod, timeout/2))
-	if err := server.Shutdown(ctx, outcomeReserve(timeout)/2); err != nil {
-		d.log.WithError(err).Error("stop timeout expired with connections in use")
-		return nil
-	}
+	err := server.Shutdown(ctx, outcomeReserve(timeout)/2)
 	defer context.AfterFunc(ctx, d.stopRecording)()
 	d.pendingFinishes.Wait()
-	d.log.Info("stopped")
+	l := d.log.WithFields(logrus.Fields{
+		"refused": d.counters.stopRefused.Load(), "ended": d.counters.stopEnded.Load(), "elapsed_ms": time.Since(began).Milliseconds(),
+	})
+	if err != nil {
+		l.WithError(err).Warn("stopped with open connections")
+		return err
+	}
+	l.Info("stopped")
 	return nil
 }
+
+// logEnded logs a request that the end of a stop has ended, if it may have run.
+func (d *Daemon) logEnded(id types.RequestID, o types.Outcome) {
+	if _, ok := o.(types.Unknown); ok {
+		d.log.WithField(daemon.FieldRequest, id).Warn("request ended by the stop; it may have run")
+	}
+}
--- a/server/entry/stop_test.go
+++ b/server/entry/stop_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"encoding/json"
 	"io"
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -15,6 +17,7 @@
 	"github.com/valyala/fasthttp"
 	"gotest.tools/v3/assert"
 
+	"github.com/lentilpick/lentilpick/daemon"
 	"github.com/lentilpick/lentilpick/idempotency"
 	"github.com/lentilpick/lentilpick/shutdown"
 	"github.com/lentilpick/lentilpick/types"
@@ -36,7 +39,34 @@
 	}
 }
 
-// Guards against requests that a stop ends with a closed connection instead of an outcome.
+// logBuffer collects log lines.
+type logBuffer struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (b *logBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.Write(p)
+}
+
+// lines returns the fields of the last line with each message.
+func (b *logBuffer) lines(t *testing.T) map[string]map[string]any {
+	t.Helper()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := map[string]map[string]any{}
+	for line := range strings.Lines(b.buf.String()) {
+		var fields map[string]any
+		assert.NilError(t, json.Unmarshal([]byte(line), &fields))
+		out[fields["msg"].(string)] = fields
+	}
+	return out
+}
+
+// Guards against requests that a stop ends with a closed connection instead of an outcome, and
+// against a log that does not tell how many they were.
 func TestRequestsInProgressAtStopTimeoutGetAnOutcome(t *testing.T) {
 	const complete = `{"model":"m","prompt":"p","max_tokens":2}`
 	stream := strings.Replace(complete, "}", `,"stream":true}`, 1)
@@ -73,6 +103,8 @@
 				close(started)
 				<-finish
 			})
+			var logs logBuffer
+			h.log = daemon.NewLogger(&logs, "info", "test")
 			ends := make(chan idempotency.Kind, 1)
 			h.keys = &keyStub{verdict: idempotency.VerdictRun, ends: ends}
 			if c.claimWaits {
@@ -98,6 +130,11 @@
 			assert.Equal(t, e.Outcome, c.outcome)
 			assert.Equal(t, e.Reason, "stopping")
 			assert.NilError(t, <-stopped)
+			lines := logs.lines(t)
+			assert.Equal(t, lines["stopping"]["in_flight"], 1.0)
+			assert.Equal(t, lines["stopped"]["ended"].(float64)+lines["stopped"]["refused"].(float64), 1.0)
+			assert.Equal(t, lines["stopped"]["ended"] == 1.0, c.outcome == outcomeUnknown)
+			assert.Equal(t, lines["request ended by the stop; it may have run"] != nil, c.outcome == outcomeUnknown)
 			if c.end != "" {
 				assert.Equal(t, len(ends), 1, "the end is recorded before the process ends")
 				assert.Equal(t, <-ends, c.end)
