daemon: SIGHUP does not end the entry and control daemons

SIGHUP to lentilpick-entry or lentilpick-control, which supervisors send to reload settings, ended the process at once: callers saw all connections close without a response, and queued key records were lost.

Cause: neither daemon handles SIGHUP, and Go ends a process on it by default.

Both read their settings at the start only, so they now log the signal and go on. Signals that arrive during a stop do not shorten it; that held for SIGTERM and SIGINT before.

--- a/cmd/lentilpick-control/main.go
+++ b/cmd/lentilpick-control/main.go
@@ -25,6 +25,7 @@
 	}
 	log := daemon.NewLogger(os.Stderr, s.LogLevel, "control").
 		WithField(daemon.FieldVM, s.VM).WithField(daemon.FieldDataCentre, s.DataCentre)
+	daemon.IgnoreHangup(log)
 	ctx, cancel := daemon.SignalContext()
 	defer cancel()
 	d, err := control.New(s, log)
--- a/cmd/lentilpick-entry/main.go
+++ b/cmd/lentilpick-entry/main.go
@@ -24,6 +24,7 @@
 	}
 	log := daemon.NewLogger(os.Stderr, s.LogLevel, "entry").
 		WithField(daemon.FieldVM, s.VM).WithField(daemon.FieldDataCentre, s.DataCentre)
+	daemon.IgnoreHangup(log)
 	ctx, cancel := daemon.SignalContext()
 	defer cancel()
 	d, err := entry.New(s, log)
--- a/daemon/run.go
+++ b/daemon/run.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"os"
 	"os/signal"
 	"syscall"
 	"time"
+
+	"github.com/sirupsen/logrus"
 )
 
 // SignalContext returns a context that is canceled by SIGTERM or SIGINT.
@@ -12,6 +15,19 @@
 	return signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 }
 
+// IgnoreHangup keeps SIGHUP from ending the process, which is what it does by default. A daemon that reads
+// its settings only at the start has nothing to do on SIGHUP, but must not lose its requests; the signal
+// is logged.
+func IgnoreHangup(log *logrus.Entry) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	go func() {
+		for range hangups {
+			log.Info("SIGHUP ignored: settings are read at the start only")
+		}
+	}()
+}
+
 // Sleep waits for d or until ctx is done. It returns false if ctx ended the wait.
 func Sleep(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
