server/control: end calls with a result at the end of a stop

Cause: a call waits for the log up to its own timeout, and the HTTP servers take the whole stop timeout for calls in progress.

The contexts of all calls now end two fifths of the stop timeout, at most 4 s, before its end, so that each call returns its error. Connections that are in use even then are closed, and the rest of the time is for the queued key records.

--- a/server/control/daemon.go
+++ b/server/control/daemon.go
@@ -62,8 +62,12 @@
 	peers        *peerWatcher
 	pool         *ants.Pool
 	stopping     chan struct{}
-	admin        http.Handler
-	traffic      traffic
+	// calls is the parent of the contexts of all calls that the daemon serves. It is cancelled when a
+	// stop ends the calls in progress.
+	calls    context.Context
+	endCalls context.CancelFunc
+	admin    http.Handler
+	traffic  traffic
 	// lastRevision is the revision at the last call of catchUp, which alone uses it.
 	lastRevision types.Revision
 }
@@ -83,6 +87,7 @@
 		incarnation: strconv.FormatUint(rand.Uint64(), 36),
 		gate:        &authority.Gate{}, fleet: newFleetState(vmID(s.VM)), entryDaemons: newEntryDaemons(), stopping: make(chan struct{}),
 	}
+	d.calls, d.endCalls = context.WithCancel(context.Background())
 	d.platform = logclient.NewClient(s.Platform, d.traffic.platform.Conn)
 	d.config = NewConfigLog(d.platform, log)
 	d.lease = newLeaseRunner(d.platform, log, d.dc, s.leaseSettings(d.incarnation), d.gate)
@@ -210,8 +215,7 @@
 	return append(out, d.entryStatuses(now)...)
 }
 
-// Run serves until the context ends, then waits for orders in progress, releases the
-// lease and stops.
+// Run serves until the context ends, then stops within StopTimeout.
 func (d *Daemon) Run(ctx context.Context) error {
 	debug.SetMemoryLimit(d.settings.MemoryLimitMB * 1_000_000)
 	work, cancel := context.WithCancel(context.Background())
@@ -230,20 +234,40 @@
 	keysDone := d.start(work)
 	d.log.WithField(daemon.FieldAddress, d.settings.Listen).Info("serving peers")
 	<-ctx.Done()
+	d.stop(admin, server, cancel, keysDone)
+	return nil
+}
+
+// maxStopReserve bounds the part of the stop timeout that is left when the calls in
+// progress end. Half of it is for their responses, half for the key records that are
+// queued, which take one append.
+const maxStopReserve = 4 * time.Second
+
+// stop waits for orders in progress, releases the lease, waits for calls in progress
+// and for queued key records. Calls that are in progress shortly before StopTimeout end
+// with an error, so that their clients know that the result is open.
+func (d *Daemon) stop(admin, server *http.Server, stopWork context.CancelFunc, keysDone <-chan struct{}) {
 	d.log.Info("stopping")
+	began, timeout := time.Now(), d.settings.StopTimeout
+	reserve := min(maxStopReserve, 2*timeout/5)
 	close(d.stopping)
+	defer time.AfterFunc(timeout-reserve, d.endCalls).Stop()
 	d.releaseLease(d.orders.Finish())
-	stop, stopped := context.WithTimeout(context.Background(), d.settings.StopTimeout)
-	defer stopped()
-	_ = admin.Shutdown(stop)
-	_ = server.Shutdown(stop)
-	cancel()
+	responses, cancel := context.WithDeadline(context.Background(), began.Add(timeout-reserve/2))
+	defer cancel()
+	for _, s := range []*http.Server{admin, server} {
+		if err := s.Shutdown(responses); err != nil {
+			d.log.WithError(err).WithField(daemon.FieldAddress, s.Addr).Warn("closing connections in use")
+			_ = s.Close()
+		}
+	}
+	stopWork()
 	select {
 	case <-keysDone:
-	case <-stop.Done():
+		d.log.Info("stopped")
+	case <-time.After(time.Until(began.Add(timeout))):
+		d.log.Warn("stopped before all queued key records were in the log")
 	}
-	d.log.Info("stopped")
-	return nil
 }
 
 // start starts the goroutines of the daemon. The returned channel is closed once the
@@ -340,7 +364,10 @@
 	if err != nil {
 		return nil, merry.Wrap(ErrStart, merry.WithCause(err))
 	}
-	s := &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second, MaxHeaderBytes: 16 << 10}
+	s := &http.Server{
+		Addr: address, Handler: h, ReadHeaderTimeout: 5 * time.Second, MaxHeaderBytes: 16 << 10,
+		BaseContext: func(net.Listener) context.Context { return d.calls },
+	}
 	go func() { _ = s.Serve(daemon.Listener(l, of)) }()
 	return s, nil
 }
