server/control: a stop does not wait for an order beyond its timeout

While an order to a target had no result, a stopping control daemon neither finished its calls nor appended its queued key records, and a supervisor that kills the process after stop_timeout cut them.

Cause: the wait for the results of orders came before the stop timeout began, and only the expiry of the lease bounds it.

The wait is now part of the stop timeout and ends with the time for calls in progress. The lease then expires instead of being released, as for any order with an unknown result.

TestStopDoesNotWaitForOrdersBeyondItsTimeout failed before: "the daemon waits for the order".

--- a/server/control/daemon.go
+++ b/server/control/daemon.go
@@ -252,7 +252,7 @@
 	reserve := min(maxStopReserve, 2*timeout/5)
 	close(d.stopping)
 	defer time.AfterFunc(timeout-reserve, d.endCalls).Stop()
-	d.releaseLease(d.orders.Finish())
+	d.releaseLease(d.finishOrders(timeout - reserve))
 	responses, cancel := context.WithDeadline(context.Background(), began.Add(timeout-reserve/2))
 	defer cancel()
 	for _, s := range []*http.Server{admin, server} {
@@ -270,6 +270,20 @@
 	}
 }
 
+// finishOrders waits for orders in progress, at most for the given time, and reports
+// whether the results of all orders are known.
+func (d *Daemon) finishOrders(wait time.Duration) bool {
+	resultsKnown := make(chan bool, 1)
+	go func() { resultsKnown <- d.orders.Finish() }()
+	select {
+	case v := <-resultsKnown:
+		return v
+	case <-time.After(wait):
+		d.log.Warn("an order has no result yet; the lease expires instead of being released")
+		return false
+	}
+}
+
 // start starts the goroutines of the daemon. The returned channel is closed once the
 // key log has stopped and has appended its queued records.
 func (d *Daemon) start(ctx context.Context) <-chan struct{} {
--- a/server/control/orders.go
+++ b/server/control/orders.go
@@ -89,7 +89,7 @@
 
 // Finish stops sending orders, waits for the results of orders in progress and
 // reports whether all results are known. Each order times out when the lease
-// expires, which bounds the wait.
+// expires, which bounds the wait but may be later than the end of a stop.
 func (o *orderReconciler) Finish() bool {
 	resultsKnown := make(chan bool, 1)
 	select {
