server/entry: test that a stop under load loses no request

The tests of a stop sent single requests, so that a fault that needs a request at a certain moment of the stop could not show.

48 callers keep a connection each and send streams and calls of 10 ms to 1 s, and some of 6 s, through a stop of 3 s. A request that has reached a target must end with a complete response or as unknown, and never as not run.

--- a/server/entry/stop_test.go
+++ b/server/entry/stop_test.go
@@ -5,19 +5,24 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/valyala/fasthttp"
 	"gotest.tools/v3/assert"
 
 	"github.com/lentilpick/lentilpick/daemon"
+	"github.com/lentilpick/lentilpick/engine"
 	"github.com/lentilpick/lentilpick/idempotency"
 	"github.com/lentilpick/lentilpick/shutdown"
 	"github.com/lentilpick/lentilpick/types"
@@ -343,3 +348,127 @@
 		})
 	}
 }
+
+// Guards against a request that a stop passes on and leaves without a complete response or an outcome,
+// whenever its caller sends it and however long its response takes.
+func TestStopUnderLoadLosesNoRequest(t *testing.T) {
+	const callers = 48
+	var passedOn sync.Map // request IDs that reached a target
+	h := newHarness(t, func(ctx *fasthttp.RequestCtx) {
+		var g engine.GenerateRequest
+		_ = json.Unmarshal(ctx.PostBody(), &g)
+		passedOn.Store(string(g.RequestID), nil)
+		texts := make([]string, g.MaxTokens)
+		for i := range texts {
+			texts[i] = "a"
+		}
+		ctx.SetContentType("text/event-stream")
+		ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
+			for i := range texts {
+				_, _ = fmt.Fprintf(w, "data: {\"request_id\":%q,\"index\":%d,\"count\":1,\"text\":\"a\"}\n\n", g.RequestID, i)
+				if w.Flush() != nil {
+					return
+				}
+				time.Sleep(10 * time.Millisecond)
+			}
+			_, _ = fmt.Fprintf(w, "data: {\"request_id\":%q,\"done\":true,\"tokens\":%d,\"checksum\":\"%016x\"}\n\n",
+				g.RequestID, g.MaxTokens, xxhash.Sum64String(strings.Join(texts, "")))
+		})
+	}, func(ctx *fasthttp.RequestCtx) {
+		passedOn.Store(string(ctx.Request.Header.Peek("X-Request-Id")), nil)
+		ms, _ := strconv.Atoi(string(ctx.QueryArgs().Peek("ms")))
+		time.Sleep(time.Duration(ms) * time.Millisecond)
+		respondBooked(ctx)
+	})
+	h.settings.StopTimeout = 3 * time.Second
+	stopped := make(chan struct{})
+	var wg sync.WaitGroup
+	var answered, ended, refused, unsent atomic.Int64
+	for caller := range callers {
+		wg.Go(func() {
+			rnd := rand.New(rand.NewPCG(37, uint64(caller)))
+			client := &http.Client{Transport: &http.Transport{MaxConnsPerHost: 1}}
+			for n := 0; ; n++ {
+				select {
+				case <-stopped:
+					return
+				default:
+				}
+				id := fmt.Sprintf("r%d-%d", caller, n)
+				length := 1 + rnd.IntN(100)
+				if rnd.IntN(4) == 0 {
+					length = 600 // longer than the stop
+				}
+				path, body := "/v1/completions", fmt.Sprintf(`{"model":"m","prompt":"p","max_tokens":%d,"stream":true}`, length)
+				if caller%3 == 0 {
+					path, body = fmt.Sprintf("/v1/services/book/x?ms=%d", 10*length), "x"
+				}
+				outcome, err := sendOnce(client, h.address, id, path, body)
+				_, reached := passedOn.Load(id)
+				switch {
+				case err != nil && reached:
+					t.Errorf("request %s to %s was passed on and lost: %s", id, path, err)
+				case err != nil:
+					unsent.Add(1)
+					return // the daemon accepts no connections any more
+				case outcome == "":
+					answered.Add(1)
+				case outcome == outcomeUnknown:
+					ended.Add(1)
+				default:
+					refused.Add(1)
+					if reached {
+						t.Errorf("request %s to %s was passed on and refused as not run", id, path)
+					}
+				}
+				time.Sleep(time.Duration(rnd.IntN(40)) * time.Millisecond)
+			}
+		})
+	}
+	time.Sleep(500 * time.Millisecond)
+	assert.Check(t, h.stop(h.server))
+	close(stopped)
+	wg.Wait()
+	t.Logf("%d answered, %d ended as unknown, %d refused, %d not sent", answered.Load(), ended.Load(), refused.Load(), unsent.Load())
+	assert.Assert(t, answered.Load() > 0 && ended.Load() > 0 && refused.Load() > 0)
+}
+
+// sendOnce sends a request and returns the outcome of the response, which is empty if it is complete.
+func sendOnce(client *http.Client, address, id, path, body string) (string, error) {
+	req, err := http.NewRequest("POST", "http://"+address+path, strings.NewReader(body))
+	if err != nil {
+		return "", err
+	}
+	for k, v := range map[string]string{"X-Request-Id": id, "X-Workspace": "club", "X-Deadline-Ms": "60000"} {
+		req.Header.Set(k, v)
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	b, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return "", err
+	}
+	var e errorBody
+	if resp.StatusCode >= 400 {
+		err := json.Unmarshal(b, &e)
+		return e.Error.Outcome, err
+	}
+	if resp.StatusCode != 200 {
+		return "", nil
+	}
+	events := strings.Split(strings.TrimSpace(string(b)), "\n\n")
+	var last streamEvent
+	if err := json.Unmarshal([]byte(strings.TrimPrefix(events[len(events)-1], "data: ")), &last); err != nil {
+		return "", err
+	}
+	if last.Error != nil {
+		return last.Error.Outcome, nil
+	}
+	if !last.Done {
+		return "", io.ErrUnexpectedEOF
+	}
+	return "", nil
+}
