cmd/internal/load: fault scenario of planned stops

The fault scenarios kill processes and never stop one, so that none shows what callers see of SIGTERM and SIGHUP.

planned-stops sends SIGHUP to the daemons of three VMs, stops and restarts them one after the other, with a burst of calls with idempotency keys at each entry daemon, and checks that nothing is cut.

--- a/cmd/internal/load/faults.go
+++ b/cmd/internal/load/faults.go
@@ -45,6 +45,7 @@
 	{"log-slow", 18 * time.Second, nil, logSlow},
 	{"daemon-cut-off", 24 * time.Second, prepareCutOff, daemonCutOff},
 	{"engine-crash", 22 * time.Second, nil, engineCrash},
+	{"planned-stops", 26 * time.Second, nil, plannedStops},
 }
 
 // faultsNetwork replaces the network of the example's addresses, so that the
