daemon: a log without a reader does not end the process

If the reader of an entry daemon's log had ended before the daemon, as it may when a VM is shut down, SIGTERM ended the process at once: callers saw all connections close without a response.

Cause: the first line of the stop is written to a pipe without a reader, and Go ends a process on SIGPIPE for its standard output or error.

SignalContext, which all daemons use, now takes SIGPIPE over, so that only the lines are lost.

TestStopWithoutReaderOfTheLog failed before with "unexpected EOF" in place of the response.

--- a/cmd/internal/proctest/proctest.go
+++ b/cmd/internal/proctest/proctest.go
@@ -3,10 +3,12 @@
 
 import (
 	"bytes"
+	"io"
 	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -29,6 +31,8 @@
 // Process is a running program.
 type Process struct {
 	cmd    *exec.Cmd
+	stderr *os.File // the end of the log's pipe that is read
+	copied sync.WaitGroup
 	log    bytes.Buffer
 	exited chan struct{}
 }
@@ -40,10 +44,15 @@
 	assert.NilError(t, os.WriteFile(path, []byte(settings), 0o600))
 	p := &Process{cmd: exec.Command(os.Args[0], "--settings", path), exited: make(chan struct{})}
 	p.cmd.Env = append(os.Environ(), runMain+"=1")
-	p.cmd.Stderr = &p.log
+	r, w, err := os.Pipe()
+	assert.NilError(t, err)
+	p.stderr, p.cmd.Stderr = r, w
 	assert.NilError(t, p.cmd.Start())
+	assert.NilError(t, w.Close())
+	p.copied.Go(func() { _, _ = io.Copy(&p.log, r) })
 	go func() {
 		_ = p.cmd.Wait()
+		p.copied.Wait()
 		close(p.exited)
 	}()
 	t.Cleanup(func() {
@@ -60,6 +69,12 @@
 	}
 }
 
+// CloseLog closes the pipe to which the process writes its log, as a log collector that ends does.
+func (p *Process) CloseLog(t *testing.T) {
+	t.Helper()
+	assert.NilError(t, p.stderr.Close())
+}
+
 // Signal sends a signal.
 func (p *Process) Signal(t *testing.T, s syscall.Signal) {
 	t.Helper()
--- a/cmd/lentilpick-entry/main_test.go
+++ b/cmd/lentilpick-entry/main_test.go
@@ -60,3 +60,19 @@
 	assert.Equal(t, state.ExitCode(), 0, log)
 	assert.Assert(t, strings.Contains(log, `"msg":"stopped"`), log)
 }
+
+// Guards against a stop that cuts its requests because no one reads the log any more.
+func TestStopWithoutReaderOfTheLog(t *testing.T) {
+	p, address := start(t)
+	c, err := net.Dial("tcp", address)
+	assert.NilError(t, err)
+	_, err = io.WriteString(c, "POST /v1/completions HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\n")
+	assert.NilError(t, err)
+	p.CloseLog(t)
+	p.Signal(t, syscall.SIGTERM)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	assert.NilError(t, err)
+	assert.NilError(t, resp.Body.Close())
+	state, _ := p.Wait(t)
+	assert.Equal(t, state.ExitCode(), 0, state.String())
+}
--- a/daemon/run.go
+++ b/daemon/run.go
@@ -10,8 +10,11 @@
 	"github.com/sirupsen/logrus"
 )
 
-// SignalContext returns a context that is canceled by SIGTERM or SIGINT.
+// SignalContext returns a context that is canceled by SIGTERM or SIGINT. It also keeps SIGPIPE from ending
+// the process, which it does when a line is written to a standard output or error that no one reads any
+// more: when a VM is shut down, the reader of the log may end first.
 func SignalContext() (context.Context, context.CancelFunc) {
+	signal.Notify(make(chan os.Signal, 1), syscall.SIGPIPE)
 	return signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 }
 
