--- a/cmd/internal/soak/stops.go
+++ b/cmd/internal/soak/stops.go
@@ -159,8 +159,12 @@
 	if stop != nil {
 		times = fmt.Sprintf("sent=%+.3fs cut=%+.3fs", e.began.Sub(stop.began).Seconds(), e.ended.Sub(stop.began).Seconds())
 	}
-	return fmt.Sprintf("%s %s at %s: %s state=%q status=%d events=%d/%d after=%d deadline=%s works=%d error=%v",
-		e.route, e.id, e.node, times, e.state(works), e.status, e.events, e.plan.Events-e.resumeAfter, e.resumeAfter, e.timeLimit, len(works), e.err)
+	connection := "new"
+	if !e.idleSince.IsZero() {
+		connection = "idle for " + e.began.Sub(e.idleSince).Round(time.Millisecond).String()
+	}
+	return fmt.Sprintf("%s %s at %s: %s connection=%q state=%q status=%d events=%d/%d after=%d deadline=%s works=%d error=%v",
+		e.route, e.id, e.node, times, connection, e.state(works), e.status, e.events, e.plan.Events-e.resumeAfter, e.resumeAfter, e.timeLimit, len(works), e.err)
 }
 
 // checkExchange checks the guarantees besides rule LOST.
--- a/cmd/internal/soak/stops_callers.go
+++ b/cmd/internal/soak/stops_callers.go
@@ -46,6 +46,7 @@
 	node    *stoppingNode // of the connection, or of the last one
 	conn    net.Conn      // nil while there is none
 	r       *bufio.Reader
+	idle    time.Time // the end of the last response on the connection, zero before
 	sent    int
 }
 
@@ -144,7 +145,7 @@
 			}
 			c, err := net.DialTimeout("tcp4", n.callerAddress, connectTimeout)
 			if err == nil {
-				k.node, k.conn, k.r = n, c, bufio.NewReader(c)
+				k.node, k.conn, k.r, k.idle = n, c, bufio.NewReader(c), time.Time{}
 				return true
 			}
 		}
@@ -174,7 +175,7 @@
 	k.sent++
 	e := &exchange{
 		id: fmt.Sprintf("%s-%d", k.name, k.sent), route: r.route, node: k.node.name, resumeAfter: r.resumeAfter, plan: r.plan,
-		timeLimit: min(r.deadline, stopsRouteTimeout), began: time.Now(),
+		timeLimit: min(r.deadline, stopsRouteTimeout), idleSince: k.idle, began: time.Now(),
 	}
 	if _, e.err = io.WriteString(k.conn, encodeRequest(e, r.deadline)); e.err != nil {
 		e.ended = time.Now()
@@ -184,6 +185,7 @@
 		if !k.receive(e) {
 			k.disconnect()
 		}
+		k.idle = e.ended
 	}
 	k.callers.mu.Lock()
 	k.callers.exchanges = append(k.callers.exchanges, *e)
--- a/cmd/internal/soak/stops_oracle.go
+++ b/cmd/internal/soak/stops_oracle.go
@@ -28,6 +28,8 @@
 	// ended that at which the response was complete or the connection closed. sent is zero
 	// if the request could not be sent.
 	began, sent, ended time.Time
+	// idleSince is the end of the response before on the same connection, zero on a new one.
+	idleSince          time.Time
 	status, events     int
 	complete           bool
 	gaveUp             bool // the caller closed the connection after a gap between events
