soak: print how late the soak's own timers are

On a machine with a load average of 38 on 8 cores, nodes ended up to 0.7 s later than their grace period says, and a reader of the result could not tell.

--- a/cmd/internal/soak/stops.go
+++ b/cmd/internal/soak/stops.go
@@ -55,6 +55,7 @@
 	callers     keptCallers
 	stopped     chan struct{} // closed when the last stop has ended
 	terms, hups atomic.Int64
+	maxDelay    atomic.Int64 // of the soak's own timers
 	mu          sync.Mutex
 	errs        []error
 }
@@ -86,6 +87,7 @@
 		n.inRotation.Store(true)
 		go n.followReadiness(ctx)
 	}
+	go s.measureDelay(ctx)
 	s.callers.start(ctx, &calls)
 	s.startSignals(time.Now().Add(duration), &signals)
 	signals.Wait()
@@ -95,6 +97,19 @@
 	return summary, errors.Join(s.errs...)
 }
 
+// delayInterval is the interval of the timer with which the soak measures its delay.
+const delayInterval = 10 * time.Millisecond
+
+// measureDelay records by how much timers are late. On a machine that is overloaded, the times
+// of the nodes, such as the end of a stop, are late by as much.
+func (s *stopsRun) measureDelay(ctx context.Context) {
+	for ctx.Err() == nil {
+		began := time.Now()
+		sleep(ctx, delayInterval)
+		s.maxDelay.Store(max(s.maxDelay.Load(), int64(time.Since(began)-delayInterval)))
+	}
+}
+
 // report records a violated guarantee.
 func (s *stopsRun) report(format string, args ...any) {
 	s.mu.Lock()
@@ -140,7 +155,7 @@
 		s.checkExchange(e, w, v, n)
 	}
 	var b strings.Builder
-	fmt.Fprintf(&b, "sigterms=%d sighups=%d orders=%d requests=%d", s.terms.Load(), s.hups.Load(), s.acceptedOrders(), len(exchanges))
+	fmt.Fprintf(&b, "timer-delay=%s sigterms=%d sighups=%d orders=%d requests=%d", time.Duration(s.maxDelay.Load()).Round(time.Millisecond), s.terms.Load(), s.hups.Load(), s.acceptedOrders(), len(exchanges))
 	for v, n := range counts {
 		fmt.Fprintf(&b, " %s=%d", verdict(v), n)
 	}
