soak: count a caller that gives up late as one that gave up

On an overloaded machine a caller found its connection closed by the node, 0.2 s after it should have given up, and the request counted as lost.

--- a/cmd/internal/soak/stops_callers.go
+++ b/cmd/internal/soak/stops_callers.go
@@ -213,10 +213,11 @@
 // receive reads the response and reports whether the connection stays open.
 func (k *keptCaller) receive(e *exchange) bool {
 	limit := e.began.Add(e.timeLimit + timeLimitSlack)
-	_ = k.conn.SetReadDeadline(k.nextEventLimit(limit))
+	giveUp := k.giveUpTime(limit)
+	_ = k.conn.SetReadDeadline(giveUp)
 	resp, err := http.ReadResponse(k.r, nil)
 	if err != nil {
-		return e.end(err, limit)
+		return e.end(err, giveUp, limit)
 	}
 	defer resp.Body.Close()
 	e.status, e.serverStamp = resp.StatusCode, resp.Header.Get(standin.StampHeader) != ""
@@ -224,7 +225,8 @@
 	var body strings.Builder
 	buf := make([]byte, 4<<10)
 	for err == nil {
-		_ = k.conn.SetReadDeadline(k.nextEventLimit(limit))
+		giveUp = k.giveUpTime(limit)
+		_ = k.conn.SetReadDeadline(giveUp)
 		var n int
 		n, err = resp.Body.Read(buf)
 		body.Write(buf[:n])
@@ -237,16 +239,16 @@
 		e.complete, e.ended = true, time.Now()
 		return !resp.Close
 	}
-	return e.end(err, limit)
+	return e.end(err, giveUp, limit)
 }
 
 // timeLimitSlack is how much longer than its time limit a caller waits, so that the response
 // of a node that ends the request at the time limit arrives.
 const timeLimitSlack = 200 * time.Millisecond
 
-// nextEventLimit returns the time at which the caller gives up unless it has received
-// something.
-func (k *keptCaller) nextEventLimit(limit time.Time) time.Time {
+// giveUpTime returns the time at which the caller gives up unless it has received something
+// until then.
+func (k *keptCaller) giveUpTime(limit time.Time) time.Time {
 	if gap := k.callers.run.Gap; gap > 0 && time.Now().Add(gap).Before(limit) {
 		return time.Now().Add(gap)
 	}
@@ -254,9 +256,10 @@
 }
 
 // end records that a response ended early. It returns false: the connection is not used again.
-func (e *exchange) end(err error, limit time.Time) bool {
+// A caller that is late to notice that it gives up may find the connection closed.
+func (e *exchange) end(err error, giveUp, limit time.Time) bool {
 	e.err, e.ended = err, time.Now()
-	e.gaveUp = isTimeout(err) && e.ended.Before(limit)
+	e.gaveUp = giveUp.Before(limit) && !e.ended.Before(giveUp)
 	return false
 }
 
