--- a/cmd/internal/soak/stops_signals.go
+++ b/cmd/internal/soak/stops_signals.go
@@ -34,8 +34,10 @@
 	maxSilence  = 9 * time.Second
 	// maxRefusal is the longest time for which an engine refuses requests.
 	maxRefusal = 2 * time.Second
-	// notReadySlack is the time after SIGTERM within which a node may still be ready.
-	notReadySlack = 100 * time.Millisecond
+	// notReadySlack is the time after SIGTERM within which a node may still be ready. A node
+	// accepts connections for 2.5 s, and the platform needs two checks, 1 s apart, to take it
+	// out of the rotation.
+	notReadySlack = 500 * time.Millisecond
 	// readyPollInterval is the interval of the checks of readiness by the soak itself.
 	readyPollInterval = 50 * time.Millisecond
 	// rotationInterval and rotationMisses describe when the platform sends a node no new
