--- a/cmd/internal/soak/stops.go
+++ b/cmd/internal/soak/stops.go
@@ -21,7 +21,7 @@
 	Think   time.Duration   `default:"300ms" help:"Longest time between a response and the next request on its connection."`
 	Lengths []time.Duration `default:"300ms,3s,6s,12s" help:"Durations of streams, one of which is drawn for each request."`
 	Gap     time.Duration   `help:"Callers give up a stream after this time without an event; 0 means never."`
-	Beside  []string        `default:"hup,term,config,roles" enum:"none,hup,term,config,roles,silence,pauses,refusals,breaks" help:"Events beside the stops: SIGHUP, a second SIGTERM, changes of the configuration and of the planned roles, engines that are silent around a stop, streams that pause, engines that refuse requests or break off streams."`
+	Beside  []string        `default:"hup,term,config,roles" enum:"none,hup,term,config,roles,orders,silence,pauses,refusals,breaks" help:"Events beside the stops: SIGHUP, a second SIGTERM, changes of the configuration and of the planned roles, orders of another holder to change roles, engines that are silent around a stop, streams that pause, engines that refuse requests or break off streams."`
 }
 
 func (s *StopsSettings) beside(event string) bool { return slices.Contains(s.Beside, event) }
@@ -55,7 +55,8 @@
 	callers     keptCallers
 	stopped     chan struct{} // closed when the last stop has ended
 	terms, hups atomic.Int64
-	maxDelay    atomic.Int64 // of the soak's own timers
+	maxDelay    atomic.Int64   // of the soak's own timers
+	orders      sync.WaitGroup // beside the stops
 	mu          sync.Mutex
 	errs        []error
 }
@@ -207,7 +208,9 @@
 
 // mayRefuse reports whether the events beside the stops are a reason for a node that serves to
 // refuse requests.
-func (s *stopsRun) mayRefuse() bool { return s.beside("silence") || s.beside("refusals") }
+func (s *stopsRun) mayRefuse() bool {
+	return s.beside("silence") || s.beside("refusals") || s.beside("orders")
+}
 
 func (e *exchange) expectedBody() string {
 	var b strings.Builder
--- a/cmd/internal/soak/stops_signals.go
+++ b/cmd/internal/soak/stops_signals.go
@@ -132,6 +132,7 @@
 		stops.Wait()
 		close(s.stopped)
 		beside.Wait()
+		s.orders.Wait()
 	})
 }
 
@@ -180,6 +181,9 @@
 		s.silenceEngine(rng)
 		sleep(context.Background(), time.Duration(rng.Int64N(int64(silenceLead))))
 	}
+	if s.beside("orders") {
+		s.switchRoles(rng)
+	}
 	select {
 	case <-n.exited:
 		s.report("%s ended without a signal", n.name)
@@ -286,6 +290,25 @@
 	s.randomEngine(rng).SetSilentUntil(time.Now().Add(d))
 }
 
+// orderPeriod is the time from the beginning of a stop within which its orders are sent.
+const orderPeriod = 6 * time.Second
+
+// ordersPerStop is the number of orders beside a stop. With a third of the engines changing
+// their roles, the others have free slots.
+const ordersPerStop = 3
+
+// switchRoles orders engines to change their roles in the course of a stop that begins now. The
+// nodes, which plan other roles, order them back.
+func (s *stopsRun) switchRoles(rng *rand.Rand) {
+	for range ordersPerStop {
+		t, d := s.randomEngine(rng), time.Duration(rng.Int64N(int64(orderPeriod)))
+		s.orders.Go(func() {
+			sleep(context.Background(), d)
+			t.SwitchRole()
+		})
+	}
+}
+
 // refuseForAWhile makes an engine refuse requests without running them.
 func (s *stopsRun) refuseForAWhile(rng *rand.Rand) {
 	t, b := s.randomEngine(rng), stopsBehaviour
