--- a/tools/stopdays/main.go
+++ b/tools/stopdays/main.go
@@ -7,6 +7,7 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"os"
@@ -18,6 +19,7 @@
 )
 
 var cli struct {
+	Site string `arg:"" type:"existingfile" help:"Site file of the bench."`
 	Dir  string `arg:"" help:"Directory for the day files."`
 	Days int    `default:"24" help:"Number of days."`
 	Seed uint64 `default:"1" help:"Seed of the first day; each day has the next one."`
@@ -32,6 +34,18 @@
 	Length float64 `toml:"length_s"`
 	Plan   []entry `toml:"plan"`
 	Faults []entry `toml:"faults"`
+	// Traffic replaces the traffic of the site.
+	Traffic []entry `toml:"traffic,omitempty"`
+}
+
+// site is the part of a site file that days depend on.
+type site struct {
+	Classes []struct {
+		Name      string  `toml:"name"`
+		Kind      string  `toml:"kind"`
+		TimeoutMs float64 `toml:"timeout_ms"`
+	} `toml:"classes"`
+	Traffic []entry `toml:"traffic"`
 }
 
 const (
@@ -41,6 +55,10 @@
 	// settledSeconds is longer than the time after which the bench counts a system as
 	// stable again, and is kept between a disruption and the next SIGTERM.
 	settledSeconds = 5.2
+	// mainShare and otherShare are the weights in the traffic of the kind of request with
+	// the longest responses and of each other kind.
+	mainShare  = 50.0
+	otherShare = 0.5
 )
 
 // family is a kind of day. It adds its events to the series of SIGTERM, which start at
@@ -49,39 +67,51 @@
 	name      string
 	firstStop float64
 	events    func(*rand.Rand, *day)
+	// longStreams are the bounds of the factor by which the site's rate of requests is
+	// multiplied, with most requests of the kind with the longest responses; zeros leave
+	// the traffic as it is.
+	longStreams [2]float64
 }
 
 var families = []family{
-	{"alone", 1, func(*rand.Rand, *day) {}},
-	{"shifts", 1, addShifts},
-	{"changes", 1, addChanges},
-	{"storms", 1, addStorms},
-	{"reloads", 1, addReloads},
-	{"nodes", 1, addNodes},
-	{"targets", 1, addTargets},
-	{"overload", 1, addOverload},
-	{"slow-cache", 1, addSlowCache},
-	{"shifts-and-changes", 1, func(r *rand.Rand, d *day) { addShifts(r, d); addChanges(r, d) }},
-	{"overload-and-storms", 1, func(r *rand.Rand, d *day) { addOverload(r, d); addStorms(r, d) }},
-	{"after-a-disruption", 0, addEarlierDisruption},
+	{name: "alone", firstStop: 1, events: func(*rand.Rand, *day) {}},
+	{name: "long-streams", firstStop: 1, events: addDenseStops, longStreams: [2]float64{2.5, 4.5}},
+	{name: "shifts", firstStop: 1, events: addShifts},
+	{name: "changes", firstStop: 1, events: addChanges},
+	{name: "storms", firstStop: 1, events: addStorms},
+	{name: "long-streams-and-reloads", firstStop: 1, events: addReloads, longStreams: [2]float64{1.5, 3.5}},
+	{name: "reloads", firstStop: 1, events: addReloads},
+	{name: "nodes", firstStop: 1, events: addNodes},
+	{name: "targets", firstStop: 1, events: addTargets},
+	{name: "overload", firstStop: 1, events: addOverload},
+	{name: "long-streams-at-usual-load", firstStop: 1, events: addDenseStops, longStreams: [2]float64{0.8, 1.5}},
+	{name: "slow-cache", firstStop: 1, events: addSlowCache},
+	{name: "shifts-and-changes", firstStop: 1, events: func(r *rand.Rand, d *day) { addShifts(r, d); addChanges(r, d) }},
+	{name: "overload-and-storms", firstStop: 1, events: func(r *rand.Rand, d *day) { addOverload(r, d); addStorms(r, d) }},
+	{name: "after-a-disruption", events: addEarlierDisruption},
+	{name: "long-streams-after-a-disruption", events: addEarlierDisruption, longStreams: [2]float64{1.5, 3.5}},
 }
 
 func main() {
 	kong.Parse(&cli)
-	if err := writeDays(cli.Dir, cli.Days, cli.Seed); err != nil {
+	if err := writeDays(cli.Site, cli.Dir, cli.Days, cli.Seed); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
 	fmt.Printf("%d days in %s\n", cli.Days, cli.Dir)
 }
 
-func writeDays(dir string, days int, seed uint64) error {
+func writeDays(siteFile, dir string, days int, seed uint64) error {
+	var s site
+	if _, err := toml.DecodeFile(siteFile, &s); err != nil {
+		return err
+	}
 	if err := os.MkdirAll(dir, 0o755); err != nil {
 		return err
 	}
 	for i := range days {
 		n := seed + uint64(i)
-		d := newDay(n)
+		d := newDay(s, n)
 		if err := writeDay(filepath.Join(dir, d.Name+".toml"), d); err != nil {
 			return err
 		}
@@ -89,7 +119,7 @@
 	return nil
 }
 
-func newDay(seed uint64) day {
+func newDay(s site, seed uint64) day {
 	r := rand.New(rand.NewPCG(seed, 0))
 	f := families[int(seed%uint64(len(families)))]
 	d := day{Name: fmt.Sprintf("stops-%04d-%s", seed, f.name), Length: dayLengthSeconds, Faults: []entry{}}
@@ -99,6 +129,9 @@
 		first = endOf(d.Faults) + settledSeconds
 	}
 	addStops(r, &d, first)
+	if f.longStreams[1] > 0 {
+		d.Traffic = s.longStreams(between(r, f.longStreams[0], f.longStreams[1]), pick(r, 1.0, 2.0, 4.0))
+	}
 	for _, entries := range [][]entry{d.Plan, d.Faults} {
 		slices.SortStableFunc(entries, func(a, b entry) int {
 			return int(math.Copysign(1, a["at"].(float64)-b["at"].(float64)))
@@ -107,6 +140,42 @@
 	return d
 }
 
+// longStreams returns traffic mostly of the kind of request with the longest time-out, at
+// the given multiples of the site's rate and number of clients.
+func (s site) longStreams(rate, clients float64) []entry {
+	longest := ""
+	timeout := 0.0
+	for _, c := range s.Classes {
+		if c.Kind == "stream" && c.TimeoutMs > timeout {
+			longest, timeout = c.Name, c.TimeoutMs
+		}
+	}
+	traffic := []entry{}
+	for _, t := range s.Traffic {
+		e := entry{}
+		maps.Copy(e, t)
+		mix := entry{}
+		for _, c := range s.Classes {
+			mix[c.Name] = otherShare
+		}
+		mix[longest] = mainShare
+		e["mix"] = mix
+		e["per_s"] = number(t["per_s"]) * rate
+		e["clients"] = int(number(t["clients"]) * clients)
+		traffic = append(traffic, e)
+	}
+	return traffic
+}
+
+// number returns a TOML integer or float as a float.
+func number(v any) float64 {
+	if n, ok := v.(int64); ok {
+		return float64(n)
+	}
+	f, _ := v.(float64)
+	return f
+}
+
 // endOf returns the time at which the last of the events ends.
 func endOf(entries []entry) float64 {
 	end := 0.0
@@ -138,6 +207,15 @@
 	}
 }
 
+// addDenseStops adds series that stop each node again soon after it has returned.
+func addDenseStops(r *rand.Rand, d *day) {
+	for at := between(r, 1, 3); at < dayLengthSeconds-quietTailSeconds; at += between(r, 4, 7) {
+		d.Plan = append(d.Plan, entry{
+			"kind": "roll_term", "at": at, "share": 1.0, "x": pick(r, 1.0, 2.0, 4.0), "gap_s": pick(r, 0.2, 0.4, 0.7),
+		})
+	}
+}
+
 // addShifts lets the traffic change between long prompts and long responses, so that
 // engines change their roles.
 func addShifts(r *rand.Rand, d *day) {
