--- a/cmd/internal/soak/stops.go
+++ b/cmd/internal/soak/stops.go
@@ -20,6 +20,7 @@
 	Callers int             `default:"24" help:"Number of callers, each with one connection."`
 	Think   time.Duration   `default:"300ms" help:"Longest time between a response and the next request on its connection."`
 	Lengths []time.Duration `default:"300ms,3s,6s,12s" help:"Durations of streams, one of which is drawn for each request."`
+	Slots   int             `help:"Number of streams that an engine generates at a time; 0 means any number."`
 	Gap     time.Duration   `help:"Callers give up a stream after this time without an event; 0 means never."`
 	Beside  []string        `default:"hup,term,config,roles" enum:"none,hup,term,config,roles,orders,silence,pauses,refusals,breaks" help:"Events beside the stops: SIGHUP, a second SIGTERM, changes of the configuration and of the planned roles, orders of another holder to change roles, engines that are silent around a stop, streams that pause, engines that refuse requests or break off streams."`
 }
@@ -32,11 +33,13 @@
 // roleChangeTime is the SwitchS of the stand-in's configuration.
 const roleChangeTime = time.Second
 
-var stopsBehaviour = standin.Behaviour{Work: eventInterval, TokensPerMs: 50, RoleChangeTime: roleChangeTime}
+func (s *StopsSettings) behaviour() standin.Behaviour {
+	return standin.Behaviour{Work: eventInterval, TokensPerMs: 50, RoleChangeTime: roleChangeTime, Slots: s.Slots}
+}
 
 // stopsLayout has three nodes, one a data centre, and three prefill and six decode engines.
-func stopsLayout() layout {
-	l := layout{dataCentres: nodeCount, behaviour: stopsBehaviour, routeTimeout: stopsRouteTimeout, prefillShare: 333}
+func stopsLayout(b standin.Behaviour) layout {
+	l := layout{dataCentres: nodeCount, behaviour: b, routeTimeout: stopsRouteTimeout, prefillShare: 333}
 	for i := range nodeCount {
 		l.targets = append(l.targets, targetSpec{fmt.Sprintf("i-p%d", i+1), "llm", "prefill"})
 	}
@@ -67,7 +70,7 @@
 	if err := os.MkdirAll(outDir, 0o755); err != nil {
 		return "", err
 	}
-	dep, err := newDeployment(binDir, outDir, stopsLayout())
+	dep, err := newDeployment(binDir, outDir, stopsLayout(settings.behaviour()))
 	if err != nil {
 		return "", err
 	}
--- a/cmd/internal/soak/stops_signals.go
+++ b/cmd/internal/soak/stops_signals.go
@@ -311,9 +311,9 @@
 
 // refuseForAWhile makes an engine refuse requests without running them.
 func (s *stopsRun) refuseForAWhile(rng *rand.Rand) {
-	t, b := s.randomEngine(rng), stopsBehaviour
+	t, b := s.randomEngine(rng), s.behaviour()
 	b.Refuse = true
 	t.SetBehaviour(b)
 	sleep(context.Background(), time.Duration(rng.Int64N(int64(maxRefusal))))
-	t.SetBehaviour(stopsBehaviour)
+	t.SetBehaviour(s.behaviour())
 }
