platform: canceled requests are not sent and do not wait for a connection

A request in progress at the end of a stop is canceled, and its response has to be written within 250 ms. One that was opening a connection to a target ended up to 500 ms later, when the process was gone: its caller saw the connection close. If the connection opened in between, the request was still sent to the target.

Cause: the context of a request ended neither the attempt to connect nor the request that followed it; it only closed a connection in use.

The request counts as not sent, so that the caller gets a 503 at the end of a stop. The same holds for callers that have disconnected.

TestCanceledRequestDoesNotWaitForAConnection failed before with

took is >= lastResponseTimeout: 506.225558ms

--- a/engine/client.go
+++ b/engine/client.go
@@ -5,6 +5,7 @@
 package engine
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -68,7 +69,7 @@
 	if cn != nil {
 		return cn, nil
 	}
-	return c.pool.Dial(address, deadline)
+	return c.pool.Dial(context.Background(), address, deadline)
 }
 
 // probe reports whether the target responds on the connection.
--- a/transport/pool.go
+++ b/transport/pool.go
@@ -1,6 +1,7 @@
 package transport
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"sync"
@@ -106,9 +107,9 @@
 	return nil
 }
 
-// Dial opens a connection within DialTimeout and before the deadline. The error wraps
-// ErrNotSent, and ErrConnLimit if MaxConns is reached.
-func (p *Pool) Dial(address string, deadline time.Time) (*Conn, error) {
+// Dial opens a connection within DialTimeout, before the deadline and while ctx lasts. The
+// error wraps ErrNotSent, and ErrConnLimit if MaxConns is reached.
+func (p *Pool) Dial(ctx context.Context, address string, deadline time.Time) (*Conn, error) {
 	h := p.host(address)
 	if !h.reserve(p.settings.MaxConns) {
 		return nil, fmt.Errorf("limit of %d open connections to %s reached: %w: %w", p.settings.MaxConns, address, ErrConnLimit, ErrNotSent)
@@ -120,7 +121,7 @@
 	}
 	d := p.dialer
 	d.Timeout = timeout
-	raw, err := d.Dial("tcp", address)
+	raw, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
 		h.unreserve()
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
