gateway: requests that end without a response count for the estimate

During a stop a route's requests began although most of them took longer than what was left: those that had timed out, or had been cut at the end of an earlier wait, were not in the estimate. On plain routes, and before the first event of a stream, nothing else records them.

Cause: the age of a response was recorded with its events and at its complete end only. The estimator counts a response that ends otherwise up to that time.

TestRequestsWithoutResponseCountForTheEstimate failed before with

unknown timeout (string) != not_run stopping (string)

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -80,6 +80,8 @@
 	}
 	if _, answered := o.(types.Answered); answered {
 		x.progress.End(e.Elapsed)
+	} else if x.durations != nil {
+		x.progress.Extend(e.Elapsed)
 	}
 	x.recordDecision(e)
 	x.releaseBuffers()
--- a/gateway/shutdown_test.go
+++ b/gateway/shutdown_test.go
@@ -109,3 +109,26 @@
 		running.Wait()
 	})
 }
+
+// Guards against an estimate from the complete responses of a route only, most of whose requests end
+// without one after a long time.
+func TestRequestsWithoutResponseCountForTheEstimate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newTestGateway()
+		w.targets.send = func(context.Context, *Call) (Response, error) { return &fakeResponse{status: 200}, nil }
+		for range 20 {
+			r, _ := w.serve(t.Context(), "/once/x")
+			assert.Equal(t, outcomeText(r.Outcome), "answered")
+		}
+		w.targets.send = func(ctx context.Context, _ *Call) (Response, error) { <-ctx.Done(); return nil, ErrCanceled }
+		for range 20 {
+			r, _ := w.serve(t.Context(), "/once/x")
+			assert.Equal(t, outcomeText(r.Outcome), "unknown timeout")
+		}
+		w.beginStop(3900 * time.Millisecond)
+		calls := len(w.targets.calls)
+		r, _ := w.serve(t.Context(), "/once/x")
+		assert.Equal(t, outcomeText(r.Outcome), "not_run stopping")
+		assert.Equal(t, len(w.targets.calls), calls)
+	})
+}
