gateway, node: comments on the end of a request and its log lines

The doc comment of Serve ran over the line length, and that of ObserveEnd said that every request of a stop is logged, but the log rate applies to these as well.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -279,8 +279,8 @@
 }
 
 // Serve serves one request and returns its result. The context must end when the caller
-// disconnects, or with the cause ErrStopping when the process is about to end. A panic ends the request with RefusedInternal; it is reported to the
-// observer with its stack.
+// disconnects, or with the cause ErrStopping when the process is about to end. A panic ends
+// the request with RefusedInternal; it is reported to the observer with its stack.
 func (g *Gateway) Serve(ctx context.Context, r *Request, w Responder) (res Result) {
 	x := exchange{g: g, r: r, w: w}
 	defer func() {
--- a/server/node/observer.go
+++ b/server/node/observer.go
@@ -68,7 +68,7 @@
 func (o *observer) ObserveDecision(e *gateway.Event) { o.counters.count(e) }
 
 // ObserveEnd implements gateway.Observer. It logs either all decisions about a request or none.
-// Every request that ends during a planned stop is logged.
+// Requests that end during a planned stop are logged without sampling, within the log rate.
 func (o *observer) ObserveEnd(events []gateway.Event) {
 	end := &events[len(events)-1]
 	stop := o.observeStop(end)
