--- a/tools/mutations/faults.go
+++ b/tools/mutations/faults.go
@@ -16,6 +16,8 @@
 	share     = "loadshare/share.go"
 	follower  = "feed/feed.go"
 	crashes   = "crashguard/guard.go"
+	stops     = "shutdown/shutdown.go"
+	durations = "shutdown/durations.go"
 
 	authorityTest     = "proof TestStatefulAuthority"
 	configurationTest = "proof TestStatefulConfiguration"
@@ -126,4 +128,15 @@
 	{"limits: targets cost nothing more", "placement/placement.go", "		c.Cost += c.RateDelay\n", "", "gateway TestTargetsWithoutLimitTakeOver"},
 	{"limits: no bound of the wait", "gateway/pacing.go", "delay > max(x.maxPacing(t), 0) {", "delay > 1<<62 {", "gateway TestPlainRequestsKeepToLimits"},
 	{"crashes: answered parts need no more crashes", crashes, "	minCrashesAnswered = 5\n", "	minCrashesAnswered = 3\n", "crashguard TestLossOfSeveralEnginesBlocksNoKnownPart"},
+	{"stops: everything begins", stops, "	return !now.After(x.AcceptUntil) && r", "	return true || r", "gateway TestRequestsThatOutlastTheProcessReachNoTarget"},
+	{"stops: deadlines do not count", stops, "	case !deadline.After(x.End):\n		return true\n", "", "shutdown TestStoppingProcessBeginsWhatItCanEnd"},
+	{"stops: estimate counts to the end", stops, "!now.After(x.AcceptUntil) && ", "", "shutdown TestStoppingProcessBeginsWhatItCanEnd"},
+	{"stops: second stop extends the first", stops, "return s.schedule.CompareAndSwap(nil, &x)", "return s.schedule.Swap(&x) == nil", "shutdown TestStoppingProcessBeginsWhatItCanEnd"},
+	{"stops: responses in progress do not count", durations, "		p.route.passed[p.interval].Add(1)\n", "", "shutdown TestEstimateHasResponsesInProgress"},
+	{"stops: events do not extend the estimate", "gateway/stream.go", "				s.progress.Extend(at.Sub(s.r.Arrived))\n", "", "gateway TestResponsesInProgressCountForTheEstimate"},
+	{"stops: samples count for ever", durations, "== maxSamples {", "== -maxSamples {", "shutdown TestEstimateFollowsChanges"},
+	{"stops: retries begin", "gateway/exchange.go", " || !x.started && !x.mayBegin()", "", "gateway TestNoRetryThatOutlastsTheProcess"},
+	{"stops: no outcome at the end", "platform/front.go", "		c.cancelRequest(gateway.ErrStopping)\n", "", "platform TestStopAnswersRequestsInProgressAtItsEnd"},
+	{"stops: end counts as a caller that left", "gateway/exchange.go", "errors.Is(context.Cause(x.callerCtx), ErrStopping)", "errors.Is(context.Cause(x.callerCtx), ErrPaused)", "gateway TestRequestsInProgressEndWithTheStop"},
+	{"stops: requests that have not arrived get no response", "platform/front.go", "		c.endRead()\n", "", "platform TestStopRefusesRequestsThatHaveNotArrived"},
 }
