gateway: a silent target does not end a stream that no other can resume

Callers saw the connection close within a stream although they were waiting and the stream could have gone on: a node ended it 2.2 s after its last byte.

Cause: the progress timeout of a request that may go elsewhere was also that of a stream that has begun and that nothing else can continue. Ending it gains nothing: a caller that has lost patience leaves, which ends the call at once.

After its first event such a stream has until its deadline. A stream that may be resumed is resumed as before, and one whose target sends parts of an event without end is still cut; the time for that now counts from the first of these bytes, not from the event before.

TestSilenceDoesNotCutAStream failed before ('unknown target_silent').

--- a/gateway/faults_test.go
+++ b/gateway/faults_test.go
@@ -66,6 +66,44 @@
 	}
 }
 
+// silentResponse sends its pieces, and is silent for a time before the last one.
+type silentResponse struct {
+	fakeResponse
+	silence time.Duration
+}
+
+func (r *silentResponse) Read(p []byte) (int, error) {
+	if len(r.pieces) == 1 {
+		if r.silence > r.progressTimeout {
+			time.Sleep(r.progressTimeout)
+			return 0, ErrStalled
+		}
+		time.Sleep(r.silence)
+	}
+	return r.fakeResponse.Read(p)
+}
+
+// Guards against a stream that is cut because its target, or the whole machine, is silent for longer
+// than callers usually wait, although this caller waits and no other target can go on.
+func TestSilenceDoesNotCutAStream(t *testing.T) {
+	for _, path := range []string{"/chat/x", "/resume/x"} {
+		synctest.Test(t, func(t *testing.T) {
+			w := newTestGateway()
+			w.targets.send = func(_ context.Context, c *Call) (Response, error) {
+				r := fakeResponse{status: 200, pieces: []string{"id: 1\n\n", "id: 2\n\n"}, progressTimeout: c.ProgressTimeout}
+				if c.ResumeAfter != "" {
+					r.pieces = r.pieces[1:]
+					return &r, nil
+				}
+				return &silentResponse{r, 3 * time.Second}, nil
+			}
+			r, caller := w.serve(t.Context(), path)
+			assert.Equal(t, outcomeText(r.Outcome), "answered")
+			assert.Equal(t, caller.body.String(), "id: 1\n\nid: 2\n\n")
+		})
+	}
+}
+
 // slowCaller needs some time for each chunk.
 type slowCaller struct {
 	fakeCaller
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -127,6 +127,8 @@
 	// EndMarked reports whether the protocol marks the end of the response. Otherwise it ends
 	// with its connection, and a target that crashes can make it look complete.
 	EndMarked() bool
+	// SetProgressTimeout replaces the ProgressTimeout of the call for the following reads.
+	SetProgressTimeout(d time.Duration)
 	// Close releases the response. If it was not read to its end, the request is
 	// cancelled on the target.
 	Close()
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -27,7 +27,8 @@
 	err    error
 	closed bool
 	// unmarked makes the end of the response that of its connection.
-	unmarked bool
+	unmarked        bool
+	progressTimeout time.Duration
 }
 
 func (r *fakeResponse) Status() int { return r.status }
@@ -35,6 +36,8 @@
 
 func (r *fakeResponse) EndMarked() bool { return !r.unmarked }
 
+func (r *fakeResponse) SetProgressTimeout(d time.Duration) { r.progressTimeout = d }
+
 func (r *fakeResponse) Read(p []byte) (int, error) {
 	if len(r.pieces) == 0 {
 		if r.err != nil {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -306,6 +306,9 @@
 	call.Priority = s.route.Priority
 	call.ResumeAfter = s.lastEvent
 	call.ProgressTimeout = s.progressTimeout()
+	if s.started && s.runs+1 >= s.route.MaxRuns {
+		call.ProgressTimeout = s.deadline.Sub(s.now())
+	}
 	s.recordSend(choice, call.Stage)
 	s.runEvents = 0
 	d := s.callerAttempt.Begin()
@@ -382,6 +385,9 @@
 	return p.lastAt.Sub(p.firstAt) / time.Duration(n), true
 }
 
+// mayResume reports whether another target may resume the stream.
+func (s *stream) mayResume() bool { return s.route.Resumable && s.runs < s.route.MaxRuns }
+
 // progressTimeout returns how long a target may make no progress on the stream.
 func (s *stream) progressTimeout() time.Duration {
 	if s.route.Resumable && s.runs+1 < s.route.MaxRuns && s.events > 0 {
@@ -408,11 +414,12 @@
 // of the response is passed with the first event, so that a stream without events can
 // still be retried on another target. onFirst is called before the first event. The
 // error wraps ErrStalled if the target sends bytes but completes no event within the
-// progress timeout.
+// progress timeout, or nothing while the stream can be resumed. Otherwise a silent target
+// keeps the stream until its deadline: the caller decides how long to wait.
 func (s *stream) copyEvents(resp Response, t *directory.Target, onFirst func()) error {
 	b := newEventBuffer()
 	defer b.release()
-	lastProgress := s.now()
+	var incompleteSince time.Time // of the first byte of an incomplete event
 	for {
 		n, err := b.fill(resp)
 		if n > 0 {
@@ -433,9 +440,11 @@
 				s.lastEvent = lastID(events, s.lastEvent)
 				s.pace.record(s.lastEvent, at, t)
 				s.progress.Extend(at.Sub(s.r.Arrived))
-				// A caller that reads slowly does not make its target silent.
-				lastProgress = s.now()
 				b.drop(len(events))
+				incompleteSince = time.Time{}
+				if !s.mayResume() {
+					resp.SetProgressTimeout(s.deadline.Sub(at))
+				}
 			}
 		}
 		if isEnd(err) {
@@ -444,8 +453,15 @@
 		if err != nil {
 			return err
 		}
-		if silent := s.now().Sub(lastProgress); silent > s.progressTimeout() {
-			return fmt.Errorf("no complete event for %s: %w", silent, ErrStalled)
+		if len(b.incomplete()) > 0 {
+			// A caller that reads slowly does not make its target silent.
+			now := s.now()
+			if incompleteSince.IsZero() {
+				incompleteSince = now
+			}
+			if silent := now.Sub(incompleteSince); silent > s.progressTimeout() {
+				return fmt.Errorf("no complete event for %s: %w", silent, ErrStalled)
+			}
 		}
 	}
 }
