shutdown, gateway: forget the durations of removed routes

A new configuration drops the routes that it does not have, and counts decay to 0. TestRemovedRoutesAreForgotten.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -254,11 +254,19 @@
 			return false
 		}
 		if g.table.CompareAndSwap(old, t) {
+			g.keepDurations(t)
 			return true
 		}
 	}
 }
 
+// keepDurations forgets the durations of routes that the configuration does not have.
+func (g *Gateway) keepDurations(t *routes.Table) {
+	names := map[string]bool{}
+	t.Routes(func(r *routes.Route) { names[r.Name] = true })
+	g.durations.Keep(func(route string) bool { return names[route] })
+}
+
 // Table returns the active configuration, or nil.
 func (g *Gateway) Table() *routes.Table { return g.table.Load() }
 
--- a/routes/routes.go
+++ b/routes/routes.go
@@ -166,6 +166,15 @@
 	}
 }
 
+// Routes calls f with each route, in no particular sequence.
+func (t *Table) Routes(f func(*Route)) {
+	for _, byPrefix := range t.byHost {
+		for _, r := range byPrefix {
+			f(r)
+		}
+	}
+}
+
 // Lookup returns the route of the host with the longest matching path prefix, or nil.
 // The path must not contain a query. The cost is proportional to the number of slashes
 // in the path and does not depend on the number of routes.
--- a/shutdown/durations.go
+++ b/shutdown/durations.go
@@ -37,6 +37,21 @@
 	return v
 }
 
+// Keep removes the routes for which keep returns false.
+func (d *Durations) Keep(keep func(route string) bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	next := map[string]*RouteDurations{}
+	if m := d.routes.Load(); m != nil {
+		for name, v := range *m {
+			if keep(name) {
+				next[name] = v
+			}
+		}
+	}
+	d.routes.Store(&next)
+}
+
 const (
 	// Durations are divided into intervals whose bounds grow by the factor of the square root
 	// of 2, from firstBound to some 45 s.
@@ -99,8 +114,8 @@
 func (r *RouteDurations) halve() {
 	r.samples.Add(-maxSamples / 2)
 	for i := range intervalCount {
-		r.ended[i].Add(-r.ended[i].Load() / 2)
-		r.passed[i].Add(-r.passed[i].Load() / 2)
+		r.ended[i].Add(-(r.ended[i].Load() + 1) / 2)
+		r.passed[i].Add(-(r.passed[i].Load() + 1) / 2)
 	}
 }
 
--- a/shutdown/shutdown_test.go
+++ b/shutdown/shutdown_test.go
@@ -73,3 +73,14 @@
 	r = routeWith(slices.Repeat([]time.Duration{time.Hour}, 20)...)
 	assert.Equal(t, r.Outlasting(5*time.Second), 1.0)
 }
+
+// Guards against routes that are removed and fill the memory, and against durations that a change of
+// the configuration forgets.
+func TestRemovedRoutesAreForgotten(t *testing.T) {
+	var d Durations
+	a := d.Route("a")
+	d.Route("b")
+	d.Keep(func(route string) bool { return route == "a" })
+	assert.Equal(t, len(*d.routes.Load()), 1)
+	assert.Equal(t, d.Route("a"), a)
+}
