--- a/feed/feed.go
+++ b/feed/feed.go
@@ -129,6 +129,21 @@
 // String returns the name used in metrics.
 func (r CallReason) String() string { return callReasonNames[r] }
 
+// CallResult describes a completed call to the source.
+type CallResult struct {
+	Reason CallReason
+	// Duration is the time from the start of the call to its end.
+	Duration time.Duration
+	// Records is the number of records that the call returned, and Bytes the size of their
+	// encoded values. Both are 0 after an error.
+	Records, Bytes int
+	// From is the offset from which the call read, 0 for a list. Next is the offset from which
+	// the next call reads.
+	From, Next types.Offset
+	// Err is nil if the call succeeded. It wraps ErrExpired if the keys have to be listed.
+	Err error
+}
+
 // Schedule determines when Follow reads, and connects it to the reads of other daemons.
 type Schedule struct {
 	// Now returns the time; nil means clock.Now.
@@ -138,6 +153,9 @@
 	Due func(now clock.Instant) (pause, wait time.Duration)
 	// OnCall, if not nil, is called before each call to the source.
 	OnCall func(CallReason)
+	// OnResult, if not nil, is called after each call to the source, before its records are
+	// handled.
+	OnResult func(CallResult)
 	// OnRead, if not nil, is called after each successful call.
 	OnRead func(ReadResult)
 	// MinPause and MaxPause bound the pause after a failed call, which doubles with each
@@ -202,6 +220,7 @@
 	f.notifyCall(reason)
 	began := f.s.Now()
 	items, next, err := f.src.Read(ctx, f.next, wait)
+	f.notifyResult(CallResult{Reason: reason, From: f.next, Next: next, Err: err}, began, items)
 	if errors.Is(err, ErrExpired) {
 		f.listed = false
 		return f.list(ctx)
@@ -227,6 +246,7 @@
 	f.notifyCall(CallList)
 	began := f.s.Now()
 	l, err := f.src.List(ctx)
+	f.notifyResult(CallResult{Reason: CallList, Next: l.Next, Err: err}, began, l.Items)
 	if err != nil {
 		return f.recordFailure(err, began)
 	}
@@ -257,6 +277,21 @@
 	}
 }
 
+// notifyResult reports a call that began at began and returned items.
+func (f *follower[T]) notifyResult(r CallResult, began clock.Instant, items []Item[T]) {
+	if f.s.OnResult == nil {
+		return
+	}
+	if r.Err != nil {
+		r.Next = f.next
+	}
+	r.Duration, r.Records = f.s.Now().Sub(began), len(items)
+	for i := range items {
+		r.Bytes += len(items[i].Raw)
+	}
+	f.s.OnResult(r)
+}
+
 func (f *follower[T]) notifyRead(r ReadResult) {
 	if f.s.OnRead != nil {
 		f.s.OnRead(r)
--- a/server/node/cluster_test.go
+++ b/server/node/cluster_test.go
@@ -239,7 +239,7 @@
 		n.state[index] = map[string]string{}
 		f := sharedFeed{
 			index, n.exchanger, newReadPacer(n.exchanger, index, p.interval, p.wait, func() int { return i % c.perDataCentre }, clocktest.Virtual),
-			&n.mirrors[index], simFetcher{n, index}, nil,
+			&n.mirrors[index], simFetcher{n, index}, nil, nil,
 		}
 		c.running.Go(func() {
 			followFeed(ctx, f, &simSource{n, index}, &simHandler{n, index}, minReadBackoff, maxReadBackoff)
--- a/server/node/counters.go
+++ b/server/node/counters.go
@@ -25,6 +25,12 @@
 	byStage    [3]metric.AddOption
 	sent       metric.Int64Counter
 	storeCalls *daemon.ReasonCounter
+	// feedFailures counts failed calls like storeCalls. feedBytes and feedDuration measure the
+	// calls that succeeded; byFeed are their attributes.
+	feedFailures *daemon.ReasonCounter
+	feedBytes    metric.Int64Counter
+	feedDuration metric.Float64Histogram
+	byFeed       [loadshare.Feeds]metric.MeasurementOption
 	// leaving, pauses and invalidPauses count what targets report about themselves.
 	leaving, pauses, invalidPauses metric.Int64Counter
 	// limits and invalidLimits count the limits that targets declare.
@@ -94,6 +100,20 @@
 	if c.storeCalls, err = m.NewReasonCounter("lentilpick_store_calls", "Calls to the store that follow a feed, by feed and reason.", storeCallNames()); err != nil {
 		return nil, err
 	}
+	if c.feedFailures, err = m.NewReasonCounter("lentilpick_feed_failures", "Failed calls to the store that follow a feed, by feed and reason of the call.", storeCallNames()); err != nil {
+		return nil, err
+	}
+	if c.feedBytes, err = m.Meter.Int64Counter("lentilpick_feed_bytes", metric.WithUnit("By"),
+		metric.WithDescription("Size of the values that calls to the store have returned, by feed.")); err != nil {
+		return nil, err
+	}
+	if c.feedDuration, err = m.Meter.Float64Histogram("lentilpick_feed_call", metric.WithUnit("s"),
+		metric.WithDescription("Duration of the calls to the store that returned records, by feed."), metric.WithExplicitBucketBoundaries(firstEventBuckets...)); err != nil {
+		return nil, err
+	}
+	for i, n := range feedNames {
+		c.byFeed[i] = metric.WithAttributeSet(attribute.NewSet(attribute.String("feed", n)))
+	}
 	if c.leaving, err = m.Meter.Int64Counter("lentilpick_targets_leaving", metric.WithDescription("Targets that declared in a response that they are leaving.")); err != nil {
 		return nil, err
 	}
@@ -126,6 +146,18 @@
 	return c, err
 }
 
+// countFeedCall counts a completed call to the store that follows the feed with the given index.
+func (c *counters) countFeedCall(index int, r feed.CallResult) {
+	ctx := context.Background()
+	switch {
+	case r.Err != nil:
+		c.feedFailures.Add(storeCallIndex(index, r.Reason))
+	case r.Records > 0:
+		c.feedBytes.Add(ctx, int64(r.Bytes), c.byFeed[index])
+		c.feedDuration.Record(ctx, r.Duration.Seconds(), c.byFeed[index])
+	}
+}
+
 func (c *counters) count(e *gateway.Event) {
 	ctx := context.Background()
 	switch e.Kind {
--- a/server/node/feeds.go
+++ b/server/node/feeds.go
@@ -58,8 +58,46 @@
 	// fieldThrough is the offset up to which, by the claims of other nodes, no further records
 	// exist.
 	fieldThrough = "through_offset"
+	// fieldRecords, fieldBytes, fieldReason and fieldFailures describe a call that follows a feed:
+	// the records that it returned and the size of their values, its reason, and how many calls
+	// have failed in a row.
+	fieldRecords  = "records"
+	fieldBytes    = "bytes"
+	fieldReason   = "reason"
+	fieldFailures = "failures"
 )
 
+// feedCallLogger logs the calls that follow one feed. Successful calls without records are not
+// logged.
+type feedCallLogger struct {
+	log      *logrus.Entry
+	index    int // of the feed
+	counters *counters
+	// level is the level of successful calls. Registrations change too often for the default level.
+	level    logrus.Level
+	failures int
+}
+
+// logResult is the OnResult function of feed.Schedule. Failed calls are logged one by one: the pause
+// after each of them bounds their number, and an outage at one node cannot be told from reads that
+// never finish without their durations.
+func (l *feedCallLogger) logResult(r feed.CallResult) {
+	e := l.log.WithFields(logrus.Fields{
+		fieldReason: r.Reason.String(), fieldElapsed: millis(r.Duration), fieldAppliedOffset: r.From, fieldOffset: r.Next,
+		fieldRecords: r.Records, fieldBytes: r.Bytes,
+	})
+	l.counters.countFeedCall(l.index, r)
+	if r.Err != nil {
+		l.failures++
+		e.WithError(r.Err).WithField(fieldFailures, l.failures).Info("feed call failed")
+		return
+	}
+	if l.failures > 0 || r.Records > 0 {
+		e.WithField(fieldFailures, l.failures).Log(l.level, "feed read")
+	}
+	l.failures = 0
+}
+
 // configHandler applies configurations to the gateway. It implements feed.Handler.
 type configHandler struct {
 	outageLogger
--- a/server/node/peerfeeds.go
+++ b/server/node/peerfeeds.go
@@ -149,12 +149,18 @@
 	mirror    *mirror.Feed
 	peers     mirror.Fetcher
 	onCall    func(feed.CallReason) // nil if calls are not counted
+	onResult  func(feed.CallResult) // nil if results are not logged
 }
 
 func (n *Node) newSharedFeed(index int, interval, wait time.Duration) sharedFeed {
+	results := &feedCallLogger{log: n.log.WithField(fieldSource, feedNames[index]), index: index, counters: n.counters, level: logrus.DebugLevel}
+	if index == feedConfig {
+		results.level = logrus.InfoLevel
+	}
 	return sharedFeed{
 		index, n.exchanger, newReadPacer(n.exchanger, index, interval, wait, n.rankInDataCentre, clock.Now), &n.mirrors[index],
 		newPeerFetcher(n.machine, wireFeeds[index], n.log), func(r feed.CallReason) { n.counters.storeCalls.Add(storeCallIndex(index, r)) },
+		results.logResult,
 	}
 }
 
@@ -167,7 +173,7 @@
 		}
 	}
 	s := f.pacer.schedule(minPause, maxPause)
-	s.OnCall = f.onCall
+	s.OnCall, s.OnResult = f.onCall, f.onResult
 	if f.index == feedMembers {
 		// All nodes of a fleet that starts add themselves. A node that has missed such a change reads
 		// the list when it is due, not at once.
