--- a/feed/feed.go
+++ b/feed/feed.go
@@ -20,6 +20,9 @@
 // record has to be read from the source instead.
 var ErrUnusable = errors.New("record from another daemon cannot be decoded")
 
+// ErrUnsupported reports that a source does not support ReadNewest.
+var ErrUnsupported = errors.New("source does not support reading the newest records only")
+
 // Item is the newest record of one key.
 type Item[T any] struct {
 	Key string
@@ -51,6 +54,11 @@
 	// there are none, it waits for at most wait. The error wraps ErrExpired when records
 	// from that offset on have expired.
 	Read(ctx context.Context, from types.Offset, wait time.Duration) ([]Item[T], types.Offset, error)
+	// ReadNewest returns the newest record of each key that has changed from an offset on, and
+	// the next offset to read from. It does not return records that a newer one of their key has
+	// replaced, and does not wait. The error wraps ErrUnsupported if keys of the feed may be
+	// removed, which the newest records do not show.
+	ReadNewest(ctx context.Context, from types.Offset) ([]Item[T], types.Offset, error)
 	// DecodeRecord decodes a record that another daemon has read. The error wraps
 	// ErrUnusable if the record has to be read from the source instead.
 	DecodeRecord(r Record) (Item[T], error)
@@ -164,6 +172,12 @@
 	MaxPause func() time.Duration
 	// Wake, if not nil, ends the pause before a read early.
 	Wake <-chan struct{}
+	// Known, if not nil, returns the offset up to which, by the claims of other daemons, the
+	// source has records.
+	Known func() types.Offset
+	// FetchMissing, if not nil, fetches the changes from an offset on from another daemon. It is
+	// called only if Known is beyond that offset.
+	FetchMissing func(ctx context.Context, from types.Offset) (Update, error)
 	// PeerUpdates, if not nil, delivers what other daemons have read. An update that starts
 	// after the offset that is applied is reported to OnMissed.
 	PeerUpdates <-chan Update
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -243,3 +243,7 @@
 		})
 	}
 }
+
+func (s *fakeSource) ReadNewest(context.Context, types.Offset) ([]Item[string], types.Offset, error) {
+	return nil, 0, ErrUnsupported
+}
--- a/loadshare/progress.go
+++ b/loadshare/progress.go
@@ -45,6 +45,8 @@
 	// next is the offset from which this node continues to read. queuedUpTo is the offset
 	// that is reached once the queued updates are applied.
 	next, queuedUpTo types.Offset
+	// knownUpTo is the offset up to which, by the claims of peers, the source has relevant records.
+	knownUpTo types.Offset
 	// claimedUpTo is the offset up to which, by the claims of peers, there are no relevant
 	// changes that this node has not applied or queued.
 	claimedUpTo types.Offset
@@ -169,6 +171,14 @@
 	return p.refused
 }
 
+// KnownUpTo returns the offset up to which, by the claims of peers, the source has relevant
+// records, whether this node has applied them or not.
+func (p *Progress) KnownUpTo() types.Offset {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.knownUpTo
+}
+
 // Wake returns a channel that receives a value when a peer has read a change that this node
 // has neither applied nor queued.
 func (p *Progress) Wake() <-chan struct{} { return p.wake }
@@ -191,6 +201,7 @@
 func (p *Progress) applyClaim(c claim, asOf clock.Instant, sender uint64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.knownUpTo = max(p.knownUpTo, c.changed)
 	upTo := max(p.next, p.queuedUpTo, p.claimedUpTo)
 	if c.changed > upTo {
 		p.requestRead()
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -194,3 +194,7 @@
 	_, err = NewSource[string](&store{}, nil, &follower).DecodeRecord(r)
 	assert.Assert(t, errors.Is(err, feed.ErrUnusable))
 }
+
+func (s *store) ReadNewest(context.Context, types.Offset) ([]feed.Item[string], types.Offset, error) {
+	return nil, 0, feed.ErrUnsupported
+}
--- a/server/node/cluster_test.go
+++ b/server/node/cluster_test.go
@@ -411,6 +411,17 @@
 	}
 }
 
+func (s *simSource) ReadNewest(ctx context.Context, from types.Offset) ([]feed.Item[string], types.Offset, error) {
+	if s.index != feedConfig {
+		return nil, 0, feed.ErrUnsupported
+	}
+	l, err := s.List(ctx)
+	if err != nil || l.Next <= from {
+		return nil, from, err
+	}
+	return l.Items, l.Next, nil
+}
+
 func (s *simSource) DecodeRecord(r feed.Record) (feed.Item[string], error) { return itemOf(r), nil }
 
 func itemOf(r feed.Record) feed.Item[string] {
