node: links, sizes and rejections in the virtual-time cluster

In the simulated cluster a read of any size took 4 ms, and a configuration had 0.8 KB, so that no test could see reads that are given up before they end.

Change: machines and the store have links whose rate the transfers share; callers take half of a machine's link. Responses take their bytes over that rate, a read returns at most 1,024 KB, a call is given up as platform.Store gives it up (readTimeLeft is the one place for that), datagrams take the sender's link and none is longer than an Ethernet frame. A configuration of 37 routes and 5 KB grows to 1,400 routes and 190 KB, and changes one route a version. The store can reject nodes. Deployments without links, which the earlier tests use, behave as before.

Bounds are ConfigMs of the platform's settings, and StableWindowMs after a fault.

--- a/server/node/cluster_faults_test.go
+++ b/server/node/cluster_faults_test.go
@@ -72,6 +72,8 @@
 			m.delayed.extend(end)
 		case "packet loss":
 			m.packetLoss.extend(end)
+		case "store rejects":
+			m.rejected.extend(end)
 		}
 		m.disrupted.extend(end)
 	}
@@ -83,16 +85,16 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
-	excused := func(end time.Time) bool { return now.Before(end.Add(recoveryTime)) }
+	excused := func(end time.Time) bool { return now.Before(end.Add(c.recovery)) }
 	for i := range c.machines {
 		m := &c.machines[i]
 		if m.node == nil || excused(m.node.started) || excused(m.disrupted.Time) || excused(c.store.disrupted.Time) {
 			continue
 		}
 		for _, ch := range c.store.changes {
-			if now.Sub(ch.acked) > maxApplyDelay(ch.feed) && m.node.state[ch.feed][ch.key] < ch.state {
-				return fmt.Sprintf("%s has state %q of %s in feed %d, but %q was accepted %s ago",
-					m.name, m.node.state[ch.feed][ch.key], ch.key, ch.feed, ch.state, now.Sub(ch.acked))
+			if now.Sub(ch.acked) > c.applyBound(ch.feed) && m.node.state[ch.feed][ch.key] < ch.state {
+				return fmt.Sprintf("%s has state %q of %s in feed %d, but %q was accepted %s ago; it has given up %d calls, the last one with a response of %d bytes",
+					m.name, m.node.state[ch.feed][ch.key], ch.key, ch.feed, ch.state, now.Sub(ch.acked), m.givenUp, m.givenUpBytes)
 			}
 		}
 	}
@@ -107,6 +109,20 @@
 	Length  time.Duration
 	// PerDataCentre is the number of nodes of each data centre, nodesPerDataCentre if 0.
 	PerDataCentre int
+	// Deployment, if not nil, replaces the one with the nodes of PerDataCentre, whose links are
+	// not limited.
+	Deployment *simDeployment
+	// GrowAt is when the configuration of a deployment with a document grows. ConfigChanges
+	// change the configuration only.
+	GrowAt        time.Duration
+	ConfigChanges []time.Duration
+}
+
+func (p simPlan) deployment() simDeployment {
+	if p.Deployment != nil {
+		return *p.Deployment
+	}
+	return unlimitedDeployment(cmp.Or(p.PerDataCentre, nodesPerDataCentre))
 }
 
 // startupTime is how long the cluster runs before the plan begins. The start of a node counts as a
@@ -118,7 +134,7 @@
 func (p simPlan) run(t *testing.T) (late string) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		c := newCluster(ctx, p.Seed, cmp.Or(p.PerDataCentre, nodesPerDataCentre))
+		c := newCluster(ctx, p.Seed, p.deployment())
 		c.running.Go(c.writeHeartbeats)
 		for i := range c.machines {
 			c.start(i)
@@ -130,6 +146,12 @@
 		for k, at := range p.Changes {
 			time.AfterFunc(at, func() { c.store.change(k % clusterFeeds) })
 		}
+		if c.grownRoutes > 0 {
+			time.AfterFunc(p.GrowAt, func() { c.store.grow(c.grownRoutes) })
+		}
+		for _, at := range p.ConfigChanges {
+			time.AfterFunc(at, func() { c.store.change(feedConfig) })
+		}
 		began := time.Now()
 		for late == "" && time.Since(began) < p.Length {
 			time.Sleep(50 * time.Millisecond)
@@ -186,7 +208,7 @@
 		step      = 470 * time.Millisecond
 		steps     = 9
 	)
-	probe := newCluster(t.Context(), 0, hubNodesPerDataCentre)
+	probe := newCluster(t.Context(), 0, unlimitedDeployment(hubNodesPerDataCentre))
 	var hubs []int
 	for dc := range clusterDataCentres {
 		var names []string
--- a/server/node/cluster_test.go
+++ b/server/node/cluster_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/base64"
 	"errors"
 	"fmt"
 	"math/rand/v2"
@@ -26,7 +27,10 @@
 	clusterDataCentres = 2
 	nodesPerDataCentre = 4
 	clusterSize        = clusterDataCentres * nodesPerDataCentre
-	clusterFeeds       = 2
+	// maxDatagramBytes is the payload of an Ethernet frame without the headers of IP and UDP.
+	// Longer datagrams are dropped.
+	maxDatagramBytes = 1472
+	clusterFeeds     = 2
 	// hubNodesPerDataCentre is the size of a data centre whose nodes exchange load through a
 	// hub.
 	hubNodesPerDataCentre = 14
@@ -74,6 +78,11 @@
 	down, slow, disrupted faultEnd
 	changes               []simChange
 	recordCount, version  int
+	link                  simLink
+	// sent counts the bytes of the responses of each feed, also of those that were given up.
+	sent [clusterFeeds]int
+	// document is the configuration, nil for one of a few hundred bytes that does not grow.
+	document *simDocument
 }
 
 // simChange is a change that the store has accepted.
@@ -86,12 +95,15 @@
 
 // recordValue returns the value of a record: the state, which is compared, and a number, which is
 // not. The value of a configuration is long enough to be published as a delta.
-func recordValue(index int, state string, number int) []byte {
-	v := fmt.Sprintf("%s/%d/", state, number)
-	if index == feedConfig {
-		v += strings.Repeat("0123456789abcdef", 50)
+func (s *simStore) recordValue(index int, state string) []byte {
+	v := fmt.Sprintf("%s/%d/", state, s.recordCount)
+	if index != feedConfig {
+		return []byte(v)
 	}
-	return []byte(v)
+	if s.document != nil {
+		return append([]byte(v), s.document.encode(s.version)...)
+	}
+	return []byte(v + strings.Repeat("0123456789abcdef", 50))
 }
 
 func stateIn(value []byte) string { return string(value[:strings.IndexByte(string(value), '/')]) }
@@ -100,7 +112,7 @@
 	t := &s.topics[index]
 	s.recordCount++
 	next := t.oldest + types.Offset(len(t.records)) + 1
-	r := feed.Record{Key: key, Value: recordValue(index, state, s.recordCount), Next: next}
+	r := feed.Record{Key: key, Value: s.recordValue(index, state), Next: next}
 	t.records = append(t.records, r)
 	t.newest[key] = r
 	close(t.changed)
@@ -111,12 +123,27 @@
 func (s *simStore) change(index int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.changeLocked(index)
+}
+
+// grow makes a change of the configuration that adds routes up to the given number.
+func (s *simStore) grow(routes int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.document.grow(routes)
+	s.changeLocked(feedConfig)
+}
+
+func (s *simStore) changeLocked(index int) {
 	s.version++
+	if index == feedConfig && s.document != nil {
+		s.document.change(s.version)
+	}
 	key := "config"
 	if index == feedRegistrations {
 		key = fmt.Sprintf("target-%d", s.version%targetCount)
 	}
-	state := fmt.Sprintf("v%03d", s.version)
+	state := fmt.Sprintf("v%04d", s.version)
 	s.put(index, key, state)
 	s.changes = append(s.changes, simChange{index, key, state, time.Now()})
 }
@@ -148,11 +175,16 @@
 type simMachine struct {
 	node                                                       *simNode // nil while the node is down
 	frozen, partitioned, storeUnreachable, delayed, packetLoss faultEnd
-	disrupted                                                  faultEnd
-	side                                                       bool // of the partition between nodes
-	address                                                    netip.AddrPort
-	name                                                       types.VMID
-	dataCentre                                                 types.DataCentreID
+	rejected, disrupted                                        faultEnd
+	link                                                       simLink
+	// givenUp counts the calls to the store that were given up, givenUpBytes is the size of the
+	// response of the last one.
+	givenUp, givenUpBytes int
+	datagramsSent         time.Time // end of the transmission of the last datagram
+	side                  bool      // of the partition between nodes
+	address               netip.AddrPort
+	name                  types.VMID
+	dataCentre            types.DataCentreID
 }
 
 // readIntervals are the read interval and the wait for changes of each feed.
@@ -169,22 +201,27 @@
 
 // cluster is the simulated store and nodes.
 type cluster struct {
-	mu       sync.Mutex
-	ctx      context.Context
-	rnd      *rand.Rand
-	store    simStore
-	machines []simMachine
-	// perDataCentre is the number of nodes of each data centre.
-	perDataCentre int
-	running       sync.WaitGroup
+	simDeployment
+	mu        sync.Mutex
+	ctx       context.Context
+	rnd       *rand.Rand
+	store     simStore
+	machines  []simMachine
+	byAddress map[netip.AddrPort]int
+	running   sync.WaitGroup
 }
 
-func newCluster(ctx context.Context, seed uint64, perDataCentre int) *cluster {
+func newCluster(ctx context.Context, seed uint64, d simDeployment) *cluster {
 	c := &cluster{
-		ctx: ctx, rnd: rand.New(rand.NewPCG(seed, 1)), perDataCentre: perDataCentre,
-		machines: make([]simMachine, clusterDataCentres*perDataCentre),
+		simDeployment: d, ctx: ctx, rnd: rand.New(rand.NewPCG(seed, 1)),
+		machines: make([]simMachine, d.dataCentres*d.perDataCentre), byAddress: map[netip.AddrPort]int{},
 	}
 	c.store.mu = &c.mu
+	c.store.link.bytesPerSecond = bytesPerSecond(d.storeMbps)
+	if d.routes > 0 {
+		c.store.document = &simDocument{}
+		c.store.document.grow(d.routes)
+	}
 	for i := range c.store.topics {
 		c.store.topics[i] = simTopic{newest: map[string]feed.Record{}, changed: make(chan struct{})}
 	}
@@ -192,11 +229,15 @@
 		m := &c.machines[i]
 		m.address = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 1)
 		m.name = types.VMID(fmt.Sprintf("vm-%d", i))
-		m.dataCentre = types.DataCentreID(fmt.Sprintf("dc-%d", i/perDataCentre))
+		m.dataCentre = types.DataCentreID(fmt.Sprintf("dc-%d", i/d.perDataCentre))
+		if len(d.linkMbps) > 0 {
+			m.link.bytesPerSecond = bytesPerSecond(d.linkMbps[i%len(d.linkMbps)]) * (1 - callersShare)
+		}
+		c.byAddress[m.address] = i
 	}
-	c.store.put(feedConfig, "config", "v000")
+	c.store.put(feedConfig, "config", "v0000")
 	for k := range targetCount {
-		c.store.put(feedRegistrations, fmt.Sprintf("target-%d", k), "v000")
+		c.store.put(feedRegistrations, fmt.Sprintf("target-%d", k), "v0000")
 	}
 	return c
 }
@@ -302,11 +343,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	from := &c.machines[s.node.index]
-	for i := range c.machines {
+	if i, ok := c.byAddress[to]; ok && len(b) <= maxDatagramBytes {
 		m := &c.machines[i]
-		if m.address != to {
-			continue
-		}
 		if (from.partitioned.active(now) || m.partitioned.active(now)) && from.side != m.side {
 			return len(b), nil
 		}
@@ -316,6 +354,13 @@
 		if from.delayed.active(now) {
 			d += from.delayed.Sub(now)
 		}
+		if from.link.bytesPerSecond > 0 {
+			if now.After(from.datagramsSent) {
+				from.datagramsSent = now
+			}
+			from.datagramsSent = from.datagramsSent.Add(from.link.duration(len(b)))
+			d += from.datagramsSent.Sub(now)
+		}
 		data := append([]byte(nil), b...)
 		time.AfterFunc(d, func() { c.deliver(i, data) })
 	}
@@ -344,12 +389,16 @@
 	index int
 }
 
-// call simulates the latency of a call to the store, and returns an error if the call fails.
-func (s *simSource) call(ctx context.Context) error {
+// call simulates the latency of a call to the store that began at began, and the transfer of a
+// response of the given size. It returns an error if the call fails. left returns the time after
+// which the call is given up.
+func (s *simSource) call(ctx context.Context, bytes int, left timeLeft) error {
 	c := s.n.c
 	c.mu.Lock()
 	now := time.Now()
-	failed := c.store.down.active(now) || c.machines[s.n.index].storeUnreachable.active(now)
+	m := &c.machines[s.n.index]
+	failed := c.store.down.active(now) || m.storeUnreachable.active(now)
+	rejected := !failed && m.rejected.active(now)
 	d := callTime
 	if c.store.slow.active(now) {
 		d = slowCallTime
@@ -357,6 +406,9 @@
 	if failed {
 		d = callTimeout
 	}
+	if !failed && !rejected {
+		c.store.sent[s.index] += bytes
+	}
 	c.mu.Unlock()
 	select {
 	case <-ctx.Done():
@@ -364,10 +416,17 @@
 	case <-time.After(d):
 	}
 	s.n.waitWhileFrozen()
-	if failed {
+	if failed || rejected {
 		return errSimulated
 	}
-	return ctx.Err()
+	err := c.transfer(ctx, bytes, left, &m.link, &c.store.link)
+	if errors.Is(err, errGivenUp) {
+		c.mu.Lock()
+		m.givenUp++
+		m.givenUpBytes = bytes
+		c.mu.Unlock()
+	}
+	return err
 }
 
 func (s *simSource) List(ctx context.Context) (feed.Listing[string], error) {
@@ -375,31 +434,39 @@
 	c.mu.Lock()
 	t := &c.store.topics[s.index]
 	l := feed.Listing[string]{Next: t.oldest + types.Offset(len(t.records))}
+	bytes := responseHeaderBytes
 	for _, r := range t.newest {
 		l.Items = append(l.Items, itemOf(r))
+		bytes += base64.StdEncoding.EncodedLen(len(r.Value))
 	}
 	c.mu.Unlock()
-	return l, s.call(ctx)
+	return l, s.call(ctx, bytes, listTimeLeft(time.Now()))
 }
 
 func (s *simSource) Read(ctx context.Context, from types.Offset, wait time.Duration) ([]feed.Item[string], types.Offset, error) {
+	left := readTimeLeft(time.Now(), wait)
 	c, end := s.n.c, time.After(wait)
 	for {
 		c.mu.Lock()
 		t := &c.store.topics[s.index]
 		expired, changed := from < t.oldest, t.changed
 		var items []feed.Item[string]
+		bytes := responseHeaderBytes
 		if !expired && int(from-t.oldest) < len(t.records) {
 			for _, r := range t.records[from-t.oldest:] {
+				if len(items) > 0 && bytes+len(r.Value) > maxReadBytes {
+					break
+				}
 				items = append(items, itemOf(r))
+				bytes += len(r.Value)
 			}
 		}
 		c.mu.Unlock()
 		if expired {
-			return nil, 0, errors.Join(s.call(ctx), feed.ErrExpired)
+			return nil, 0, errors.Join(s.call(ctx, responseHeaderBytes, left), feed.ErrExpired)
 		}
 		if len(items) > 0 || wait == 0 {
-			return items, from + types.Offset(len(items)), s.call(ctx)
+			return items, from + types.Offset(len(items)), s.call(ctx, bytes, left)
 		}
 		select {
 		case <-ctx.Done():
@@ -464,7 +531,7 @@
 	index int
 }
 
-func (f simFetcher) Fetch(context.Context) (mirror.Snapshot, error) {
+func (f simFetcher) Fetch(ctx context.Context) (mirror.Snapshot, error) {
 	const seeds = 3
 	time.Sleep(callTime)
 	f.n.c.mu.Lock()
@@ -477,9 +544,17 @@
 	}
 	f.n.c.mu.Unlock()
 	for _, n := range asked {
-		if c, err := n.mirrors[f.index].Snapshot(clocktest.Virtual()); err == nil {
-			return c, nil
+		s, err := n.mirrors[f.index].Snapshot(clocktest.Virtual())
+		if err != nil {
+			continue
+		}
+		bytes := responseHeaderBytes
+		for _, r := range s.Records {
+			bytes += len(r.Value)
 		}
+		c, began := f.n.c, time.Now()
+		left := func(time.Time) time.Duration { return time.Until(began.Add(fetchTimeout)) }
+		return s, c.transfer(ctx, bytes, left, &c.machines[f.n.index].link, &c.machines[n.index].link)
 	}
 	return mirror.Snapshot{}, errSimulated
 }
