--- a/delta/delta.go
+++ b/delta/delta.go
@@ -34,13 +34,9 @@
 	formatDeflated = 2 // the operations are compressed with a dictionary
 )
 
-const (
-	// dictionaryBytes is the window of deflate.
-	dictionaryBytes = 32 << 10
-	// minDeflateBytes is the size of operations from which they are compressed. The overhead
-	// of deflate is greater than its gain for less, such as a changed version number.
-	minDeflateBytes = 48
-)
+// minDeflateBytes is the size of operations from which they are compressed. The overhead of
+// deflate is greater than its gain for less, such as a changed version number.
+const minDeflateBytes = 48
 
 // fingerprint identifies a base or a value.
 type fingerprint struct {
@@ -51,9 +47,3 @@
 func fingerprintOf(b []byte) fingerprint {
 	return fingerprint{uint64(len(b)), xxhash.Sum64(b)}
 }
-
-// dictionary returns the part of base that is the dictionary of deflate and ends at the given
-// position.
-func dictionary(base []byte, end int) []byte {
-	return base[max(end-dictionaryBytes, 0):end]
-}
--- a/delta/encode.go
+++ b/delta/encode.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"compress/flate"
 	"encoding/binary"
 )
 
@@ -29,20 +28,6 @@
 	return b
 }
 
-// deflate appends the compressed operations to b. It reports whether they are shorter.
-func deflate(b *bytes.Buffer, ops, dict []byte) bool {
-	header := b.Len()
-	// The fastest level does not use the dictionary.
-	w, err := flate.NewWriterDict(b, flate.DefaultCompression, dict)
-	if err != nil {
-		return false
-	}
-	if _, err := w.Write(ops); err != nil || w.Close() != nil {
-		return false
-	}
-	return b.Len()-header < len(ops)
-}
-
 // encodeOperations returns the operations that build value from base, and the position in base
 // of the longest insertion: the content around it is the most similar to what is inserted.
 func encodeOperations(base, value []byte) (ops []byte, longestAt int) {
