feed, platform: reads whose size does not grow with what a node has missed

A node that was 23 configurations of 187 KB behind requested all of them, 1 MB at a time, while one followed every 0.25 s. Only the newest counts.

A follower now requests the newest record only (ReadNewest) when the claims of others report two or more changes beyond its own offset, after a failed call, and after a read that returned a part of the records. Claims of records that the store does not have cause one such call, not one after the other.

A read that returns a part of the records says so (feed.ErrMore). Before, the node claimed to have read to the end, and read on when it was due.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -23,6 +23,10 @@
 // ErrUnsupported reports that a source does not support ReadNewest.
 var ErrUnsupported = errors.New("source does not support reading the newest records only")
 
+// ErrMore reports that a read returned only the first of the records that the source has. It
+// comes with these records, and the next offset is beyond the one to read from.
+var ErrMore = errors.New("source has more records than the read has returned")
+
 // Item is the newest record of one key.
 type Item[T any] struct {
 	Key string
@@ -52,7 +56,7 @@
 	List(ctx context.Context) (Listing[T], error)
 	// Read returns the changes from an offset on and the next offset to read from. If
 	// there are none, it waits for at most wait. The error wraps ErrExpired when records
-	// from that offset on have expired.
+	// from that offset on have expired. It is ErrMore if the source has further records.
 	Read(ctx context.Context, from types.Offset, wait time.Duration) ([]Item[T], types.Offset, error)
 	// ReadNewest returns the newest record of each key that has changed from an offset on, and
 	// the next offset to read from. It does not return records that a newer one of their key has
@@ -113,6 +117,8 @@
 	Changed types.Offset
 	// Listed reports whether the call was a list.
 	Listed bool
+	// Duration is the time that a read with records took, 0 for other calls.
+	Duration time.Duration
 }
 
 // CallReason is the reason for a call to the source.
@@ -145,6 +151,8 @@
 	// Records is the number of records that the call returned, and Bytes the size of their
 	// encoded values. Both are 0 after an error.
 	Records, Bytes int
+	// Newest reports whether the call requested the newest records only.
+	Newest bool
 	// From is the offset from which the call read, 0 for a list. Next is the offset from which
 	// the next call reads.
 	From, Next types.Offset
@@ -220,6 +228,14 @@
 	// successful one.
 	failingSince clock.Instant
 	pause        time.Duration
+	// more reports whether the latest read returned only a part of the records of the source.
+	// changed is the offset after the last change in such reads that OnRead was not told yet.
+	more    bool
+	changed types.Offset
+	// noNewest reports that the source does not support ReadNewest. emptyUpTo is the value of
+	// Known at which ReadNewest returned nothing.
+	noNewest  bool
+	emptyUpTo types.Offset
 }
 
 func (f *follower[T]) listOrRead(ctx context.Context) bool {
@@ -228,34 +244,95 @@
 	}
 	var wait time.Duration
 	reason := CallRetry
-	if f.pause == 0 {
+	switch {
+	case f.pause > 0:
+	case f.more:
+		reason = CallDue
+	default:
 		wait, reason = f.waitUntilDue(ctx)
 	}
 	f.notifyCall(reason)
 	began := f.s.Now()
-	items, next, err := f.src.Read(ctx, f.next, wait)
-	f.notifyResult(CallResult{Reason: reason, From: f.next, Next: next, Err: err}, began, items)
+	c, items, err := f.read(ctx, wait)
+	c.Reason = reason
+	more := errors.Is(err, ErrMore) && c.Next > f.next
+	if more {
+		err = nil
+	}
+	c.Err = err
+	f.notifyResult(c, began, items)
 	if errors.Is(err, ErrExpired) {
-		f.listed = false
+		f.listed, f.more = false, false
 		return f.list(ctx)
 	}
 	if err != nil {
 		return f.recordFailure(err, began)
 	}
+	next := c.Next
 	r := ReadResult{AsOf: began, Next: next}
+	if next != f.next {
+		r.Duration = f.s.Now().Sub(began)
+	}
+	if c.Newest {
+		wait = 0
+	}
 	// A read that returns no records was evaluated by the source after its wait. One with
 	// records may have been evaluated at once and its response delayed afterwards.
 	if next == f.next && f.s.Now().Sub(began) >= wait {
 		r.AsOf = began.Add(wait)
 	}
-	f.next = next
-	if c := f.h.HandleChanges(items, f.recordSuccess()); len(c) > 0 {
-		r.Changed = c[len(c)-1].Next
+	f.next, f.more = next, more
+	if i := f.h.HandleChanges(items, f.recordSuccess()); len(i) > 0 {
+		f.changed = i[len(i)-1].Next
+	}
+	if more {
+		// Until the last part is read, the feed is not up to date as of any time.
+		return true
 	}
+	r.Changed, f.changed = f.changed, 0
 	f.notifyRead(r)
 	return true
 }
 
+// read reads the changes from the applied offset on, or only the newest records if that is
+// less than all changes.
+func (f *follower[T]) read(ctx context.Context, wait time.Duration) (CallResult, []Item[T], error) {
+	c := CallResult{From: f.next}
+	if f.prefersNewest() {
+		items, next, err := f.src.ReadNewest(ctx, f.next)
+		if !errors.Is(err, ErrUnsupported) {
+			c.Newest, c.Next = true, next
+			if err == nil && next == f.next {
+				f.emptyUpTo = f.known()
+			}
+			return c, items, err
+		}
+		f.noNewest = true
+	}
+	items, next, err := f.src.Read(ctx, f.next, wait)
+	c.Next = next
+	return c, items, err
+}
+
+// prefersNewest reports whether the next call reads the newest records only. A read of all
+// changes that has failed would ask for the same records again, and more of them each time.
+func (f *follower[T]) prefersNewest() bool {
+	if f.noNewest {
+		return false
+	}
+	known := f.known()
+	return f.pause > 0 || f.more || known > f.next+1 && known > f.emptyUpTo
+}
+
+// known returns the offset up to which, by the claims of other daemons, the source has
+// records.
+func (f *follower[T]) known() types.Offset {
+	if f.s.Known == nil {
+		return 0
+	}
+	return f.s.Known()
+}
+
 func (f *follower[T]) list(ctx context.Context) bool {
 	f.notifyCall(CallList)
 	began := f.s.Now()
@@ -264,7 +341,7 @@
 	if err != nil {
 		return f.recordFailure(err, began)
 	}
-	f.listed, f.next = true, l.Next
+	f.listed, f.next, f.more = true, l.Next, false
 	f.h.HandleListing(l, f.recordSuccess())
 	f.notifyRead(ReadResult{AsOf: began.Add(-l.Age), Next: l.Next, Listed: true})
 	return true
--- /dev/null
+++ b/feed/newest_test.go
@@ -0,0 +1,182 @@
+package feed
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lentilpick/lentilpick/clock/clocktest"
+	"github.com/lentilpick/lentilpick/types"
+)
+
+var errSlow = errors.New("response did not arrive in time")
+
+// linkSource is a topic with one key whose records have the same size. A call fails after
+// callTimeout if the link does not transfer its response until then.
+type linkSource struct {
+	fakeSource
+	listEnd      types.Offset // the end of the topic when it is listed
+	end          func() types.Offset
+	recordBytes  int
+	bytesPerS    int
+	maxReadBytes int
+	// rejected makes all calls fail at once.
+	rejected         bool
+	reads, newest    int
+	newestUnsupports bool
+}
+
+const callTimeout = 800 * time.Millisecond
+
+func (s *linkSource) transfer(ctx context.Context, bytes int) error {
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	if s.rejected {
+		return errSlow
+	}
+	d := time.Duration(bytes) * time.Second / time.Duration(s.bytesPerS)
+	time.Sleep(min(d, callTimeout))
+	if d > callTimeout {
+		return errSlow
+	}
+	return nil
+}
+
+func (s *linkSource) items(from, to types.Offset) (items []Item[string]) {
+	v := "value"
+	for o := from; o < to; o++ {
+		items = append(items, Item[string]{Key: "k", Value: &v, Next: o + 1})
+	}
+	return items
+}
+
+func (s *linkSource) List(context.Context) (Listing[string], error) {
+	return Listing[string]{Next: s.listEnd}, nil
+}
+
+func (s *linkSource) Read(ctx context.Context, from types.Offset, wait time.Duration) ([]Item[string], types.Offset, error) {
+	if ctx.Err() == nil {
+		s.reads++
+	}
+	end := s.end()
+	to := min(end, from+types.Offset(s.maxReadBytes/s.recordBytes))
+	if to == from {
+		time.Sleep(wait)
+	}
+	if err := s.transfer(ctx, int(to-from)*s.recordBytes); err != nil {
+		return nil, 0, err
+	}
+	if to < end {
+		return s.items(from, to), to, ErrMore
+	}
+	return s.items(from, to), to, nil
+}
+
+func (s *linkSource) ReadNewest(ctx context.Context, from types.Offset) ([]Item[string], types.Offset, error) {
+	if s.newestUnsupports {
+		return nil, 0, ErrUnsupported
+	}
+	s.newest++
+	end := s.end()
+	if err := s.transfer(ctx, s.recordBytes*4/3); err != nil {
+		return nil, 0, err
+	}
+	if end <= from {
+		return nil, from, nil
+	}
+	return s.items(end-1, end), end, nil
+}
+
+// changingHandler reports all items as changes.
+type changingHandler struct{ fakeHandler }
+
+func (h *changingHandler) HandleChanges(items []Item[string], outage time.Duration) []Item[string] {
+	h.fakeHandler.HandleChanges(items, outage)
+	return items
+}
+
+// runFor follows s for a duration in virtual time.
+func runFor(t *testing.T, d time.Duration, f func(began time.Time) (Source[string], Schedule)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), d)
+		defer cancel()
+		src, s := f(time.Now())
+		s.Now, s.MinPause, s.MaxPause = clocktest.Virtual, 100*time.Millisecond, second
+		Follow(ctx, src, &changingHandler{}, s)
+	})
+}
+
+// Guards against a node that never catches up: it is 23 configurations of 187 KB behind, half of
+// its link of 10 Mbit/s is free, and a configuration follows every 0.25 s (issue 41: a node served
+// again after 5 s had the configuration of 5 s before).
+func TestBacklogOnSlowLink(t *testing.T) {
+	const interval = 250 * time.Millisecond
+	for name, known := range map[string]bool{"claims": true, "no claims": false} {
+		t.Run(name, func(t *testing.T) {
+			var late time.Duration
+			runFor(t, 10*time.Second, func(began time.Time) (Source[string], Schedule) {
+				end := func() types.Offset { return types.Offset(time.Since(began)/interval) + 30 }
+				src := &linkSource{listEnd: 30 - 23, end: end, recordBytes: 187_000, bytesPerS: 625_000, maxReadBytes: 1 << 20}
+				s := Schedule{Due: every(500*time.Millisecond, 0)}
+				if known {
+					s.Known = end
+				}
+				s.OnRead = func(r ReadResult) {
+					if !r.Listed {
+						late = max(late, time.Duration(end()-r.Next)*interval)
+					}
+				}
+				return src, s
+			})
+			assert.Assert(t, late > 0 && late <= time.Second, "%s behind after a read", late)
+		})
+	}
+}
+
+// Guards against the newest record only, and its page in base64, where a read of the changes is
+// less, against calls that the source does not support, and against a daemon that calls the source
+// without a pause because others claim what the source does not have.
+func TestChoiceOfReads(t *testing.T) {
+	for name, c := range map[string]struct {
+		known, end    types.Offset
+		unsupported   bool
+		reads, newest int
+	}{
+		"up to date":     {10, 10, false, 10, 0},
+		"one behind":     {11, 11, false, 10, 0},
+		"two behind":     {12, 12, false, 9, 1},
+		"not supported":  {12, 12, true, 10, 0},
+		"claims invalid": {50, 10, false, 9, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			src := &linkSource{listEnd: 10, recordBytes: 1, bytesPerS: 1e9, maxReadBytes: 1 << 20, newestUnsupports: c.unsupported}
+			src.end = func() types.Offset { return c.end }
+			runFor(t, 950*time.Millisecond, func(time.Time) (Source[string], Schedule) {
+				return src, Schedule{Due: every(100*time.Millisecond, 0), Known: func() types.Offset { return c.known }}
+			})
+			assert.Equal(t, src.reads, c.reads)
+			assert.Equal(t, src.newest, c.newest)
+		})
+	}
+}
+
+// Guards against a claim to have read the feed to its end after a read that returned only a part
+// of it, against changes in such reads that are never claimed, and against a read that waits until
+// it is due although more records follow.
+func TestPartialReads(t *testing.T) {
+	var results []ReadResult
+	src := &linkSource{end: func() types.Offset { return 7 }, recordBytes: 100, bytesPerS: 1e9, maxReadBytes: 300, newestUnsupports: true}
+	runFor(t, 900*time.Millisecond, func(time.Time) (Source[string], Schedule) {
+		return src, Schedule{Due: every(500*time.Millisecond, 0), OnRead: func(r ReadResult) {
+			r.AsOf, r.Duration = 0, 0
+			results = append(results, r)
+		}}
+	})
+	assert.DeepEqual(t, results, []ReadResult{{Listed: true}, {Next: 7, Changed: 7}, {Next: 7}})
+	assert.Equal(t, src.reads, 4, "three parts, and a read when it is due")
+}
--- a/server/node/feeds.go
+++ b/server/node/feeds.go
@@ -60,11 +60,12 @@
 	fieldThrough = "through_offset"
 	// fieldRecords, fieldBytes, fieldReason and fieldFailures describe a call that follows a feed:
 	// the records that it returned and the size of their values, its reason, and how many calls
-	// have failed in a row.
+	// have failed in a row. fieldNewest reports a call for the newest record only.
 	fieldRecords  = "records"
 	fieldBytes    = "bytes"
 	fieldReason   = "reason"
 	fieldFailures = "failures"
+	fieldNewest   = "newest"
 )
 
 // feedCallLogger logs the calls that follow one feed. Successful calls without records are not
@@ -84,7 +85,7 @@
 func (l *feedCallLogger) logResult(r feed.CallResult) {
 	e := l.log.WithFields(logrus.Fields{
 		fieldReason: r.Reason.String(), fieldElapsed: millis(r.Duration), fieldAppliedOffset: r.From, fieldOffset: r.Next,
-		fieldRecords: r.Records, fieldBytes: r.Bytes,
+		fieldRecords: r.Records, fieldBytes: r.Bytes, fieldNewest: r.Newest,
 	})
 	l.counters.countFeedCall(l.index, r)
 	if r.Err != nil {
--- a/server/node/pace.go
+++ b/server/node/pace.go
@@ -121,7 +121,7 @@
 func (p *readPacer) schedule(minPause, maxPause time.Duration) feed.Schedule {
 	return feed.Schedule{
 		Now: p.now, Due: p.due, OnRead: p.recordRead, Wake: p.progress.Wake(), PeerUpdates: p.progress.Updates(),
-		OnApplied: p.progress.RecordApplied, OnMissed: p.progress.RecordMissed,
+		Known: p.progress.KnownUpTo, OnApplied: p.progress.RecordApplied, OnMissed: p.progress.RecordMissed,
 		MinPause: minPause, MaxPause: func() time.Duration { return p.maxBackoff(maxPause) },
 	}
 }
