platform: decode only the newest valid configuration of a response

A read returned several configurations, and each of them was decoded and built into a table, also if a newer one of the same response replaced it.

Visible as the field skipped of "configuration in force" and "feed read", and as the counter lentilpick_configurations_skipped.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -32,13 +32,16 @@
 	Key string
 	// Next is the offset after the record.
 	Next types.Offset
-	// Value is nil when the key was removed.
+	// Value is nil when the key was removed, and for a record that was skipped.
 	Value *T
 	// Raw is the encoded value as stored in the source, empty when the key was removed.
 	Raw []byte
 	// Err is the decoding error of the record, if any. Value is nil in this case,
 	// although the key was not removed.
 	Err error
+	// Skipped reports that the record was not decoded, because a newer one of its key in the
+	// same response replaces it.
+	Skipped bool
 }
 
 // Listing contains the newest record of each key.
@@ -151,6 +154,9 @@
 	// Records is the number of records that the call returned, and Bytes the size of their
 	// encoded values. Both are 0 after an error.
 	Records, Bytes int
+	// Skipped is the number of records between From and Next that were not decoded or, if
+	// Newest is set, not requested. The latter include those of other keys.
+	Skipped int
 	// Newest reports whether the call requested the newest records only.
 	Newest bool
 	// From is the offset from which the call read, 0 for a list. Next is the offset from which
@@ -302,6 +308,9 @@
 		items, next, err := f.src.ReadNewest(ctx, f.next)
 		if !errors.Is(err, ErrUnsupported) {
 			c.Newest, c.Next = true, next
+			if err == nil {
+				c.Skipped = max(int(next-f.next)-len(items), 0)
+			}
 			if err == nil && next == f.next {
 				f.emptyUpTo = f.known()
 			}
@@ -311,6 +320,11 @@
 	}
 	items, next, err := f.src.Read(ctx, f.next, wait)
 	c.Next = next
+	for i := range items {
+		if items[i].Skipped {
+			c.Skipped++
+		}
+	}
 	return c, items, err
 }
 
--- a/feed/newest_test.go
+++ b/feed/newest_test.go
@@ -146,21 +146,27 @@
 		known, end    types.Offset
 		unsupported   bool
 		reads, newest int
+		skipped       int
 	}{
-		"up to date":     {10, 10, false, 10, 0},
-		"one behind":     {11, 11, false, 10, 0},
-		"two behind":     {12, 12, false, 9, 1},
-		"not supported":  {12, 12, true, 10, 0},
-		"claims invalid": {50, 10, false, 9, 1},
+		"up to date":     {10, 10, false, 10, 0, 0},
+		"one behind":     {11, 11, false, 10, 0, 0},
+		"two behind":     {12, 12, false, 9, 1, 1},
+		"not supported":  {12, 12, true, 10, 0, 0},
+		"claims invalid": {50, 10, false, 9, 1, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
 			src := &linkSource{listEnd: 10, recordBytes: 1, bytesPerS: 1e9, maxReadBytes: 1 << 20, newestUnsupports: c.unsupported}
 			src.end = func() types.Offset { return c.end }
+			skipped := 0
 			runFor(t, 950*time.Millisecond, func(time.Time) (Source[string], Schedule) {
-				return src, Schedule{Due: every(100*time.Millisecond, 0), Known: func() types.Offset { return c.known }}
+				return src, Schedule{
+					Due: every(100*time.Millisecond, 0), Known: func() types.Offset { return c.known },
+					OnResult: func(r CallResult) { skipped += r.Skipped },
+				}
 			})
 			assert.Equal(t, src.reads, c.reads)
 			assert.Equal(t, src.newest, c.newest)
+			assert.Equal(t, skipped, c.skipped, "records that were not requested")
 		})
 	}
 }
--- a/server/node/counters.go
+++ b/server/node/counters.go
@@ -31,6 +31,8 @@
 	feedBytes    metric.Int64Counter
 	feedDuration metric.Float64Histogram
 	byFeed       [loadshare.Feeds]metric.MeasurementOption
+	// skipped counts the configurations that were not decoded because newer ones replace them.
+	skipped metric.Int64Counter
 	// leaving, pauses and invalidPauses count what targets report about themselves.
 	leaving, pauses, invalidPauses metric.Int64Counter
 	// limits and invalidLimits count the limits that targets declare.
@@ -107,6 +109,9 @@
 		metric.WithDescription("Size of the values that calls to the store have returned, by feed.")); err != nil {
 		return nil, err
 	}
+	if c.skipped, err = m.Meter.Int64Counter("lentilpick_configurations_skipped", metric.WithDescription("Configurations that this node has not decoded, because newer ones replace them.")); err != nil {
+		return nil, err
+	}
 	if c.feedDuration, err = m.Meter.Float64Histogram("lentilpick_feed_call", metric.WithUnit("s"),
 		metric.WithDescription("Duration of the calls to the store that returned records, by feed."), metric.WithExplicitBucketBoundaries(firstEventBuckets...)); err != nil {
 		return nil, err
@@ -149,6 +154,9 @@
 // countFeedCall counts a completed call to the store that follows the feed with the given index.
 func (c *counters) countFeedCall(index int, r feed.CallResult) {
 	ctx := context.Background()
+	if index == feedConfig && r.Skipped > 0 {
+		c.skipped.Add(ctx, int64(r.Skipped))
+	}
 	switch {
 	case r.Err != nil:
 		c.feedFailures.Add(storeCallIndex(index, r.Reason))
--- a/server/node/feeds.go
+++ b/server/node/feeds.go
@@ -60,11 +60,13 @@
 	fieldThrough = "through_offset"
 	// fieldRecords, fieldBytes, fieldReason and fieldFailures describe a call that follows a feed:
 	// the records that it returned and the size of their values, its reason, and how many calls
-	// have failed in a row. fieldNewest reports a call for the newest record only.
+	// have failed in a row. fieldSkipped is the number of records that were not decoded because
+	// newer ones replace them, and fieldNewest reports a call for the newest record only.
 	fieldRecords  = "records"
 	fieldBytes    = "bytes"
 	fieldReason   = "reason"
 	fieldFailures = "failures"
+	fieldSkipped  = "skipped"
 	fieldNewest   = "newest"
 )
 
@@ -85,7 +87,7 @@
 func (l *feedCallLogger) logResult(r feed.CallResult) {
 	e := l.log.WithFields(logrus.Fields{
 		fieldReason: r.Reason.String(), fieldElapsed: millis(r.Duration), fieldAppliedOffset: r.From, fieldOffset: r.Next,
-		fieldRecords: r.Records, fieldBytes: r.Bytes, fieldNewest: r.Newest,
+		fieldRecords: r.Records, fieldBytes: r.Bytes, fieldSkipped: r.Skipped, fieldNewest: r.Newest,
 	})
 	l.counters.countFeedCall(l.index, r)
 	if r.Err != nil {
@@ -133,16 +135,20 @@
 )
 
 func (f *configHandler) fold(items []feed.Item[*routes.Table], source string) (changed []feed.Item[*routes.Table]) {
+	skipped := 0
 	for _, i := range items {
 		switch {
 		case i.Err != nil:
 			f.log.WithError(i.Err).Error("configuration could not be decoded; skipped")
+		case i.Skipped:
+			skipped++
 		case i.Value == nil:
 		case f.gateway.SetTable(*i.Value):
 			k := f.readState()
 			f.log.WithFields(logrus.Fields{
 				fieldConfig: (*i.Value).Version, "routes": (*i.Value).RouteCount(), fieldRecordSource: source, fieldOffset: i.Next,
 				fieldAppliedOffset: k.Next, fieldOwnRead: millis(k.Local), fieldPeerRead: millis(k.Peer), fieldSender: k.Sender, fieldThrough: k.ClaimedUpTo,
+				fieldSkipped: skipped,
 			}).Info("configuration in force")
 			f.onLoaded()
 			changed = append(changed, i)
