--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -260,9 +260,14 @@
 	}
 }
 
-// keepDurations forgets the durations of routes that the configuration does not have.
+// keepDurations forgets the durations of routes that the configuration does not have, once there
+// can be as many of them as routes: a pass over all routes at each change would cost more than the
+// change of one route.
 func (g *Gateway) keepDurations(t *routes.Table) {
-	names := map[string]bool{}
+	if g.durations.Len() <= 2*t.RouteCount() {
+		return
+	}
+	names := make(map[string]bool, t.RouteCount())
 	t.Routes(func(r *routes.Route) { names[r.Name] = true })
 	g.durations.Keep(func(route string) bool { return names[route] })
 }
--- a/routes/routes.go
+++ b/routes/routes.go
@@ -120,41 +120,100 @@
 	IdleTimeout   time.Duration
 }
 
-// Table is an immutable version of the configuration.
+// Table is an immutable version of the configuration. Tables of successive versions share what
+// they have in common.
 type Table struct {
-	Version    uint64
-	Limits     Limits
-	services   map[types.ServiceID]*Service
-	byHost     map[string]map[string]*Route
-	routeCount int
+	Version  uint64
+	Limits   Limits
+	services map[types.ServiceID]*Service
+	// all are the routes as configured. byHost leaves out those that are not used.
+	all    []*Route
+	byHost map[string]map[string]*Route
 }
 
 // NewTable returns the table of a configuration. Of several routes with the same host
 // and prefix, the first one is used.
 func NewTable(version uint64, limits Limits, all []Route, services []Service) *Table {
-	t := &Table{
-		Version: version, Limits: limits, routeCount: len(all),
-		services: make(map[types.ServiceID]*Service, len(services)),
-		byHost:   map[string]map[string]*Route{},
+	routePointers, servicePointers := make([]*Route, len(all)), make([]*Service, len(services))
+	for i := range all {
+		routePointers[i] = &all[i]
 	}
 	for i := range services {
-		t.services[services[i].Name] = &services[i]
+		servicePointers[i] = &services[i]
 	}
-	for i := range all {
-		r := &all[i]
+	return NextTable(nil, version, limits, routePointers, servicePointers)
+}
+
+// NextTable returns the table of a configuration as NewTable does. It reuses the parts of an
+// earlier table, which may be nil, whose routes or services are the same pointers. The slices,
+// routes and services must not be changed afterwards.
+func NextTable(earlier *Table, version uint64, limits Limits, all []*Route, services []*Service) *Table {
+	if earlier == nil {
+		earlier = &Table{}
+	}
+	return &Table{
+		Version: version, Limits: limits, all: all,
+		services: mapServices(services), byHost: nextHosts(earlier, all),
+	}
+}
+
+func mapServices(services []*Service) map[types.ServiceID]*Service {
+	m := make(map[types.ServiceID]*Service, len(services))
+	for _, s := range services {
+		m[s.Name] = s
+	}
+	return m
+}
+
+// nextHosts returns the routes by host and prefix. Hosts with the same routes as in the earlier
+// table share its maps.
+func nextHosts(earlier *Table, all []*Route) map[string]map[string]*Route {
+	before, after := difference(earlier.all, all)
+	if len(before)+len(after) == 0 && earlier.byHost != nil {
+		return earlier.byHost
+	}
+	changed := map[string]bool{}
+	for _, part := range [][]*Route{before, after} {
+		for _, r := range part {
+			changed[strings.ToLower(r.Host)] = true
+		}
+	}
+	byHost := make(map[string]map[string]*Route, len(earlier.byHost)+len(changed))
+	for host, byPrefix := range earlier.byHost {
+		if !changed[host] {
+			byHost[host] = byPrefix
+		}
+	}
+	for _, r := range all {
 		host := strings.ToLower(r.Host)
-		if t.byHost[host] == nil {
-			t.byHost[host] = map[string]*Route{}
+		if !changed[host] {
+			continue
 		}
-		if _, ok := t.byHost[host][r.Prefix]; !ok {
-			t.byHost[host][r.Prefix] = r
+		byPrefix := byHost[host]
+		if byPrefix == nil {
+			byPrefix = make(map[string]*Route, len(earlier.byHost[host]))
+			byHost[host] = byPrefix
 		}
+		if _, ok := byPrefix[r.Prefix]; !ok {
+			byPrefix[r.Prefix] = r
+		}
+	}
+	return byHost
+}
+
+// difference returns a and b without their common beginning and end.
+func difference(a, b []*Route) (onlyA, onlyB []*Route) {
+	for len(a) > 0 && len(b) > 0 && a[0] == b[0] {
+		a, b = a[1:], b[1:]
+	}
+	for len(a) > 0 && len(b) > 0 && a[len(a)-1] == b[len(b)-1] {
+		a, b = a[:len(a)-1], b[:len(b)-1]
 	}
-	return t
+	return a, b
 }
 
 // RouteCount returns the number of configured routes.
-func (t *Table) RouteCount() int { return t.routeCount }
+func (t *Table) RouteCount() int { return len(t.all) }
 
 // Service returns the service with the given name, or nil.
 func (t *Table) Service(id types.ServiceID) *Service { return t.services[id] }
--- a/routes/routes_test.go
+++ b/routes/routes_test.go
@@ -42,3 +42,28 @@
 	assert.Equal(t, string((&Route{}).PickService(7)), "")
 	assert.Equal(t, string((&Route{Services: []WeightedService{{"a", 0}}}).PickService(7)), "a")
 }
+
+// Guards against a table that keeps a removed route, misses a new one, or changes the table before
+// it, and against a change of one host that rebuilds all others.
+func TestNextTableSharesUnchangedHosts(t *testing.T) {
+	a, b, c := &Route{Name: "a", Host: "X", Prefix: "/a/"}, &Route{Name: "b", Host: "x", Prefix: "/b/"}, &Route{Name: "c", Host: "y", Prefix: "/c/"}
+	shadowed := &Route{Name: "shadowed", Host: "x", Prefix: "/a/"}
+	first := NextTable(nil, 1, Limits{}, []*Route{a, shadowed, b, c}, nil)
+	second := NextTable(first, 2, Limits{}, []*Route{shadowed, b, c}, nil)
+	third := NextTable(second, 3, Limits{}, []*Route{shadowed, b}, nil)
+	names := func(t *Table) (s string) {
+		for _, p := range [][2]string{{"x", "/a/"}, {"x", "/b/"}, {"y", "/c/"}} {
+			if r := t.Lookup(p[0], p[1]); r != nil {
+				s += r.Name + " "
+			}
+		}
+		return s
+	}
+	assert.Equal(t, names(first), "a b c ")
+	assert.Equal(t, names(second), "shadowed b c ")
+	assert.Equal(t, names(third), "shadowed b ")
+	// A map is the same if a write to one is seen in the other.
+	first.byHost["y"]["/new/"] = c
+	assert.Equal(t, second.byHost["y"]["/new/"], c)
+	assert.Equal(t, third.byHost["y"]["/new/"], (*Route)(nil))
+}
--- a/shutdown/durations.go
+++ b/shutdown/durations.go
@@ -1,7 +1,6 @@
 package shutdown
 
 import (
-	"maps"
 	"math"
 	"sync"
 	"sync/atomic"
@@ -11,45 +10,35 @@
 // Durations holds how long responses take, by route. It is safe for concurrent use; known
 // routes are read and updated without locks. The zero value is empty.
 type Durations struct {
-	routes atomic.Pointer[map[string]*RouteDurations]
-	mu     sync.Mutex // serialises additions
+	routes sync.Map // of *RouteDurations by the name of the route
+	count  atomic.Int64
 }
 
-// Route returns the durations of a route. It adds the route if it is new.
+// Route returns the durations of a route. It adds the route if it is new, at a cost that does not
+// depend on the number of routes.
 func (d *Durations) Route(name string) *RouteDurations {
-	if m := d.routes.Load(); m != nil {
-		if v := (*m)[name]; v != nil {
-			return v
+	v, ok := d.routes.Load(name)
+	if !ok {
+		if v, ok = d.routes.LoadOrStore(name, &RouteDurations{}); !ok {
+			d.count.Add(1)
 		}
 	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	next := map[string]*RouteDurations{}
-	if m := d.routes.Load(); m != nil {
-		if v := (*m)[name]; v != nil {
-			return v
-		}
-		maps.Copy(next, *m)
-	}
-	v := &RouteDurations{}
-	next[name] = v
-	d.routes.Store(&next)
-	return v
+	return v.(*RouteDurations)
 }
 
+// Len returns the number of routes.
+func (d *Durations) Len() int { return int(d.count.Load()) }
+
 // Keep removes the routes for which keep returns false.
 func (d *Durations) Keep(keep func(route string) bool) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	next := map[string]*RouteDurations{}
-	if m := d.routes.Load(); m != nil {
-		for name, v := range *m {
-			if keep(name) {
-				next[name] = v
+	d.routes.Range(func(name, _ any) bool {
+		if !keep(name.(string)) {
+			if _, ok := d.routes.LoadAndDelete(name); ok {
+				d.count.Add(-1)
 			}
 		}
-	}
-	d.routes.Store(&next)
+		return true
+	})
 }
 
 const (
--- a/shutdown/shutdown_test.go
+++ b/shutdown/shutdown_test.go
@@ -81,6 +81,6 @@
 	a := d.Route("a")
 	d.Route("b")
 	d.Keep(func(route string) bool { return route == "a" })
-	assert.Equal(t, len(*d.routes.Load()), 1)
+	assert.Equal(t, d.Len(), 1)
 	assert.Equal(t, d.Route("a"), a)
 }
