loadshare: send a record that is longer than a message in parts

Seen: a delta of more than 1,000 bytes, as of a reader that skipped several versions or of a change of many routes, was not published, so that each of 195 nodes read the whole configuration from the store.

Cause: splitUpdate omitted a record that does not fit in one message.

Change: such a record is split into parts in consecutive messages, 24 in all for the changes of one read as before. All parts have the offsets of the whole, so that the claims in the messages before the last part stay below it. Parts that do not form a record count as malformed.

The tests of omitted records use records that exceed 24 messages.

--- a/loadshare/exchange_test.go
+++ b/loadshare/exchange_test.go
@@ -27,6 +27,9 @@
 	loss   float64 // share of lost datagrams
 	conns  map[netip.AddrPort]*virtualConn
 	silent map[netip.AddrPort]bool // neither send nor receive
+	// ordered keeps the order of the datagrams to one address, as a network does on one path.
+	// Otherwise those sent at the same time are delivered in any order.
+	ordered bool
 }
 
 const virtualLatency = time.Millisecond
@@ -36,6 +39,7 @@
 	net     *virtualNet
 	address netip.AddrPort
 	inbox   chan []byte
+	transit [][]byte // datagrams on their way in an ordered network, in the order of sending
 	closed  chan struct{}
 	once    sync.Once
 	sent    int // datagrams
@@ -64,7 +68,15 @@
 		return len(b), nil
 	}
 	data := append([]byte(nil), b...)
+	if n.ordered {
+		peer.transit = append(peer.transit, data)
+	}
 	time.AfterFunc(virtualLatency, func() {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		if n.ordered {
+			data, peer.transit = peer.transit[0], peer.transit[1:]
+		}
 		select {
 		case peer.inbox <- data:
 		default:
@@ -102,7 +114,12 @@
 const virtualTargets = 20
 
 func startFleet(ctx context.Context, size, dataCentres int, loss float64) *virtualFleet {
-	n := &virtualNet{rnd: rand.New(rand.NewPCG(1, 2)), loss: loss, conns: map[netip.AddrPort]*virtualConn{}, silent: map[netip.AddrPort]bool{}}
+	return startFleetIn(ctx, &virtualNet{loss: loss}, size, dataCentres)
+}
+
+// startFleetIn starts a fleet in a new network.
+func startFleetIn(ctx context.Context, n *virtualNet, size, dataCentres int) *virtualFleet {
+	n.rnd, n.conns, n.silent = rand.New(rand.NewPCG(1, 2)), map[netip.AddrPort]*virtualConn{}, map[netip.AddrPort]bool{}
 	f := &virtualFleet{net: n}
 	for i := range size {
 		a := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 1)
--- a/loadshare/progress.go
+++ b/loadshare/progress.go
@@ -128,6 +128,13 @@
 // Updates returns the channel of the queued updates from other nodes.
 func (p *Progress) Updates() <-chan feed.Update { return p.updates }
 
+// has reports whether all changes up to an offset are applied or queued.
+func (p *Progress) has(next types.Offset) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return next <= max(p.next, p.queuedUpTo)
+}
+
 // enqueue queues an update that follows or overlaps the applied and queued changes. It
 // returns false if the changes have to be read from the store instead.
 func (p *Progress) enqueue(u feed.Update) bool {
--- a/loadshare/share.go
+++ b/loadshare/share.go
@@ -80,6 +80,8 @@
 	transits map[uint64]*transit
 	seq      uint64
 	outbox   outbox
+	// assemblies holds the long records of which parts have been received.
+	assemblies assemblies
 	// peerDemand is the work that callers have offered to other daemons, by service hash,
 	// since this daemon started. It only grows.
 	peerDemand map[uint64]demand.Work
@@ -134,7 +136,7 @@
 	e := &Exchanger{
 		self: xxhash.Sum64String(name), start: rand.Uint64(), directory: d, conn: conn,
 		now: now, wake: make(chan struct{}, 1), changed: make(chan uint64, changesQueueLength), used: make(chan usedParts, partsQueueLength),
-		hubs: newHubSelector(), peerStates: map[uint64]*peerState{}, transits: map[uint64]*transit{}, outbox: newOutbox(),
+		hubs: newHubSelector(), peerStates: map[uint64]*peerState{}, transits: map[uint64]*transit{}, outbox: newOutbox(), assemblies: assemblies{},
 		demand: work, crashes: noCrashEvidence{}, peerDemand: map[uint64]demand.Work{},
 	}
 	e.relay = newRelay(e)
@@ -608,9 +610,7 @@
 	p.lastReceived = now
 	// Updates come before claims: changes that they contain do not have to be read.
 	for _, n := range m.updates {
-		if !e.feeds[n.index].enqueue(n.Update) {
-			e.updatesMissed.Add(1)
-		}
+		e.receiveUpdate(m, &n, now)
 	}
 	if m.hasClaims {
 		e.applyClaims(m, at)
@@ -644,6 +644,28 @@
 	}
 }
 
+// receiveUpdate queues an update, or adds a part of a record to those received before. The
+// caller holds e.mu.
+func (e *Exchanger) receiveUpdate(m *message, u *feedUpdate, now time.Time) {
+	update := u.Update
+	if u.part != nil {
+		if e.feeds[u.index].has(u.Next) {
+			return
+		}
+		var complete bool
+		var err error
+		if update, complete, err = e.assemblies.add(m, u, now); err != nil {
+			e.malformed.Add(1)
+		}
+		if !complete {
+			return
+		}
+	}
+	if !e.feeds[u.index].enqueue(update) {
+		e.updatesMissed.Add(1)
+	}
+}
+
 func (e *Exchanger) applyClaims(m *message, at clock.Instant) {
 	delay, measured := e.transitDelay(m, at)
 	for i, f := range e.feeds {
@@ -666,5 +688,6 @@
 			delete(e.peerStates, id)
 		}
 	}
+	e.assemblies.expire(now)
 	e.expireTransits(e.now())
 }
--- a/loadshare/share_test.go
+++ b/loadshare/share_test.go
@@ -212,11 +212,13 @@
 	f.Add(p.datagrams[0])
 	f.Add(p.datagrams[0][:len(p.datagrams[0])-1])
 	f.Add(good[:len(good)-1])
-	m.updates = []feedUpdate{{1, feed.Update{Since: 3, Next: 9, Records: []feed.Record{{Key: "k", Value: []byte("v"), Next: 9}}}}}
+	m.updates = []feedUpdate{{index: 1, Update: feed.Update{Since: 3, Next: 9, Records: []feed.Record{{Key: "k", Value: []byte("v"), Next: 9}}}}}
 	f.Add(m.appendHeader(nil))
 	m.crashes = fillUpdate()
 	m.limits = []targetLimit{{target: m.leaving[0], limited: true, perSecond: 6.5, age: time.Second}, {target: m.leaving[0]}}
 	f.Add(m.appendHeader(nil))
+	m.updates = splitRecord(1, 3, feed.Record{Key: "k", Value: make([]byte, maxUpdateBytes), Next: 9})
+	f.Add(m.appendHeader(nil))
 	f.Add([]byte{magic, version})
 	f.Add([]byte(nil))
 	f.Fuzz(func(t *testing.T, b []byte) {
@@ -232,6 +234,9 @@
 			assert.Assert(t, errors.Is(err, ErrMalformed))
 			return
 		}
+		for _, u := range m.updates {
+			assert.Assert(t, u.part == nil || u.part.index < u.part.count && u.part.count <= maxUpdateFragments)
+		}
 		for _, i := range m.loads {
 			assert.Assert(t, len(m.leaving) <= maxLeaving)
 			assert.Assert(t, i.work.PrefillTokens >= 0 && i.work.PrefillTokens <= maxFieldValue && len(i.parts) <= maxParts)
@@ -388,7 +393,7 @@
 	behind.Feed(1).RecordRead(read(now, 30, 0), false)
 	s.PublishUpdate(1, update(40, 45, 600))
 	s.PublishUpdate(1, update(45, 50, 600))
-	s.PublishUpdate(0, update(0, 5, maxUpdateBytes))
+	s.PublishUpdate(0, update(0, 5, maxUpdateFragments*maxUpdateBytes))
 	s.Feed(1).RecordRead(read(now, 60, 50), true)
 	s.Feed(0).RecordRead(read(now, 60, 5), true)
 	datagrams := s.messages(false)
@@ -411,7 +416,7 @@
 	assert.Equal(t, behind.UpdatesMissed(), int64(2))
 	// The records of one read are sent in consecutive fragments.
 	long := update(50, 60, 600)
-	long.Records = append(long.Records, update(0, 70, 600).Records[0], update(0, 80, maxUpdateBytes).Records[0])
+	long.Records = append(long.Records, update(0, 70, 600).Records[0], update(0, 80, maxUpdateFragments*maxUpdateBytes).Records[0])
 	long.Next = 80
 	fragments := splitUpdate(1, long)
 	assert.Equal(t, len(fragments), 2)
--- a/loadshare/update.go
+++ b/loadshare/update.go
@@ -20,17 +20,23 @@
 	maxUpdateFragments = 24
 	// maxUpdateRecords bounds the records of one fragment.
 	maxUpdateRecords = 16
+	// partOfRecord replaces the number of records in a fragment that holds one part of a record.
+	partOfRecord = 0xff
+	// maxVarintBytes bounds an encoded offset.
+	maxVarintBytes = binary.MaxVarintLen64
 )
 
-// feedUpdate is an update of the feed with the given index.
+// feedUpdate is an update of the feed with the given index. If part is set, the update has no
+// records but one part of its only record.
 type feedUpdate struct {
 	index int
 	feed.Update
+	part *recordPart
 }
 
 // PublishUpdate sends changes that this daemon has read from a feed to the other daemons.
-// It omits the records from the first one on that is too long for a message or exceeds
-// maxUpdateFragments messages; the other daemons read those from the store.
+// It omits the records from the first one on that exceeds maxUpdateFragments messages; the
+// other daemons read those from the store.
 func (e *Exchanger) PublishUpdate(index int, u feed.Update) {
 	fragments := splitUpdate(index, u)
 	e.updatesPublished.Add(int64(len(fragments)))
@@ -40,8 +46,9 @@
 	e.notify()
 }
 
-// splitUpdate splits an update into consecutive fragments that each fit in a message. It
-// omits the records from the first one on that does not fit.
+// splitUpdate splits an update into consecutive fragments that each fit in a message. A record
+// that does not fit in one is split into parts. It omits the records from the first one on
+// that exceeds maxUpdateFragments.
 func splitUpdate(index int, u feed.Update) (fragments []feedUpdate) {
 	since := u.Since
 	for len(u.Records) > 0 && len(fragments) < maxUpdateFragments {
@@ -55,15 +62,33 @@
 			}
 			fragment, u.Records = longer, u.Records[1:]
 		}
-		if len(fragment.Records) == 0 {
+		if len(fragment.Records) > 0 {
+			fragments = append(fragments, fragment)
+			since = fragment.Next
+			continue
+		}
+		parts := splitRecord(index, since, u.Records[0])
+		if len(fragments)+len(parts) > maxUpdateFragments {
 			break
 		}
-		fragments = append(fragments, fragment)
-		since = fragment.Next
+		fragments = append(fragments, parts...)
+		since, u.Records = u.Records[0].Next, u.Records[1:]
 	}
 	return fragments
 }
 
+// splitRecord splits the encoded record into parts that each fit in a message. All of them have
+// the offsets of the whole: the claims in the messages before the last part must not cover it.
+func splitRecord(index int, since types.Offset, r feed.Record) (parts []feedUpdate) {
+	b := appendRecord(nil, r)
+	count := (len(b) + partDataBytes - 1) / partDataBytes
+	for i := range count {
+		data := b[i*partDataBytes : min((i+1)*partDataBytes, len(b))]
+		parts = append(parts, feedUpdate{index, feed.Update{Since: since, Next: r.Next}, &recordPart{i, count, data}})
+	}
+	return parts
+}
+
 // takeUpdates splits updates into those that fit in one message and the remaining ones.
 func takeUpdates(updates []feedUpdate) (taken, rest []feedUpdate) {
 	size := 0
@@ -88,16 +113,23 @@
 	b = append(b, byte(u.index))
 	b = binary.AppendUvarint(b, uint64(u.Since))
 	b = binary.AppendUvarint(b, uint64(u.Next))
+	if p := u.part; p != nil {
+		return appendBytes(append(b, partOfRecord, byte(p.index), byte(p.count)), p.data)
+	}
 	b = append(b, byte(len(u.Records)))
 	for _, r := range u.Records {
-		b = binary.AppendUvarint(b, uint64(r.Next))
-		b = binary.AppendUvarint(b, uint64(r.DeltaBase))
-		b = appendBytes(b, []byte(r.Key))
-		b = appendBytes(b, r.Value)
+		b = appendRecord(b, r)
 	}
 	return b
 }
 
+func appendRecord(b []byte, r feed.Record) []byte {
+	b = binary.AppendUvarint(b, uint64(r.Next))
+	b = binary.AppendUvarint(b, uint64(r.DeltaBase))
+	b = appendBytes(b, []byte(r.Key))
+	return appendBytes(b, r.Value)
+}
+
 func appendBytes(b, data []byte) []byte {
 	b = binary.AppendUvarint(b, uint64(len(data)))
 	return append(b, data...)
@@ -169,16 +201,32 @@
 		u := feedUpdate{index: int(r.byte())}
 		u.Since, u.Next = r.offset(), r.offset()
 		records := r.byte()
-		if u.index >= Feeds || records > maxUpdateRecords {
+		if u.index >= Feeds || records > maxUpdateRecords && records != partOfRecord {
 			r.malformed = true
 		}
 		if r.malformed {
 			return
 		}
-		for range records {
-			next, base := r.offset(), r.offset()
-			u.Records = append(u.Records, feed.Record{Key: string(r.bytes()), Value: r.bytes(), Next: next, DeltaBase: base})
+		if records == partOfRecord {
+			u.part = r.recordPart()
+		} else {
+			for range records {
+				u.Records = append(u.Records, r.record())
+			}
 		}
 		m.updates = append(m.updates, u)
 	}
 }
+
+func (r *fieldReader) record() feed.Record {
+	next, base := r.offset(), r.offset()
+	return feed.Record{Key: string(r.bytes()), Value: r.bytes(), Next: next, DeltaBase: base}
+}
+
+func (r *fieldReader) recordPart() *recordPart {
+	p := &recordPart{index: int(r.byte()), count: int(r.byte()), data: r.bytes()}
+	if p.index >= p.count || p.count > maxUpdateFragments || len(p.data) == 0 || len(p.data) > partDataBytes {
+		r.malformed = true
+	}
+	return p
+}
