server/node: fetch missing changes of the configuration from other nodes

Cause: a node without a peer update could only read the store.

Change: NodeService.FetchChanges returns the changes of the configuration from an offset on. The follower calls it by Schedule.FetchMissing. The registrations and the list of nodes have keys that are removed, of which there is no complete list of changes; they have no such call. Calls are counted by result and logged.

--- a/api/node/v1/nodev1connect/node.connect.go
+++ b/api/node/v1/nodev1connect/node.connect.go
@@ -37,6 +37,9 @@
 const (
 	// NodeServiceFetchFeedProcedure is the fully-qualified name of the NodeService's FetchFeed RPC.
 	NodeServiceFetchFeedProcedure = "/lentilpick.node.v1.NodeService/FetchFeed"
+	// NodeServiceFetchChangesProcedure is the fully-qualified name of the NodeService's FetchChanges
+	// RPC.
+	NodeServiceFetchChangesProcedure = "/lentilpick.node.v1.NodeService/FetchChanges"
 )
 
 // NodeServiceClient is a client for the lentilpick.node.v1.NodeService service.
@@ -45,6 +48,12 @@
 	// node. Nodes that start while the store does not respond to them call it. The
 	// error code is unavailable until this node has read the feed.
 	FetchFeed(context.Context, *connect.Request[v1.FetchFeedRequest]) (*connect.Response[v1.FetchFeedResponse], error)
+	// FetchChanges returns the changes of the configuration from an offset on, as
+	// applied by this node. Nodes that have missed a change or that the store
+	// rejects call it. The error code is unavailable if this node has not applied
+	// more than the caller, and resource_exhausted if the response would exceed
+	// the bound on its size or too many calls are in progress.
+	FetchChanges(context.Context, *connect.Request[v1.FetchChangesRequest]) (*connect.Response[v1.FetchChangesResponse], error)
 }
 
 // NewNodeServiceClient constructs a client for the lentilpick.node.v1.NodeService service. By
@@ -64,12 +73,19 @@
 			connect.WithSchema(nodeServiceMethods.ByName("FetchFeed")),
 			connect.WithClientOptions(opts...),
 		),
+		fetchChanges: connect.NewClient[v1.FetchChangesRequest, v1.FetchChangesResponse](
+			httpClient,
+			baseURL+NodeServiceFetchChangesProcedure,
+			connect.WithSchema(nodeServiceMethods.ByName("FetchChanges")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // nodeServiceClient implements NodeServiceClient.
 type nodeServiceClient struct {
-	fetchFeed *connect.Client[v1.FetchFeedRequest, v1.FetchFeedResponse]
+	fetchFeed    *connect.Client[v1.FetchFeedRequest, v1.FetchFeedResponse]
+	fetchChanges *connect.Client[v1.FetchChangesRequest, v1.FetchChangesResponse]
 }
 
 // FetchFeed calls lentilpick.node.v1.NodeService.FetchFeed.
@@ -77,12 +93,23 @@
 	return c.fetchFeed.CallUnary(ctx, req)
 }
 
+// FetchChanges calls lentilpick.node.v1.NodeService.FetchChanges.
+func (c *nodeServiceClient) FetchChanges(ctx context.Context, req *connect.Request[v1.FetchChangesRequest]) (*connect.Response[v1.FetchChangesResponse], error) {
+	return c.fetchChanges.CallUnary(ctx, req)
+}
+
 // NodeServiceHandler is an implementation of the lentilpick.node.v1.NodeService service.
 type NodeServiceHandler interface {
 	// FetchFeed returns the newest records of a feed of the store as read by this
 	// node. Nodes that start while the store does not respond to them call it. The
 	// error code is unavailable until this node has read the feed.
 	FetchFeed(context.Context, *connect.Request[v1.FetchFeedRequest]) (*connect.Response[v1.FetchFeedResponse], error)
+	// FetchChanges returns the changes of the configuration from an offset on, as
+	// applied by this node. Nodes that have missed a change or that the store
+	// rejects call it. The error code is unavailable if this node has not applied
+	// more than the caller, and resource_exhausted if the response would exceed
+	// the bound on its size or too many calls are in progress.
+	FetchChanges(context.Context, *connect.Request[v1.FetchChangesRequest]) (*connect.Response[v1.FetchChangesResponse], error)
 }
 
 // NewNodeServiceHandler builds an HTTP handler from the service implementation. It returns the path
@@ -98,10 +125,18 @@
 		connect.WithSchema(nodeServiceMethods.ByName("FetchFeed")),
 		connect.WithHandlerOptions(opts...),
 	)
+	nodeServiceFetchChangesHandler := connect.NewUnaryHandler(
+		NodeServiceFetchChangesProcedure,
+		svc.FetchChanges,
+		connect.WithSchema(nodeServiceMethods.ByName("FetchChanges")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/lentilpick.node.v1.NodeService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case NodeServiceFetchFeedProcedure:
 			nodeServiceFetchFeedHandler.ServeHTTP(w, r)
+		case NodeServiceFetchChangesProcedure:
+			nodeServiceFetchChangesHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -114,3 +149,7 @@
 func (UnimplementedNodeServiceHandler) FetchFeed(context.Context, *connect.Request[v1.FetchFeedRequest]) (*connect.Response[v1.FetchFeedResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("lentilpick.node.v1.NodeService.FetchFeed is not implemented"))
 }
+
+func (UnimplementedNodeServiceHandler) FetchChanges(context.Context, *connect.Request[v1.FetchChangesRequest]) (*connect.Response[v1.FetchChangesResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("lentilpick.node.v1.NodeService.FetchChanges is not implemented"))
+}
--- a/loadshare/peers.go
+++ b/loadshare/peers.go
@@ -78,14 +78,20 @@
 	return id == l.self.DataCentre || slices.ContainsFunc(l.remote, func(g group) bool { return g.members[0].DataCentre == id })
 }
 
-// name returns the name of the peer with the given hash, or "" if there is none.
-func (l *peerList) name(hash uint64) types.VMID {
+// find returns the peer with the given hash.
+func (l *peerList) find(hash uint64) (Peer, bool) {
 	for _, g := range append([]group{l.local}, l.remote...) {
 		if i := slices.Index(g.hashes, hash); i >= 0 {
-			return g.members[i].Name
+			return g.members[i], true
 		}
 	}
-	return ""
+	return Peer{}, false
+}
+
+// name returns the name of the peer with the given hash, or "" if there is none.
+func (l *peerList) name(hash uint64) types.VMID {
+	p, _ := l.find(hash)
+	return p.Name
 }
 
 // newPeerList groups the daemons by data centre.
--- a/loadshare/progress.go
+++ b/loadshare/progress.go
@@ -296,3 +296,13 @@
 	defer p.mu.Unlock()
 	return ReadState{p.localAge(now), p.peerAge(now), e.peers.Load().name(p.freshestPeer), p.next, p.claimedUpTo}
 }
+
+// ChangeSource returns the peer that was the first to claim the newest known change of the feed
+// with the given index. ok is false if there is no such claim or the peer is not in the list.
+func (e *Exchanger) ChangeSource(index int) (source Peer, ok bool) {
+	p := e.feeds[index]
+	p.mu.Lock()
+	announcer := p.announcer
+	p.mu.Unlock()
+	return e.peers.Load().find(announcer)
+}
--- a/loadshare/progress_test.go
+++ b/loadshare/progress_test.go
@@ -51,3 +51,25 @@
 		assert.Equal(t, len(p.Wake()), 1, "the next change wakes again")
 	})
 }
+
+// Guards against a node that requests a change from a peer that does not have it, because it only
+// repeats a claim or has claimed an older change.
+func TestChangeSource(t *testing.T) {
+	r, _ := newExchanger(t, "two")
+	first, second := Peer{Name: "first", DataCentre: "dc2"}, Peer{Name: "second"}
+	r.SetPeers(Peer{Name: "two"}, []Peer{first, second})
+	_, ok := r.ChangeSource(1)
+	assert.Assert(t, !ok)
+	for _, c := range []struct {
+		from    Peer
+		changed types.Offset
+	}{{second, 40}, {first, 45}, {second, 45}, {second, 44}} {
+		r.Feed(1).applyClaim(claim{changed: c.changed, age: neverRead}, 1, c.from.hash())
+	}
+	p, ok := r.ChangeSource(1)
+	assert.Assert(t, ok)
+	assert.Equal(t, p.Name, first.Name)
+	r.SetPeers(Peer{Name: "two"}, []Peer{second})
+	_, ok = r.ChangeSource(1)
+	assert.Assert(t, !ok, "the peer has left")
+}
--- a/server/node/counters.go
+++ b/server/node/counters.go
@@ -33,6 +33,8 @@
 	byFeed       [loadshare.Feeds]metric.MeasurementOption
 	// skipped counts the configurations that were not decoded because newer ones replace them.
 	skipped metric.Int64Counter
+	// changesCalls counts the calls to other nodes for missing changes, by result.
+	changesCalls *daemon.ReasonCounter
 	// leaving, pauses and invalidPauses count what targets report about themselves.
 	leaving, pauses, invalidPauses metric.Int64Counter
 	// limits and invalidLimits count the limits that targets declare.
@@ -119,6 +121,9 @@
 	for i, n := range feedNames {
 		c.byFeed[i] = metric.WithAttributeSet(attribute.NewSet(attribute.String("feed", n)))
 	}
+	if c.changesCalls, err = m.NewReasonCounter("lentilpick_changes_calls", "Calls to other nodes for missing changes of the configuration, by result.", changesResultNames); err != nil {
+		return nil, err
+	}
 	if c.leaving, err = m.Meter.Int64Counter("lentilpick_targets_leaving", metric.WithDescription("Targets that declared in a response that they are leaving.")); err != nil {
 		return nil, err
 	}
--- a/server/node/pace.go
+++ b/server/node/pace.go
@@ -1,11 +1,13 @@
 package node
 
 import (
+	"context"
 	"time"
 
 	"github.com/lentilpick/lentilpick/clock"
 	"github.com/lentilpick/lentilpick/feed"
 	"github.com/lentilpick/lentilpick/loadshare"
+	"github.com/lentilpick/lentilpick/types"
 )
 
 // Indexes of the feeds that the nodes share.
@@ -32,6 +34,9 @@
 	// announce sends the progress of this node to the others without waiting for the next
 	// heartbeat.
 	announce func()
+	// fetchMissing, if not nil, fetches changes that peers have announced from one of them. It is
+	// for feeds whose keys are never removed.
+	fetchMissing func(ctx context.Context, from types.Offset) (feed.Update, error)
 	// readsForPeers reports whether the latest read was due because this node is the reader or
 	// took over from it, so that the changes are published. It is used only by the goroutine
 	// that reads.
@@ -121,7 +126,8 @@
 func (p *readPacer) schedule(minPause, maxPause time.Duration) feed.Schedule {
 	return feed.Schedule{
 		Now: p.now, Due: p.due, OnRead: p.recordRead, Wake: p.progress.Wake(), PeerUpdates: p.progress.Updates(),
-		Known: p.progress.KnownUpTo, OnApplied: p.progress.RecordApplied, OnMissed: p.progress.RecordMissed,
+		OnApplied: p.progress.RecordApplied, OnMissed: p.progress.RecordMissed,
+		Known: p.progress.KnownUpTo, FetchMissing: p.fetchMissing,
 		MinPause: minPause, MaxPause: func() time.Duration { return p.maxBackoff(maxPause) },
 	}
 }
--- a/server/node/peerfeeds.go
+++ b/server/node/peerfeeds.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"time"
 
@@ -45,7 +46,17 @@
 // peerService serves the records that this node has read from the store to other nodes. It
 // implements nodev1connect.NodeServiceHandler.
 type peerService struct {
-	feeds *[len(wireFeeds)]mirror.Feed
+	feeds   *[len(wireFeeds)]mirror.Feed
+	changes changesServer
+}
+
+// FetchChanges implements nodev1connect.NodeServiceHandler.
+func (s peerService) FetchChanges(_ context.Context, req *connect.Request[nodev1.FetchChangesRequest]) (*connect.Response[nodev1.FetchChangesResponse], error) {
+	m, err := s.changes.fetch(req.Msg)
+	if err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(m), nil
 }
 
 // FetchFeed implements nodev1connect.NodeServiceHandler.
@@ -82,7 +93,8 @@
 // servePeers returns the HTTP server of the node service.
 func (n *Node) servePeers() *http.Server {
 	mux := http.NewServeMux()
-	mux.Handle(nodev1connect.NewNodeServiceHandler(peerService{&n.mirrors}, connect.WithReadMaxBytes(maxFetchBytes)))
+	changes := newChangesServer(n.mirrors[feedConfig].ChangesSince)
+	mux.Handle(nodev1connect.NewNodeServiceHandler(peerService{&n.mirrors, changes}, connect.WithReadMaxBytes(maxFetchBytes)))
 	return &http.Server{Handler: mux, ReadHeaderTimeout: peerHeaderTimeout}
 }
 
@@ -96,7 +108,7 @@
 // newPeerFetcher returns a fetcher for the seeds in the platform's settings, without this node.
 func newPeerFetcher(m *platform.Settings, feed nodev1.Feed, log *logrus.Entry) peerFetcher {
 	f := peerFetcher{feed: feed, log: log.WithField(fieldSource, feed.String())}
-	h := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	h := newPeerClient()
 	for _, s := range m.SeedAddresses {
 		if s != m.ControlAddress {
 			f.seeds = append(f.seeds, nodev1connect.NewNodeServiceClient(h, "http://"+s, connect.WithReadMaxBytes(maxFetchBytes)))
@@ -105,6 +117,13 @@
 	return f
 }
 
+// newPeerClient returns a client for calls to other nodes, which are rare.
+func newPeerClient() *http.Client {
+	// A transport does not end the dialling of a connection with the request.
+	d := net.Dialer{Timeout: fetchTimeout}
+	return &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: d.DialContext}}
+}
+
 // errNoSeed reports that the platform's settings name no other node as a seed.
 var errNoSeed = errors.New("no seed node configured")
 
@@ -157,11 +176,15 @@
 	if index == feedConfig {
 		results.level = logrus.InfoLevel
 	}
-	return sharedFeed{
+	f := sharedFeed{
 		index, n.exchanger, newReadPacer(n.exchanger, index, interval, wait, n.rankInDataCentre, clock.Now), &n.mirrors[index],
 		newPeerFetcher(n.machine, wireFeeds[index], n.log), func(r feed.CallReason) { n.counters.storeCalls.Add(storeCallIndex(index, r)) },
 		results.logResult,
 	}
+	if c := n.newChangesFetcher(); c != nil && index == feedConfig {
+		f.pacer.fetchMissing = c.fetch
+	}
+	return f
 }
 
 // followFeed follows a feed of the store until the context ends. It publishes the changes that this
