feed: a node that the store rejects fetches what it misses from others

A node that the store rejected heard from claims that changes were missing, and could only wait until the store served it again. A node that was woken read the store although another node had the changes.

After a failed call and on a wake, the follower now calls Schedule.FetchMissing if claims report changes that it does not have, for 500 ms at most, and applies the result like a peer update. If that returns all of them, a wake causes no call to the store. The pause after a failed call stays as it is, and during it fetches that leave changes missing begin at least 250 ms apart. Without FetchMissing, which no feed sets yet, nothing changes.

TestFetchMissing covers a woken and a rejected node, fetches that fail and others that are silent.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -205,6 +205,16 @@
 // Shorter failures are single lost calls.
 const minOutage = 500 * time.Millisecond
 
+const (
+	// fetchTimeout bounds FetchMissing. It is the time that a read by the daemon that reads for
+	// others waits for changes: a daemon that does not respond must not delay a read of the
+	// source for longer than that.
+	fetchTimeout = 500 * time.Millisecond
+	// fetchInterval is the minimum time between the start of a fetch that left records missing
+	// and the next one. Claims of other daemons arrive several times as often.
+	fetchInterval = 250 * time.Millisecond
+)
+
 // Follow reads the feed until the context ends. It lists the keys first and reads changes
 // from then on.
 func Follow[T any](ctx context.Context, src Source[T], h Handler[T], s Schedule) {
@@ -218,9 +228,7 @@
 			continue
 		}
 		f.pause = min(max(2*f.pause, s.MinPause), s.MaxPause())
-		// A wake must not shorten the pause: while the store refuses the calls of this node,
-		// each message from a peer would trigger another call.
-		f.sleep(ctx, f.pause, nil)
+		f.backOff(ctx)
 	}
 }
 
@@ -242,6 +250,8 @@
 	// Known at which ReadNewest returned nothing.
 	noNewest  bool
 	emptyUpTo types.Offset
+	// nextFetch is the earliest time of the next call of FetchMissing.
+	nextFetch clock.Instant
 }
 
 func (f *follower[T]) listOrRead(ctx context.Context) bool {
@@ -369,13 +379,74 @@
 		if pause <= 0 {
 			return wait, CallDue
 		}
-		if f.sleep(ctx, pause, f.s.Wake) {
+		if f.sleep(ctx, pause, f.s.Wake) && !f.fetchMissing(ctx) {
 			return 0, CallWoken
 		}
 	}
 	return 0, CallDue
 }
 
+// backOff waits for the pause after a failed call. A wake does not shorten the pause: while the
+// store refuses the calls of this node, each message from a peer would trigger another call. It
+// only fetches what is missing from another daemon.
+func (f *follower[T]) backOff(ctx context.Context) {
+	end := f.s.Now().Add(f.pause)
+	f.fetchMissing(ctx)
+	var wake <-chan struct{}
+	if f.s.FetchMissing != nil {
+		wake = f.s.Wake
+	}
+	for ctx.Err() == nil {
+		left := end.Sub(f.s.Now())
+		if left <= 0 {
+			return
+		}
+		if f.sleep(ctx, left, wake) {
+			f.fetchMissing(ctx)
+		}
+	}
+}
+
+// fetchMissing fetches the changes that other daemons claim, and that this one has not applied,
+// from one of them. It reports whether it has applied changes and no claimed ones are missing.
+func (f *follower[T]) fetchMissing(ctx context.Context) bool {
+	if f.s.FetchMissing == nil || !f.listed {
+		return false
+	}
+	before := f.next
+	f.applyQueued()
+	if f.known() > f.next && f.s.Now() >= f.nextFetch {
+		f.nextFetch = f.s.Now().Add(fetchInterval)
+		ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+		defer cancel()
+		if u, err := f.s.FetchMissing(ctx, f.next); err == nil {
+			f.applyUpdate(u)
+		}
+		// A wake during the fetch may be about the changes that it has returned.
+		select {
+		case <-f.s.Wake:
+		default:
+		}
+	}
+	if f.next == before || f.known() > f.next {
+		return false
+	}
+	f.nextFetch = 0
+	return true
+}
+
+// applyQueued applies the updates that other daemons have sent already.
+func (f *follower[T]) applyQueued() {
+	for {
+		select {
+		case u := <-f.s.PeerUpdates:
+			f.applyUpdate(u)
+		default:
+			return
+		}
+	}
+}
+
 func (f *follower[T]) notifyCall(r CallReason) {
 	if f.s.OnCall != nil {
 		f.s.OnCall(r)
--- a/feed/newest_test.go
+++ b/feed/newest_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -25,7 +26,7 @@
 	bytesPerS    int
 	maxReadBytes int
 	// rejected makes all calls fail at once.
-	rejected         bool
+	rejected         atomic.Bool
 	reads, newest    int
 	newestUnsupports bool
 }
@@ -36,7 +37,7 @@
 	if ctx.Err() != nil {
 		return ctx.Err()
 	}
-	if s.rejected {
+	if s.rejected.Load() {
 		return errSlow
 	}
 	d := time.Duration(bytes) * time.Second / time.Duration(s.bytesPerS)
@@ -186,3 +187,72 @@
 	assert.DeepEqual(t, results, []ReadResult{{Listed: true}, {Next: 7, Changed: 7}, {Next: 7}})
 	assert.Equal(t, src.reads, 4, "three parts, and a read when it is due")
 }
+
+// Guards against a node that the store rejects, or that a wake tells of a change, and that reads
+// the store although another daemon has the change, and against requests to others at the pace of
+// their messages when these have nothing.
+func TestFetchMissing(t *testing.T) {
+	for name, c := range map[string]struct {
+		rejected bool
+		// fetch is the time that a fetch takes, and fails whether it returns an error.
+		fetch time.Duration
+		fails bool
+		// calls is the number of calls to the source, and fetches the maximum number of fetches.
+		calls, fetches int
+	}{
+		"woken":                       {false, 0, false, 1, 1},
+		"woken, fetch fails":          {false, 0, true, 2, 1},
+		"rejected":                    {true, 0, false, 6, 1},
+		"rejected, fetches fail":      {true, 0, true, 6, 7},
+		"rejected, others are silent": {true, time.Hour, true, 4, 4},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var applied []types.Offset
+			var fetches atomic.Int32
+			src := &linkSource{listEnd: 10, recordBytes: 1, bytesPerS: 1e9, maxReadBytes: 1 << 20}
+			runFor(t, 1700*time.Millisecond, func(began time.Time) (Source[string], Schedule) {
+				wake := make(chan struct{}, 1)
+				known := func() types.Offset {
+					if time.Since(began) < 50*time.Millisecond {
+						return 10
+					}
+					return 12
+				}
+				src.end = known
+				go func() {
+					time.Sleep(50 * time.Millisecond)
+					src.rejected.Store(c.rejected)
+					for range 160 {
+						time.Sleep(10 * time.Millisecond)
+						if len(wake) == 0 && (c.rejected || fetches.Load() == 0) {
+							wake <- struct{}{}
+						}
+					}
+				}()
+				due := time.Minute
+				if c.rejected {
+					due = 100 * time.Millisecond
+				}
+				return src, Schedule{
+					Due: every(due, 0), Wake: wake, Known: known,
+					OnApplied: func(o types.Offset) { applied = append(applied, o) },
+					FetchMissing: func(ctx context.Context, from types.Offset) (Update, error) {
+						fetches.Add(1)
+						select {
+						case <-ctx.Done():
+						case <-time.After(c.fetch):
+						}
+						if c.fails {
+							return Update{}, errSlow
+						}
+						return Update{Since: from, Next: 12, Records: []Record{{Key: "k", Value: []byte("v"), Next: 12}}}, nil
+					},
+				}
+			})
+			assert.Equal(t, src.reads+src.newest, c.calls)
+			n := int(fetches.Load())
+			assert.Assert(t, n > 0 && n <= c.fetches, "%d fetches", n)
+			assert.Equal(t, len(applied) == 1, !c.fails)
+		})
+	}
+}
