node: the reader of a data centre has most cores, and does not fill its link

Readers were ranked by VM name, so that a data centre could be read for by its VM with 0.134 of a core and 10 Mbit/s, while others had 0.8 and 200 Mbit/s. With changes of 187 KB every 0.12 s the reader read without a pause.

The rank among the nodes of a data centre is by cores first, then by name. The rank for the planning of roles stays by name. After a read with records the reader pauses for as long as the read took, but begins the next one when the last is as old as interval and wait together: that is the age on which takeoverAge and the bounds of checkBounds are based, so they hold unchanged. A read that takes longer than that is followed by the next one without a pause.

TestReaderHasMostCores and TestReaderRestsAfterLargeReads failed before.

--- a/server/node/node.go
+++ b/server/node/node.go
@@ -257,26 +257,33 @@
 // rank returns the position of this node among all nodes, sorted by VM name. It decides in which
 // sequence the nodes take over the planning of roles.
 func (n *Node) rank() int {
-	return n.rankAmong(func(Member) bool { return true })
+	return n.countBefore(func(m Member) bool { return m.VM < n.machine.VM })
 }
 
-// rankInDataCentre returns the position of this node among the nodes of its data centre. It
-// decides in which sequence the nodes take over reading the store.
+// rankInDataCentre returns the position of this node among the nodes of its data centre, those with
+// most cores first and then by VM name. It decides in which sequence the nodes take over reading the
+// store. The links of the VMs are as different as their cores, and the first node by name may have
+// the slowest one.
 func (n *Node) rankInDataCentre() int {
-	return n.rankAmong(func(m Member) bool { return m.DataCentre == n.machine.DataCentre })
+	return n.countBefore(func(m Member) bool {
+		if m.DataCentre != n.machine.DataCentre {
+			return false
+		}
+		return m.Cores > n.machine.Cores || m.Cores == n.machine.Cores && m.VM < n.machine.VM
+	})
 }
 
-// rankAmong returns the position of this node among the members that include accepts. A node that
-// does not know the members yet comes last, so that not all nodes of a fleet that starts consider
-// themselves the first.
-func (n *Node) rankAmong(include func(Member) bool) int {
+// countBefore returns the number of members that come before this node. A node that does not know
+// the members yet comes last, so that not all nodes of a fleet that starts consider themselves the
+// first.
+func (n *Node) countBefore(before func(Member) bool) int {
 	members := n.peers.Load()
 	if members == nil {
 		return maxTakeoverSteps
 	}
 	i := 0
 	for _, m := range *members {
-		if m.VM < n.machine.VM && include(m) {
+		if before(m) {
 			i++
 		}
 	}
--- a/server/node/pace.go
+++ b/server/node/pace.go
@@ -41,6 +41,9 @@
 	// took over from it, so that the changes are published. It is used only by the goroutine
 	// that reads.
 	readsForPeers bool
+	// lastDuration is the duration of the latest read if it returned records, otherwise 0. It is
+	// used only by the goroutine that reads.
+	lastDuration time.Duration
 }
 
 const (
@@ -85,9 +88,14 @@
 	ownAge := p.progress.LocalAge(now)
 	if rank == 0 {
 		p.readsForPeers = true
+		pause = p.interval - ownAge
+		// Large records that change quickly would fill the link of the reader, which requests need
+		// too. It pauses for as long as it has read, but begins the next read in time for the others
+		// to depend on it, so that the bound of maxReadGap holds.
+		rest := min(2*p.lastDuration, p.interval+p.wait) - ownAge
 		// A read that returned changes is current only as of its start. The next one waits for
 		// less time, so that it ends before the others consider this node's claim stale.
-		return p.interval - ownAge, max(p.wait-max(ownAge-p.interval, 0), 0)
+		return max(pause, rest), max(p.wait-max(ownAge-p.interval, 0), 0)
 	}
 	limit := p.takeoverAge + takeoverStep*time.Duration(min(rank, maxTakeoverSteps))
 	left := limit - p.progress.Age(now)
@@ -98,6 +106,7 @@
 // recordRead records a read and announces one that was made on behalf of other nodes, so that they
 // do not read as well.
 func (p *readPacer) recordRead(r feed.ReadResult) {
+	p.lastDuration = r.Duration
 	p.progress.RecordRead(r, p.readsForPeers)
 	if p.readsForPeers {
 		p.announce()
--- a/server/node/pace_test.go
+++ b/server/node/pace_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -61,6 +62,45 @@
 	}
 }
 
+// Guards against a reader that fills its link with large records that change quickly, and against a
+// pause after which the others consider its claim stale.
+func TestReaderRestsAfterLargeReads(t *testing.T) {
+	s := loadshare.New("vm", nil, directory.New(), &demand.Table{}, clock.Now)
+	p := &readPacer{progress: s.Feed(0), wait: 500 * time.Millisecond, rank: func() int { return 0 }, announce: func() {}}
+	now := clock.Now()
+	for duration, want := range map[time.Duration]time.Duration{
+		100 * time.Millisecond: 100 * time.Millisecond,
+		200 * time.Millisecond: 200 * time.Millisecond,
+		400 * time.Millisecond: 100 * time.Millisecond,
+		2 * time.Second:        0,
+	} {
+		p.recordRead(feed.ReadResult{AsOf: now, Next: 2, Changed: 2, Duration: duration})
+		pause, _ := p.due(now.Add(duration))
+		assert.Equal(t, max(pause, 0), want)
+		pause, wait := p.due(now.Add(duration + want))
+		assert.Assert(t, pause <= 0)
+		assert.Assert(t, duration >= p.wait || duration+want+wait <= p.wait, "the next read ends as early as without a pause")
+	}
+	p.recordRead(feed.ReadResult{AsOf: now, Next: 2})
+	pause, _ := p.due(now)
+	assert.Assert(t, pause <= 0, "a read without records is followed by the next one")
+}
+
+// Guards against a data centre whose feeds are read by its VM with the slowest link because of its
+// name (issue 41: 0.134 of a core and 10 Mbit/s, while others had 0.8 and 200 Mbit/s).
+func TestReaderHasMostCores(t *testing.T) {
+	members := []Member{{VM: "a", DataCentre: "dc", Cores: 0.134}, {VM: "b", DataCentre: "dc", Cores: 0.8}, {VM: "c", DataCentre: "dc", Cores: 0.8}, {VM: "d", DataCentre: "dc"}, {VM: "e", DataCentre: "other", Cores: 2}}
+	for vm, want := range map[int]int{0: 2, 1: 0, 2: 1, 3: 3, 4: 0} {
+		self := members[vm]
+		n := &Node{machine: &platform.Settings{VM: self.VM, DataCentre: self.DataCentre, Cores: self.Cores}}
+		assert.Equal(t, n.rankInDataCentre(), maxTakeoverSteps, "the members are not known yet")
+		others := slices.Delete(slices.Clone(members), vm, vm+1)
+		n.peers.Store(&others)
+		assert.Equal(t, n.rankInDataCentre(), want, "%s", self.VM)
+		assert.Equal(t, n.rank(), vm, "the planning of roles does not depend on the cores")
+	}
+}
+
 // Guards against frequent retries by nodes that cannot read the store although other nodes send them
 // the changes (trouble-1 of mtc-lentil-grown: 50 calls per second for 9 s), and against long delays
 // between retries while no node can read it.
