delta, mirror: stricter tests of repeated content and of listings

Cause: two deliberate faults passed: an unbounded list of candidates with the same hash, and a listing that drops the retained bases.

Change: a base with 65,536 equal blocks against a value in which they are shifted, instead of a periodic one; two listings while a delta is on its way.

Result: both are detected.

--- a/delta/delta_test.go
+++ b/delta/delta_test.go
@@ -130,11 +130,18 @@
 		return b
 	}
 	zeros := make([]byte, limit)
-	periodic := bytes.Repeat(append(make([]byte, 63), 1), limit/64)
+	// alternating has a repeated block before each one that occurs once.
+	alternating := func(seed uint64) []byte {
+		b := noise(limit, seed)
+		for i := 0; i < len(b); i += 2 * blockBytes {
+			clear(b[i : i+blockBytes])
+		}
+		return b
+	}
 	for name, c := range map[string]struct{ base, value []byte }{
 		"equal":                  {zeros, zeros},
 		"repeated":               {zeros, append(append([]byte{1}, zeros[:limit/2]...), 1)},
-		"period of two blocks":   {periodic, append(append([]byte{1}, periodic[7:limit/2]...), 9)},
+		"repeated blocks":        {alternating(5), append([]byte{1}, alternating(6)[:limit-1]...)},
 		"repeated against noise": {zeros, noise(limit, 1)},
 		"noise":                  {noise(limit, 2), noise(limit, 3)},
 		"empty base":             {nil, noise(1<<20, 4)},
@@ -186,7 +193,9 @@
 	}
 }
 
-func BenchmarkEncode(b *testing.B) { benchmarkSizes(b, func(base, value []byte) { Encode(base, value) }) }
+func BenchmarkEncode(b *testing.B) {
+	benchmarkSizes(b, func(base, value []byte) { Encode(base, value) })
+}
 
 // BenchmarkRoundTrip includes the time of BenchmarkEncode.
 func BenchmarkRoundTrip(b *testing.B) {
--- a/mirror/delta_test.go
+++ b/mirror/delta_test.go
@@ -89,9 +89,11 @@
 	r := (*updates)[1].Records[0]
 	assert.Equal(t, r.DeltaBase, types.Offset(4), "nobody else may have the undecodable record")
 	assertDecodes(t, &follower, r, 7)
-	// A listing, after records have expired, leaves the bases of what others send.
-	other.HandleListing(listing(9, version(9)), 0)
-	assertDecodes(t, &follower, r, 7)
+	// Listings, after records have expired, leave the bases of what others send.
+	for n := 9; n < 11; n++ {
+		other.HandleListing(listing(types.Offset(n), version(n)), 0)
+		assertDecodes(t, &follower, r, 7)
+	}
 }
 
 // Guards against a delta that yields a wrong value or stops the feed: it has another base, a value
