logclient: bound a read by its progress instead of its size

What callers see: a control daemon on a slow or busy link stays at an old revision of the configuration until its link is idle or the records expire, and reads of key records fail for ever in the same way.

Cause: a read is given up 1.5 s after its wait, whatever it has transferred, and the next one asks for the same records again.

Change: while data arrives, the deadline of a read without a deadline of its context moves to 1.5 s after the last data, up to 30 s. A connection without data is given up as early as before. Appends and calls with a deadline of their own are bounded as before.

Evidence: TestReadOnASlowLinkSucceeds sends a response over 3 s.

The sizes are worked out; no run with a configuration of this size over a slow link was made.

--- a/logclient/http.go
+++ b/logclient/http.go
@@ -52,8 +52,8 @@
 const (
 	maxResponseBytes = 64 << 20
 	requestTimeout   = 5 * time.Second
-	// readTimeout bounds a read in addition to the time that it waits for records, so
-	// that a change missed on an unresponsive connection is read in time on a new one.
+	// readTimeout bounds the time without data of a read, in addition to the time that it
+	// waits for records, so that a change missed on an unresponsive connection is read in time on a new one.
 	// A slow log responds within 500 ms.
 	readTimeout = 1500 * time.Millisecond
 )
@@ -62,23 +62,31 @@
 type Client struct {
 	base string
 	http *fasthttp.Client
+	// reads extends the timeout of a response while its data arrives.
+	reads *fasthttp.Client
 }
 
 // NewClient returns a client of the platform at address, given as IP address and
 // port. wrap, if not nil, is applied to each new connection.
 func NewClient(address string, wrap func(net.Conn) net.Conn) *Client {
-	return &Client{
-		base: "http://" + address,
-		http: &fasthttp.Client{
-			Name:                      "lentilpick",
-			MaxIdemponentCallAttempts: 1, // a repeated append would be a duplicate
-			MaxResponseBodySize:       maxResponseBytes,
-			MaxIdleConnDuration:       10 * time.Second,
-			MaxConnDuration:           5 * time.Minute,
-			Dial: func(addr string) (net.Conn, error) {
-				return dial(addr, time.Second, wrap)
-			},
-		},
+	dialPlain := func(addr string) (net.Conn, error) { return dial(addr, time.Second, wrap) }
+	return &Client{base: "http://" + address, http: newHTTPClient(dialPlain), reads: newHTTPClient(func(addr string) (net.Conn, error) {
+		conn, err := dialPlain(addr)
+		if err != nil {
+			return nil, err
+		}
+		return &progressConn{Conn: conn}, nil
+	})}
+}
+
+func newHTTPClient(dial fasthttp.DialFunc) *fasthttp.Client {
+	return &fasthttp.Client{
+		Name:                      "lentilpick",
+		MaxIdemponentCallAttempts: 1, // a repeated append would be a duplicate
+		MaxResponseBodySize:       maxResponseBytes,
+		MaxIdleConnDuration:       10 * time.Second,
+		MaxConnDuration:           5 * time.Minute,
+		Dial:                      dial,
 	}
 }
 
@@ -150,13 +158,18 @@
 		req.Header.SetContentType("application/json")
 		req.SetBodyRaw(body)
 	}
-	deadline := time.Now().Add(timeout)
-	if d, ok := ctx.Deadline(); ok && d.Before(deadline) {
-		deadline = d
+	deadline, client := time.Now().Add(timeout), c.http
+	if d, ok := ctx.Deadline(); ok {
+		if d.Before(deadline) {
+			deadline = d
+		}
+	} else if method == fasthttp.MethodGet {
+		client = c.reads
 	}
-	if err := c.http.DoDeadline(req, resp, deadline); err != nil {
+	if err := client.DoDeadline(req, resp, deadline); err != nil {
 		// The cause may have made all open connections unresponsive; new ones work.
 		c.http.CloseIdleConnections()
+		c.reads.CloseIdleConnections()
 		return callError(method, err)
 	}
 	return decodeResponse(method, resp, out)
