control: continue the reading of key homes in other data centres

What callers see: in a data centre that is new, requests with a key are refused, because the service of keys is not available.

Cause: claims wait for a record of the homes of keys. Before a data centre writes its first one it reads the key streams of all others from their oldest record, with all key records of the retention, within 10 s. An attempt that takes longer fails, and the next one begins again.

Change: the state of the streams is kept between attempts until the record is made. The bound of an attempt is checked between reads, so that each read has the timeout of logclient.

--- a/server/control/keyhomes.go
+++ b/server/control/keyhomes.go
@@ -16,7 +16,9 @@
 const (
 	homesCheckInterval = time.Second
 	homesBatchRecords  = 1024
-	homesTimeout       = 10 * time.Second
+	// homesTimeout bounds one attempt to read the homes of other data centres. The next one
+	// continues where it ended.
+	homesTimeout = 10 * time.Second
 )
 
 // homeOf returns the home of a key: the data centre whose stream holds its records.
@@ -68,18 +70,21 @@
 	return nil, nil
 }
 
+// errHomesIncomplete reports that the streams of other data centres were not read to their end in
+// time.
+var errHomesIncomplete = errors.New("reading the key streams of other data centres takes longer; it continues")
+
 // initialHomes returns the first homes record of a stream. A new data centre takes
 // the earlier sets of homes from the streams of the other data centres, because
-// requests with keys that moved to it may have run there.
+// requests with keys that moved to it may have run there. After an error the next call continues.
 func (k *keyLog) initialHomes(ctx context.Context, revision types.Revision, dcs []types.DataCentreID) (*idempotency.Homes, error) {
-	ctx, cancel := context.WithTimeout(ctx, homesTimeout)
-	defer cancel()
+	until := time.Now().Add(homesTimeout)
 	h := &idempotency.Homes{Revision: revision, DataCentres: dcs}
 	for _, dc := range dcs {
 		if dc == k.dc {
 			continue
 		}
-		other, err := k.readHomes(ctx, logclient.KeyStream(dc))
+		other, err := k.readHomes(ctx, dc, until)
 		if err != nil {
 			return nil, err
 		}
@@ -91,16 +96,24 @@
 			h.Past = append(h.Past, idempotency.Epoch{DataCentres: other.DataCentres, Until: time.Now()})
 		}
 	}
+	k.otherHomes = nil
 	return h, nil
 }
 
-// readHomes applies the records of KindHomes in a stream and returns the resulting
-// homes, or nil if there are none. They include the earlier sets, dated by the log's
-// timestamps.
-func (k *keyLog) readHomes(ctx context.Context, stream string) (*idempotency.Homes, error) {
-	table := idempotency.NewTable(idempotency.Settings{Window: k.window})
-	for {
-		b, err := k.log.Read(ctx, stream, table.Next(), homesBatchRecords, 0)
+// readHomes applies the records of KindHomes in the stream of another data centre and returns the
+// resulting homes, or nil if there are none. They include the earlier sets, dated by the log's
+// timestamps. It starts no read after the given time.
+func (k *keyLog) readHomes(ctx context.Context, dc types.DataCentreID, until time.Time) (*idempotency.Homes, error) {
+	table := k.otherHomes[dc]
+	if table == nil {
+		table = idempotency.NewTable(idempotency.Settings{Window: k.window})
+		if k.otherHomes == nil {
+			k.otherHomes = map[types.DataCentreID]*idempotency.Table{}
+		}
+		k.otherHomes[dc] = table
+	}
+	for time.Now().Before(until) {
+		b, err := k.log.Read(ctx, logclient.KeyStream(dc), table.Next(), homesBatchRecords, 0)
 		var expired *logclient.ExpiredError
 		if errors.As(err, &expired) {
 			table.SkipExpired(expired.Oldest)
@@ -111,6 +124,7 @@
 		}
 		for _, r := range b.Records {
 			if err := table.Apply(r.Offset, r.At, decodeHomes(r.Data)); err != nil {
+				delete(k.otherHomes, dc)
 				return nil, err
 			}
 		}
@@ -118,6 +132,7 @@
 			return table.Homes(), nil
 		}
 	}
+	return nil, errHomesIncomplete
 }
 
 // decodeHomes decodes the records of KindHomes. Decoding errors are ignored here;
--- a/server/control/keys.go
+++ b/server/control/keys.go
@@ -73,6 +73,9 @@
 	localWriter   *keyWriter
 	appendSlots   chan struct{}
 	homesRequests chan struct{}
+	// otherHomes are the key streams of other data centres as far as they have been read. Only
+	// watchHomes uses them.
+	otherHomes map[types.DataCentreID]*idempotency.Table
 
 	mu       sync.Mutex
 	claims   *idempotency.Claims
