--- a/server/control/peers.go
+++ b/server/control/peers.go
@@ -30,7 +30,10 @@
 	// maxMissedHeartbeats is the number of heartbeat intervals without a message
 	// after which a stream counts as stalled.
 	maxMissedHeartbeats = 3
-	fetchTimeout        = 2 * time.Second
+	// fetchTimeout is the time without data after which a snapshot's peer counts as unresponsive.
+	fetchTimeout = 2 * time.Second
+	// maxFetchTime bounds the transfer of one snapshot.
+	maxFetchTime = 30 * time.Second
 	watchRetryInterval  = 500 * time.Millisecond
 )
 
@@ -42,7 +45,7 @@
 
 func newPeerClients(peers []Peer, listen string, traffic *daemon.Traffic) []peerClient {
 	dialer := daemon.Dialer(listen, fetchTimeout)
-	h := &http.Client{Transport: &http.Transport{
+	h := &http.Client{Transport: wire.ProgressTransport{RoundTripper: &http.Transport{
 		MaxIdleConnsPerHost: 4, IdleConnTimeout: 30 * time.Second,
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := dialer.DialContext(ctx, network, address)
@@ -51,7 +54,7 @@
 			}
 			return traffic.Conn(conn), nil
 		},
-	}}
+	}}}
 	out := make([]peerClient, 0, len(peers))
 	for _, p := range peers {
 		out = append(out, peerClient{
@@ -190,8 +193,11 @@
 }
 
 func loadFromPeer(ctx context.Context, c peerClient, config *ConfigLog) (loaded bool, err error) {
-	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	ctx, cancel := context.WithTimeout(ctx, maxFetchTime)
 	defer cancel()
+	stalled := time.AfterFunc(fetchTimeout, cancel)
+	defer stalled.Stop()
+	ctx = wire.WithProgress(ctx, func() { stalled.Reset(fetchTimeout) })
 	resp, err := c.peer.FetchSnapshot(ctx, connect.NewRequest(&peerv1.FetchSnapshotRequest{}))
 	if err != nil {
 		return false, err
