localview: a view that takes long to transfer is no stalled stream

What callers see: an entry daemon whose own control daemon is down keeps the configuration that it has, and opens a stream every 3 s.

Cause: a stream without a complete message for 3 s counts as stalled. The first message has the whole configuration, which takes longer over a slow link, and the next stream asks for it again.

Change: the 3 s are the time without data.

--- a/server/localview/client.go
+++ b/server/localview/client.go
@@ -23,7 +23,7 @@
 var ErrKeyUnavailable = merry.New("key service is unavailable")
 
 const (
-	// streamStallTimeout is the time without a message after which a view stream is closed. The control
+	// streamStallTimeout is the time without data after which a view stream is closed. The control
 	// daemon sends at least one message per second.
 	streamStallTimeout = 3 * time.Second
 	reconnectDelay     = 200 * time.Millisecond
@@ -45,9 +45,9 @@
 // Connections are made from the IP address of listen.
 func NewClient(vm, listen string, store *Store, addresses []string, log *logrus.Entry) *Client {
 	c := &Client{vm: vm, store: store, log: log, addresses: addresses}
-	h := &http.Client{Transport: &http.Transport{
+	h := &http.Client{Transport: wire.ProgressTransport{RoundTripper: &http.Transport{
 		DialContext: daemon.Dialer(listen, dialTimeout).DialContext, MaxIdleConnsPerHost: 64, IdleConnTimeout: 30 * time.Second,
-	}}
+	}}}
 	for _, a := range addresses {
 		c.clients = append(c.clients, peerv1connect.NewViewServiceClient(h, "http://"+a, wire.NoCompression()))
 	}
@@ -74,6 +74,7 @@
 	defer cancel()
 	stallTimer := time.AfterFunc(streamStallTimeout, cancel)
 	defer stallTimer.Stop()
+	ctx = wire.WithProgress(ctx, func() { stallTimer.Reset(streamStallTimeout) })
 	req := &peerv1.WatchViewRequest{Vm: c.vm, Revision: uint64(c.store.Load().Config.Revision)}
 	stream, err := peer.WatchView(ctx, connect.NewRequest(req))
 	if err != nil {
@@ -81,7 +82,6 @@
 	}
 	defer func() { _ = stream.Close() }()
 	for stream.Receive() {
-		stallTimer.Reset(streamStallTimeout)
 		if err := c.store.Update(stream.Msg(), time.Now()); err != nil {
 			c.log.WithError(err).Error("failed to decode the configuration from the control daemon")
 		}
