configuration: copy the objects once for a batch of changes

What callers see: a control daemon that reads many changes at once, at a start or after an outage of the log, has the newest revision late, and calls that need its configuration log wait meanwhile.

Cause: each change copied the map of all objects of its kind, also when nobody had seen the copy before it.

Evidence: TestConfigurationIsCopiedOncePerPublication.

A change that is published alone still copies all objects of its kind.

--- a/configuration/fold.go
+++ b/configuration/fold.go
@@ -76,11 +76,14 @@
 
 // Fold is the state machine that turns the configuration stream into the
 // configuration in force. All readers of the stream reach the same state. A
-// Fold is not safe for concurrent use, but the values that Config returns are
+// Fold is not safe for concurrent use, but the values that Config and Snapshot return are
 // immutable.
 type Fold struct {
 	next   types.Offset
 	config *Config
+	// owned are the kinds of object whose maps in config only the fold has. A batch of changes
+	// copies them once instead of once for each change.
+	owned  map[ObjectKind]bool
 	recent []Result
 	byID   map[string]Result
 	// deleted contains the revisions of the deletions among the recent results.
@@ -91,14 +94,18 @@
 
 // NewFold returns a fold at the beginning of the stream.
 func NewFold() *Fold {
-	return &Fold{config: New(), byID: map[string]Result{}, deleted: map[objectKey]types.Revision{}}
+	return &Fold{config: New(), owned: map[ObjectKind]bool{}, byID: map[string]Result{}, deleted: map[objectKey]types.Revision{}}
 }
 
 // Next returns the offset of the next record that the fold needs.
 func (f *Fold) Next() types.Offset { return f.next }
 
-// Config returns the configuration in force. The caller must not modify it.
-func (f *Fold) Config() *Config { return f.config }
+// Config returns the configuration in force. The caller must not modify it. The next change copies
+// the objects of its kind.
+func (f *Fold) Config() *Config {
+	clear(f.owned)
+	return f.config
+}
 
 // Undecoded returns the number of records that could not be decoded.
 func (f *Fold) Undecoded() int { return f.undecoded }
@@ -139,6 +146,7 @@
 	}
 	f.next = s.Next
 	f.config = s.Config
+	clear(f.owned)
 	f.recent = nil
 	clear(f.byID)
 	clear(f.deleted)
@@ -152,7 +160,7 @@
 // with the fold, which only appends to them, so the cost of a snapshot does not
 // depend on their number.
 func (f *Fold) Snapshot() *Snapshot {
-	return &Snapshot{Next: f.next, Config: f.config, Recent: slices.Clip(f.recent)}
+	return &Snapshot{Next: f.next, Config: f.Config(), Recent: slices.Clip(f.recent)}
 }
 
 // Evaluate returns the results that the changes would get if they were applied
@@ -181,12 +189,21 @@
 		res.Current = current
 		res.Refusal = fmt.Sprintf("base revision %d of %s %q is not current (%d)", ch.Base, ch.Kind, ch.ObjectID, current)
 	} else {
-		f.config = f.config.withChange(ch)
+		f.own(ch.Kind)
+		f.config.apply(ch)
 		res.Revision, res.Deleted = f.config.Revision, ch.Delete
 	}
 	f.addResult(res)
 }
 
+// own ensures that the fold may modify the objects of a kind.
+func (f *Fold) own(k ObjectKind) {
+	if !f.owned[k] {
+		f.config = f.config.cloneFor(k)
+		f.owned[k] = true
+	}
+}
+
 func (f *Fold) addResult(r Result) {
 	if len(f.recent) == MaxRecentResults {
 		f.dropOldestResult()
@@ -232,19 +249,17 @@
 	return 0
 }
 
-// withChange returns the configuration after a valid change. It does not modify c.
-func (c *Config) withChange(ch *Change) *Config {
-	n := c.cloneFor(ch.Kind)
-	n.Revision++
+// apply applies a valid change.
+func (c *Config) apply(ch *Change) {
+	c.Revision++
 	switch ch.Kind {
 	case ObjectService:
-		putOrDelete(n.Services, types.ServiceID(ch.ObjectID), ch.Service, ch.Delete, n.Revision)
+		putOrDelete(c.Services, types.ServiceID(ch.ObjectID), ch.Service, ch.Delete, c.Revision)
 	case ObjectTarget:
-		putOrDelete(n.Targets, types.TargetID(ch.ObjectID), ch.Target, ch.Delete, n.Revision)
+		putOrDelete(c.Targets, types.TargetID(ch.ObjectID), ch.Target, ch.Delete, c.Revision)
 	case ObjectWorkspace:
-		putOrDelete(n.Workspaces, types.WorkspaceID(ch.ObjectID), ch.Workspace, ch.Delete, n.Revision)
+		putOrDelete(c.Workspaces, types.WorkspaceID(ch.ObjectID), ch.Workspace, ch.Delete, c.Revision)
 	}
-	return n
 }
 
 func putOrDelete[K comparable, V any](m map[K]Entry[V], k K, v *V, remove bool, rev types.Revision) {
--- a/configuration/fold_test.go
+++ b/configuration/fold_test.go
@@ -144,3 +144,30 @@
 	assert.Equal(t, len(snap.Recent), 1)
 	assert.Equal(t, len(snap.Config.Services), 1)
 }
+
+// Guards against a batch of changes that costs a copy of the configuration each, and against a
+// published configuration that a later change modifies.
+func TestConfigurationIsCopiedOncePerPublication(t *testing.T) {
+	f := NewFold()
+	put := func(id string) {
+		ch := &Change{ID: id, Kind: ObjectWorkspace, ObjectID: id, Workspace: &Workspace{ID: types.WorkspaceID(id), Share: 1}}
+		assert.NilError(t, f.Apply(f.Next(), Record{Change: ch}))
+	}
+	put("a")
+	unpublished := f.config
+	put("b")
+	assert.Assert(t, f.config == unpublished)
+	for i, publish := range []func() *Config{f.Config, func() *Config { return f.Snapshot().Config }} {
+		published := publish()
+		put("c" + string(rune('0'+i)))
+		assert.Equal(t, len(published.Workspaces), 2+i)
+		assert.Equal(t, published.Revision, types.Revision(2+i))
+		assert.Equal(t, len(f.config.Workspaces), 3+i)
+	}
+	s := f.Snapshot()
+	f = NewFold()
+	put("other")
+	assert.Assert(t, f.Load(s))
+	put("d")
+	assert.Equal(t, len(s.Config.Workspaces), 4)
+}
