--- a/server/node/peerchanges.go
+++ b/server/node/peerchanges.go
@@ -128,7 +128,7 @@
 		return nil
 	}
 	return &changesFetcher{
-		log: n.log.WithField(fieldSource, feedNames[feedConfig]), client: newPeerClient(), port: port, self: n.machine.IP,
+		log: n.log.WithField(fieldSource, feedNames[feedConfig]), client: &http.Client{Transport: newPeerTransport()}, port: port, self: n.machine.IP,
 		announcer: func() (netip.Addr, bool) {
 			p, ok := n.exchanger.ChangeSource(feedConfig)
 			return p.Address.Addr(), ok
--- a/server/node/peerfeeds.go
+++ b/server/node/peerfeeds.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"time"
 
@@ -18,14 +16,10 @@
 	"github.com/lentilpick/lentilpick/feed"
 	"github.com/lentilpick/lentilpick/loadshare"
 	"github.com/lentilpick/lentilpick/mirror"
-	"github.com/lentilpick/lentilpick/platform"
 	"github.com/lentilpick/lentilpick/types"
 )
 
 const (
-	// fetchTimeout bounds a request to another node. A machine without power does not reject the
-	// connection, so the request would hang.
-	fetchTimeout = time.Second
 	// maxFetchBytes bounds a message from another node. The platform limits a configuration to
 	// 4 MB.
 	maxFetchBytes = 8 << 20
@@ -33,9 +27,6 @@
 	peerHeaderTimeout = 2 * time.Second
 )
 
-// fieldAge is the time since the records were read from the store.
-const fieldAge = "age_ms"
-
 // wireFeeds maps the index of a feed to its value in messages between nodes.
 var wireFeeds = [...]nodev1.Feed{
 	feedConfig:        nodev1.Feed_FEED_CONFIGURATION,
@@ -98,67 +89,6 @@
 	return &http.Server{Handler: mux, ReadHeaderTimeout: peerHeaderTimeout}
 }
 
-// peerFetcher requests one feed from the seed nodes. It implements mirror.Fetcher.
-type peerFetcher struct {
-	log   *logrus.Entry
-	seeds []nodev1connect.NodeServiceClient
-	feed  nodev1.Feed
-}
-
-// newPeerFetcher returns a fetcher for the seeds in the platform's settings, without this node.
-func newPeerFetcher(m *platform.Settings, feed nodev1.Feed, log *logrus.Entry) peerFetcher {
-	f := peerFetcher{feed: feed, log: log.WithField(fieldSource, feed.String())}
-	h := newPeerClient()
-	for _, s := range m.SeedAddresses {
-		if s != m.ControlAddress {
-			f.seeds = append(f.seeds, nodev1connect.NewNodeServiceClient(h, "http://"+s, connect.WithReadMaxBytes(maxFetchBytes)))
-		}
-	}
-	return f
-}
-
-// newPeerClient returns a client for calls to other nodes, which are rare.
-func newPeerClient() *http.Client {
-	// A transport does not end the dialling of a connection with the request.
-	d := net.Dialer{Timeout: fetchTimeout}
-	return &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: d.DialContext}}
-}
-
-// errNoSeed reports that the platform's settings name no other node as a seed.
-var errNoSeed = errors.New("no seed node configured")
-
-// Fetch implements mirror.Fetcher. It sends the request to all seeds concurrently, because most of
-// them may be down, and returns the first successful response.
-func (f peerFetcher) Fetch(ctx context.Context) (mirror.Snapshot, error) {
-	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
-	defer cancel()
-	type result struct {
-		snapshot mirror.Snapshot
-		err      error
-	}
-	results := make(chan result, len(f.seeds))
-	for _, s := range f.seeds {
-		go func() {
-			resp, err := s.FetchFeed(ctx, connect.NewRequest(&nodev1.FetchFeedRequest{Feed: f.feed}))
-			if err != nil {
-				results <- result{err: err}
-				return
-			}
-			results <- result{snapshot: decodeSnapshot(resp.Msg)}
-		}()
-	}
-	err := errNoSeed
-	for range f.seeds {
-		r := <-results
-		if r.err == nil {
-			f.log.WithFields(logrus.Fields{fieldAge: millis(r.snapshot.Age), "records": len(r.snapshot.Records)}).Info("feed taken from another node")
-			return r.snapshot, nil
-		}
-		err = r.err
-	}
-	return mirror.Snapshot{}, err
-}
-
 // sharedFeed is a feed of the store of which some nodes read the changes and publish them to the
 // others.
 type sharedFeed struct {
