loadshare: do not repeat long updates that another reader has published

Cause: a hub sends each fragment to each node of its data centre, at its datagram rate, and forwards the copies of all readers.

Change: a reader that has already received the changes does not publish an update of more than 4 fragments. Short ones are still repeated, as their copies make up for lost messages.

Evidence: TestLongRecordIsNotRepeated fails without the check.

--- a/loadshare/assembly_test.go
+++ b/loadshare/assembly_test.go
@@ -90,6 +90,26 @@
 	assert.Equal(t, len(r.Feed(1).Updates()), 0)
 }
 
+// Guards against readers of several data centres that each publish the same long record, which
+// occupies the hubs (5 copies of 23 messages at the same time: load known 0.7 s late), and against the loss of
+// the copies of short ones, which make up for lost messages.
+func TestLongRecordIsNotRepeated(t *testing.T) {
+	for size, repeated := range map[int]bool{maxRepeatedFragments * partDataBytes / 2: true, 2 * maxRepeatedFragments * partDataBytes: false} {
+		first, _ := newExchanger(t, "one")
+		second, _ := newExchanger(t, "two")
+		second.Feed(1).RecordRead(read(now, 40, 0), false)
+		u := longUpdate(40, 45, size)
+		for _, m := range publishLong(t, first, u) {
+			second.apply(m, now, instant(now))
+		}
+		second.PublishUpdate(1, u)
+		assert.Equal(t, second.UpdatesPublished() > 0, repeated)
+		next := longUpdate(45, 50, size)
+		second.PublishUpdate(1, next)
+		assert.Assert(t, len(second.outbox.updates) > 0, "changes that were not received are published")
+	}
+}
+
 // Guards against memory that grows with the senders of incomplete records, and against parts that
 // form no record and end the exchange.
 func TestAssembliesAreBounded(t *testing.T) {
--- a/loadshare/update.go
+++ b/loadshare/update.go
@@ -20,6 +20,11 @@
 	maxUpdateFragments = 24
 	// maxUpdateRecords bounds the records of one fragment.
 	maxUpdateRecords = 16
+	// maxRepeatedFragments is the length of an update that a daemon publishes although it has
+	// received the same changes: the copies make up for lost messages. Longer ones would occupy
+	// the hubs, which send each fragment to each daemon of their data centre, so that load is
+	// known late.
+	maxRepeatedFragments = 4
 	// partOfRecord replaces the number of records in a fragment that holds one part of a record.
 	partOfRecord = 0xff
 	// maxVarintBytes bounds an encoded offset.
@@ -36,9 +41,12 @@
 
 // PublishUpdate sends changes that this daemon has read from a feed to the other daemons.
 // It omits the records from the first one on that exceeds maxUpdateFragments messages; the
-// other daemons read those from the store.
+// other daemons read those from the store. It must be called before the read is recorded.
 func (e *Exchanger) PublishUpdate(index int, u feed.Update) {
 	fragments := splitUpdate(index, u)
+	if len(fragments) > maxRepeatedFragments && e.feeds[index].has(u.Next) {
+		return
+	}
 	e.updatesPublished.Add(int64(len(fragments)))
 	e.mu.Lock()
 	e.outbox.updates = append(e.outbox.updates, fragments...)
