soak: a scenario of series of changes of a large configuration

No run with real processes had a configuration of more than four routes, links to the store slower than loopback, or a store that rejects some nodes.

Change: scenario changes. Six nodes in two data centres reach the store over links of 10 and 20 Mbit/s; the configuration grows by 1,200 routes and then gains one with each change, in series of a gap of 120 or 250 ms. Beside them the store rejects 40% of the nodes, a third of the nodes are killed at once and started again, and callers use other routes with the checks of the scenario of faults. Each node must serve an added route within ConfigMs (2 s) and a stated margin of 0.5 s of its acceptance, unless it has a fault or had one within StableWindowMs (5 s), and must always serve routes of more than 10 s of age that it had in force before its faults.

--- a/cmd/internal/soak/deployment.go
+++ b/cmd/internal/soak/deployment.go
@@ -5,6 +5,7 @@
 package soak
 
 import (
+	"cmp"
 	"fmt"
 	"net"
 	"os"
@@ -24,6 +25,7 @@
 var ErrSoak = merry.New("soak failed")
 
 const (
+	// nodeCount is the number of nodes of a layout that names none.
 	nodeCount = 3
 	// stopTimeout is the time that a node has for a planned stop.
 	stopTimeout = 8 * time.Second
@@ -31,7 +33,7 @@
 
 // node is one lentilpick-node process and the link through which it reaches the store.
 type node struct {
-	name          string
+	name, ip      string
 	callerAddress string
 	readyAddress  string
 	settingsPath  string
@@ -51,6 +53,7 @@
 
 // layout describes the deployment of a scenario.
 type layout struct {
+	nodes        int
 	dataCentres  int
 	targets      []targetSpec
 	behaviour    standin.Behaviour
@@ -94,7 +97,7 @@
 		d.targets, d.targetLinks = append(d.targets, t), append(d.targetLinks, link)
 	}
 	d.configure()
-	for i := range nodeCount {
+	for i := range cmp.Or(l.nodes, nodeCount) {
 		if err := d.addNode(i); err != nil {
 			return nil, err
 		}
@@ -140,12 +143,13 @@
 // addNode writes the settings of a node and starts it. Each node has a separate loopback
 // address, because all nodes use the same internal ports.
 func (d *deployment) addNode(i int) error {
-	l, err := newLink(d.store.Address())
+	ip := nodeIP(i)
+	// The store knows the node by the address of the link's connections.
+	l, err := newLinkFrom(d.store.Address(), net.ParseIP(ip))
 	if err != nil {
 		return err
 	}
-	n := &node{name: fmt.Sprintf("node-%d", i+1), storeLink: l}
-	ip := nodeIP(i)
+	n := &node{name: fmt.Sprintf("node-%d", i+1), ip: ip, storeLink: l}
 	var ports [3]int
 	for k := range ports {
 		if ports[k], err = freePort(); err != nil {
--- a/cmd/internal/soak/link.go
+++ b/cmd/internal/soak/link.go
@@ -28,6 +28,7 @@
 type link struct {
 	listener net.Listener
 	upstream string
+	dialer   net.Dialer
 
 	mu           sync.Mutex
 	fault        fault
@@ -35,12 +36,18 @@
 	conns        map[net.Conn]struct{}
 }
 
-func newLink(upstream string) (*link, error) {
+func newLink(upstream string) (*link, error) { return newLinkFrom(upstream, nil) }
+
+// newLinkFrom returns a link whose connections to the server come from an IP address, any if nil.
+func newLinkFrom(upstream string, ip net.IP) (*link, error) {
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	k := &link{listener: l, upstream: upstream, faultChanged: make(chan struct{}), conns: map[net.Conn]struct{}{}}
+	k := &link{listener: l, upstream: upstream, dialer: net.Dialer{Timeout: time.Second}, faultChanged: make(chan struct{}), conns: map[net.Conn]struct{}{}}
+	if ip != nil {
+		k.dialer.LocalAddr = &net.TCPAddr{IP: ip}
+	}
 	go k.accept()
 	return k, nil
 }
@@ -58,7 +65,7 @@
 }
 
 func (k *link) forward(c net.Conn) {
-	s, err := net.DialTimeout("tcp4", k.upstream, time.Second)
+	s, err := k.dialer.Dial("tcp4", k.upstream)
 	if err != nil {
 		_ = c.Close()
 		return
--- a/cmd/internal/soak/soak.go
+++ b/cmd/internal/soak/soak.go
@@ -18,13 +18,14 @@
 
 // Cmd runs the soak for one or more seeds.
 type Cmd struct {
-	Bin      string        `default:"bin" help:"Directory of the program binaries."`
-	Out      string        `default:"out/soak" help:"Directory for settings and logs, with a subdirectory for each seed."`
-	Seed     uint64        `default:"1" help:"First seed."`
-	Runs     int           `default:"1" help:"Number of consecutive seeds to run, one after the other."`
-	Duration time.Duration `default:"8s" help:"Duration of fault injection in each run."`
-	Scenario string        `default:"faults" enum:"faults,stops" help:"faults: random faults of all kinds; stops: series of planned stops."`
-	Stops    StopsSettings `embed:"" prefix:"stops-"`
+	Bin      string          `default:"bin" help:"Directory of the program binaries."`
+	Out      string          `default:"out/soak" help:"Directory for settings and logs, with a subdirectory for each seed."`
+	Seed     uint64          `default:"1" help:"First seed."`
+	Runs     int             `default:"1" help:"Number of consecutive seeds to run, one after the other."`
+	Duration time.Duration   `default:"8s" help:"Duration of fault injection in each run."`
+	Scenario string          `default:"faults" enum:"faults,stops,changes" help:"faults: random faults of all kinds; stops: series of planned stops; changes: series of changes of a large configuration."`
+	Stops    StopsSettings   `embed:"" prefix:"stops-"`
+	Changes  ChangesSettings `embed:"" prefix:"changes-"`
 }
 
 // Run implements the command.
@@ -44,8 +45,11 @@
 
 func (c *Cmd) runSeed(seed uint64) (string, error) {
 	out := fmt.Sprintf("%s/%d", c.Out, seed)
-	if c.Scenario == "stops" {
+	switch c.Scenario {
+	case "stops":
 		return runStops(c.Bin, out, seed, c.Duration, c.Stops)
+	case "changes":
+		return runChanges(c.Bin, out, seed, c.Duration, c.Changes)
 	}
 	return runFaults(c.Bin, out, seed, c.Duration)
 }
--- a/cmd/internal/soak/stops.go
+++ b/cmd/internal/soak/stops.go
@@ -58,7 +58,7 @@
 	callers     keptCallers
 	stopped     chan struct{} // closed when the last stop has ended
 	terms, hups atomic.Int64
-	maxDelay    atomic.Int64   // of the soak's own timers
+	delay       delayMeter
 	orders      sync.WaitGroup // beside the stops
 	mu          sync.Mutex
 	errs        []error
@@ -91,7 +91,7 @@
 		n.inRotation.Store(true)
 		go n.followReadiness(ctx)
 	}
-	go s.measureDelay(ctx)
+	go s.delay.measure(ctx)
 	s.callers.start(ctx, &calls)
 	s.startSignals(time.Now().Add(duration), &signals)
 	signals.Wait()
@@ -104,16 +104,20 @@
 // delayInterval is the interval of the timer with which the soak measures its delay.
 const delayInterval = 10 * time.Millisecond
 
-// measureDelay records by how much timers are late. On a machine that is overloaded, the times
-// of the nodes, such as the end of a stop, are late by as much.
-func (s *stopsRun) measureDelay(ctx context.Context) {
+// delayMeter measures by how much the soak's own timers are late. On a machine that is overloaded,
+// the times of the nodes, such as the end of a stop, are late by as much.
+type delayMeter struct{ longest atomic.Int64 }
+
+func (d *delayMeter) measure(ctx context.Context) {
 	for ctx.Err() == nil {
 		began := time.Now()
 		sleep(ctx, delayInterval)
-		s.maxDelay.Store(max(s.maxDelay.Load(), int64(time.Since(began)-delayInterval)))
+		d.longest.Store(max(d.longest.Load(), int64(time.Since(began)-delayInterval)))
 	}
 }
 
+func (d *delayMeter) max() time.Duration { return time.Duration(d.longest.Load()) }
+
 // report records a violated guarantee.
 func (s *stopsRun) report(format string, args ...any) {
 	s.mu.Lock()
@@ -159,7 +163,7 @@
 		s.checkExchange(e, w, v, n)
 	}
 	var b strings.Builder
-	fmt.Fprintf(&b, "timer-delay=%s sigterms=%d sighups=%d orders=%d requests=%d", time.Duration(s.maxDelay.Load()).Round(time.Millisecond), s.terms.Load(), s.hups.Load(), s.acceptedOrders(), len(exchanges))
+	fmt.Fprintf(&b, "timer-delay=%s sigterms=%d sighups=%d orders=%d requests=%d", s.delay.max().Round(time.Millisecond), s.terms.Load(), s.hups.Load(), s.acceptedOrders(), len(exchanges))
 	for v, n := range counts {
 		fmt.Fprintf(&b, " %s=%d", verdict(v), n)
 	}
--- a/cmd/internal/soak/stops_signals.go
+++ b/cmd/internal/soak/stops_signals.go
@@ -242,7 +242,7 @@
 
 var readinessClient = &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 
-func (n *stoppingNode) isReady() bool {
+func (n *node) isReady() bool {
 	resp, err := readinessClient.Get("http://" + n.readyAddress + "/readyz")
 	if err != nil {
 		return false
