--- a/tools/changedays/main.go
+++ b/tools/changedays/main.go
@@ -3,11 +3,15 @@
 // configuration changes at different offsets from five occurrences of the event, or from
 // two if the event changes the site permanently. Days that are drawn at random rarely
 // have a configuration change within the seconds after an event.
+//
+// With --grown the configuration grows by hundreds of routes first, and a second day for
+// each event has series of changes instead of single ones.
 package main
 
 import (
 	"errors"
 	"fmt"
+	"math"
 	"os"
 	"path/filepath"
 
@@ -19,6 +23,7 @@
 	Site  string  `arg:"" type:"existingfile" help:"Site file of the bench."`
 	Dir   string  `arg:"" help:"Directory for the day files."`
 	Shift float64 `default:"0" help:"Shift of the changes in seconds; each value gives other offsets from the events."`
+	Grown bool    `help:"Write days with a configuration that grows, with single changes (g) and with series of changes (s)."`
 }
 
 // entry is an event of a day, with the fields that the bench defines.
@@ -44,6 +49,24 @@
 	offsetRangeSeconds    = 1.9
 )
 
+// Days with a configuration that grows. It grows by minGrowth to maxGrowth routes, a number that
+// differs by growthStep from one event to the next.
+const (
+	growthSeconds = 1.2
+	minGrowth     = 400
+	maxGrowth     = 1400
+	growthStep    = 270
+	// Series k begins seriesLeadSeconds before its event, delayed by
+	// (shift + k*seriesStepSeconds) modulo seriesRangeSeconds. It ends before the next begins.
+	seriesSeconds      = 3.0
+	seriesLeadSeconds  = 0.9
+	seriesStepSeconds  = 0.7
+	seriesRangeSeconds = 2.8
+)
+
+// seriesGapsSeconds are the times between two changes of a series, used in rotation.
+var seriesGapsSeconds = []float64{0.12, 0.18, 0.24, 0.3}
+
 // eventTimesSeconds are the start times of an event. Events with a duration end before
 // the next one starts.
 var eventTimesSeconds = []float64{4.5, 11, 17.7, 24, 31}
@@ -88,7 +111,7 @@
 
 func main() {
 	kong.Parse(&cli)
-	n, err := writeDays(cli.Site, cli.Dir, cli.Shift)
+	n, err := writeDays(cli.Site, cli.Dir, cli.Shift, cli.Grown)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
@@ -97,7 +120,7 @@
 }
 
 // writeDays writes the days of a site and returns their number.
-func writeDays(site, dir string, shift float64) (int, error) {
+func writeDays(site, dir string, shift float64, grown bool) (int, error) {
 	var s struct {
 		Events []entry `toml:"troubles"`
 	}
@@ -110,31 +133,56 @@
 	if err := os.MkdirAll(dir, 0o755); err != nil {
 		return 0, err
 	}
-	n := 0
+	n, written := 0, 0
 	for _, event := range append(s.Events, commonEvents...) {
 		kind, _ := event["kind"].(string)
 		if kind == "" || kind == "config_change" {
 			continue
 		}
-		d := newDay(fmt.Sprintf("c%02d-%s", n, kind), kind, event, shift)
-		if err := writeDay(filepath.Join(dir, d.Name+".toml"), d); err != nil {
-			return n, err
+		name := fmt.Sprintf("%02d-%s", n, kind)
+		days := []day{newDay("c"+name, kind, event, singleChanges(shift))}
+		if grown {
+			days = []day{
+				newDay("g"+name, kind, event, append(growth(n), singleChanges(shift)...)),
+				newDay("s"+name, kind, event, append(growth(n), seriesOfChanges(n, shift)...)),
+			}
+		}
+		for _, d := range days {
+			if err := writeDay(filepath.Join(dir, d.Name+".toml"), d); err != nil {
+				return written, err
+			}
+			written++
 		}
 		n++
 	}
-	return n, nil
+	return written, nil
 }
 
-func newDay(name, kind string, event entry, shift float64) day {
-	d := day{Name: name, Length: dayLengthSeconds, Faults: []entry{}}
+// singleChanges returns the changes of a day, at different offsets from the events.
+func singleChanges(shift float64) (plan []entry) {
 	for k := range changesPerDay {
-		offset := shift + offsetStepSeconds*float64(k)
-		for offset >= offsetRangeSeconds {
-			offset -= offsetRangeSeconds
-		}
-		at := firstChangeSeconds + changeIntervalSeconds*float64(k) + offset
-		d.Plan = append(d.Plan, entry{"at": at, "kind": "config_change", "how": changeKinds[k%len(changeKinds)]})
+		at := firstChangeSeconds + changeIntervalSeconds*float64(k) + math.Mod(shift+offsetStepSeconds*float64(k), offsetRangeSeconds)
+		plan = append(plan, entry{"at": at, "kind": "config_change", "how": changeKinds[k%len(changeKinds)]})
 	}
+	return plan
+}
+
+// growth returns the growth of the configuration on the days of event n.
+func growth(n int) []entry {
+	return []entry{{"at": growthSeconds, "kind": "big_config", "count": minGrowth + n*growthStep%(maxGrowth-minGrowth+1)}}
+}
+
+// seriesOfChanges returns a series of changes beside each occurrence of event n.
+func seriesOfChanges(n int, shift float64) (plan []entry) {
+	for k, event := range eventTimesSeconds {
+		at := event - seriesLeadSeconds + math.Mod(shift+seriesStepSeconds*float64(k), seriesRangeSeconds)
+		plan = append(plan, entry{"at": at, "kind": "config_storm", "for_s": seriesSeconds, "gap_s": seriesGapsSeconds[(n+k)%len(seriesGapsSeconds)]})
+	}
+	return plan
+}
+
+func newDay(name, kind string, event entry, changes []entry) day {
+	d := day{Name: name, Length: dayLengthSeconds, Plan: changes, Faults: []entry{}}
 	times := eventTimesSeconds
 	if permanentKinds[kind] {
 		times = []float64{times[1], times[3]}
