node: a test of large configurations on busy links

The tests of series fail because a read returns several configurations; none shows that a single one can take longer than the time-out.

Change: TestLargeConfigurationIsReadOverBusyLinks, with links of 1.5 Mbit/s left beside callers, on which 190 KB take 1.04 s. The bound is ConfigMs, 2 s.

--- a/server/node/cluster_grown_test.go
+++ b/server/node/cluster_grown_test.go
@@ -69,6 +69,17 @@
 	}
 }
 
+// Guards against a read that is given up although its response arrives: on a link that callers use,
+// a single configuration of many routes takes longer than the time in which a store that does not
+// respond is detected, and each further attempt fails, too.
+func TestLargeConfigurationIsReadOverBusyLinks(t *testing.T) {
+	// The link of 3 Mbit/s stands for one of 10 Mbit/s of which callers take 85% instead of half: 190 KB
+	// take 1.04 s. The first-ranked nodes of both data centres have other links.
+	d := limitedDeployment(clusterDataCentres, hubNodesPerDataCentre, 2*time.Second, 10, 20, 10, 200, 3, 10, 20)
+	p := simPlan{Seed: 1, Deployment: &d, GrowAt: time.Second, ConfigChanges: series(5*time.Second, 12*time.Second, 3*time.Second), Length: 15 * time.Second}
+	assert.Equal(t, p.run(t), "")
+}
+
 // Guards against a node that each change of a large configuration makes read it whole from the
 // store: the bytes that the store sends must not grow with the number of nodes.
 func TestStoreSendsAChangeOnceToEachDataCentre(t *testing.T) {
