--- a/server/node/cluster_grown_test.go
+++ b/server/node/cluster_grown_test.go
@@ -41,6 +41,9 @@
 // read returns every version since the last one, and was given up when it took longer than 800 ms
 // (docs/incidents/grown-configuration-late.md).
 func TestSeriesOfChangesToALargeConfigurationIsAppliedInTime(t *testing.T) {
+	// Each node of a run keeps several configurations of 190 KB, so that few run at a time.
+	const concurrentRuns = 2
+	slots := make(chan struct{}, concurrentRuns)
 	for name, d := range map[string]simDeployment{"large": deploymentLarge(), "hubs": deploymentHubs()} {
 		// 40% of the nodes, also the first-ranked ones of some data centres.
 		var some []int
@@ -63,6 +66,8 @@
 			}
 			t.Run(name+"/"+kind, func(t *testing.T) {
 				t.Parallel()
+				slots <- struct{}{}
+				defer func() { <-slots }()
 				assert.Equal(t, changesOfLargeConfiguration(d, f).run(t), "")
 			})
 		}
