--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -241,37 +241,62 @@
 	if s.listed {
 		return s.Source.List(ctx)
 	}
-	type result struct {
-		feed.Listing[T]
-		err error
-	}
-	store := make(chan result, 1)
+	store := make(chan result[feed.Listing[T]], 1)
 	go func() {
 		l, err := s.Source.List(ctx)
-		store <- result{l, err}
+		store <- result[feed.Listing[T]]{l, err}
 	}()
 	timer := time.NewTimer(peerFetchDelay)
 	defer timer.Stop()
-	var r result
-	responded := true
+	var r result[feed.Listing[T]]
 	select {
 	case r = <-store:
+		if r.err == nil {
+			s.listed = true
+			return r.value, nil
+		}
+		store <- r
 	case <-timer.C:
-		responded = false
 	}
-	if !responded || r.err != nil {
-		if snapshot, err := s.peers.Fetch(ctx); err == nil {
-			if l, err := s.listing(snapshot); err == nil {
+	return s.listFromEither(ctx, store)
+}
+
+// result is the result of a call in another goroutine.
+type result[V any] struct {
+	value V
+	err   error
+}
+
+// listFromEither returns the first listing that arrives: from another daemon, or from the store,
+// whose call sends its result to store. It returns the error of the store if both fail.
+func (s *Source[T]) listFromEither(ctx context.Context, store <-chan result[feed.Listing[T]]) (feed.Listing[T], error) {
+	fetchContext, cancel := context.WithCancel(ctx)
+	defer cancel()
+	peers := make(chan result[Snapshot], 1)
+	go func() {
+		c, err := s.peers.Fetch(fetchContext)
+		peers <- result[Snapshot]{c, err}
+	}()
+	var failed error
+	for range 2 {
+		select {
+		case r := <-store:
+			if r.err == nil {
+				s.listed = true
+				return r.value, nil
+			}
+			failed = r.err
+		case r := <-peers:
+			if r.err != nil {
+				continue
+			}
+			if l, err := s.listing(r.value); err == nil {
 				s.listed = true
 				return l, nil
 			}
 		}
 	}
-	if !responded {
-		r = <-store
-	}
-	s.listed = r.err == nil
-	return r.Listing, r.err
+	return feed.Listing[T]{}, failed
 }
 
 func (s *Source[T]) listing(c Snapshot) (feed.Listing[T], error) {
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -198,3 +198,26 @@
 func (s *store) ReadNewest(context.Context, types.Offset) ([]feed.Item[string], types.Offset, error) {
 	return nil, 0, feed.ErrUnsupported
 }
+
+// slowPeers never responds. It counts the fetches that were canceled.
+type slowPeers struct{ canceled int }
+
+func (p *slowPeers) Fetch(ctx context.Context) (Snapshot, error) {
+	<-ctx.Done()
+	p.canceled++
+	return Snapshot{}, ctx.Err()
+}
+
+// Guards against a start that waits for another daemon although the store has responded meanwhile.
+func TestStoreIsNotIgnoredDuringAFetch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &slowPeers{}
+		began := time.Now()
+		l, err := NewSource[string](&store{delay: 2 * peerFetchDelay}, p, &Feed{}).List(t.Context())
+		assert.NilError(t, err)
+		assert.Equal(t, l.Next, types.Offset(10))
+		assert.Equal(t, time.Since(began), 2*peerFetchDelay)
+		synctest.Wait()
+		assert.Equal(t, p.canceled, 1)
+	})
+}
