--- a/Makefile
+++ b/Makefile
@@ -45,4 +45,4 @@
 	./$(BIN)/lentilpick-measure --seed $(SEED) --out out
 
 bench:
-	go test ./routing ./planning ./shutdown -run '^$$' -bench . -benchmem
+	go test ./routing ./planning ./shutdown ./delta ./jsonsplit ./platform ./gateway -run '^$$' -bench . -benchmem
