transport, wire: one implementation of time-outs that follow the progress

Cause: the store's client and the log's client had a connection each that moves its deadline with the data, and the peers of nodes and of control daemons a transport each that reports the progress. Only one of the latter read in steps of 16 KB: without them progress is seen when a buffer of megabytes is full.

Change: transport.ProgressConn and wire.ProgressTransport serve all four.

--- a/logclient/http.go
+++ b/logclient/http.go
@@ -12,6 +12,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/lentilpick/lentilpick/transport"
 	"github.com/lentilpick/lentilpick/types"
 )
 
@@ -53,9 +54,12 @@
 	maxResponseBytes = 64 << 20
 	requestTimeout   = 5 * time.Second
 	// readTimeout bounds the time without data of a read, in addition to the time that it
-	// waits for records, so that a change missed on an unresponsive connection is read in time on a new one.
-	// A slow log responds within 500 ms.
+	// waits for records, so that a change missed on an unresponsive connection is read in
+	// time on a new one. A slow log responds within 500 ms.
 	readTimeout = 1500 * time.Millisecond
+	// maxTransferTime bounds a response in addition to its timeout. The snapshot of the largest
+	// configuration is a response of 4.4 MB, which takes 3.5 s at 10 Mbit/s.
+	maxTransferTime = 30 * time.Second
 )
 
 // Client is the HTTP client of the platform's services. It is safe for concurrent use.
@@ -75,7 +79,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return &progressConn{Conn: conn}, nil
+		return &transport.ProgressConn{Conn: conn, StallTimeout: readTimeout, MaxTransferTime: maxTransferTime}, nil
 	})}
 }
 
--- a/server/node/seeds.go
+++ b/server/node/seeds.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -17,6 +16,7 @@
 
 	"github.com/lentilpick/lentilpick/mirror"
 	"github.com/lentilpick/lentilpick/platform"
+	"github.com/lentilpick/lentilpick/server/wire"
 )
 
 const (
@@ -137,9 +137,15 @@
 func (f peerFetcher) ask(ctx context.Context, cancel context.CancelCauseFunc, seed int, events chan<- seedEvent) {
 	stalled := time.AfterFunc(fetchTimeout, func() { cancel(errNoProgress) })
 	defer stalled.Stop()
-	h := &http.Client{Transport: progressTransport{
-		f.transport, func() { events <- seedEvent{seed: seed} }, func() { stalled.Reset(fetchTimeout) },
-	}}
+	begun := false
+	ctx = wire.WithProgress(ctx, func() {
+		if !begun {
+			begun = true
+			events <- seedEvent{seed: seed}
+		}
+		stalled.Reset(fetchTimeout)
+	})
+	h := &http.Client{Transport: wire.ProgressTransport{RoundTripper: f.transport}}
 	c := nodev1connect.NewNodeServiceClient(h, "http://"+f.seeds[seed], connect.WithReadMaxBytes(maxFetchBytes))
 	resp, err := c.FetchFeed(ctx, connect.NewRequest(&nodev1.FetchFeedRequest{Feed: f.feed}))
 	e := seedEvent{seed: seed, done: true, err: err}
@@ -150,38 +156,3 @@
 	}
 	events <- e
 }
-
-// progressTransport calls begun when a successful response begins, and progress whenever data of it
-// arrives.
-type progressTransport struct {
-	http.RoundTripper
-	begun, progress func()
-}
-
-// RoundTrip implements http.RoundTripper.
-func (t progressTransport) RoundTrip(req *http.Request) (*http.Response, error) {
-	resp, err := t.RoundTripper.RoundTrip(req)
-	if err == nil && resp.StatusCode == http.StatusOK {
-		t.begun()
-		resp.Body = progressBody{resp.Body, t.progress}
-	}
-	return resp, err
-}
-
-type progressBody struct {
-	io.ReadCloser
-	progress func()
-}
-
-// progressBytes bounds the data of one Read. A chunked body is read until the buffer is full, and a
-// buffer of megabytes takes longer than fetchTimeout to fill.
-const progressBytes = 16 << 10
-
-// Read implements io.Reader.
-func (b progressBody) Read(p []byte) (int, error) {
-	n, err := b.ReadCloser.Read(p[:min(len(p), progressBytes)])
-	if n > 0 {
-		b.progress()
-	}
-	return n, err
-}
