feed: a retry reads the newest record only if changes are missing

Cause: each read after a failed one was a read of the newest record. It costs as much as the configuration, also if nothing has changed. Since reads are limited to about one version, a plain read is not larger.

Change: a retry reads the newest record only if a claimed change is missing, or if there are no claims (Schedule.Known is nil). A node that has missed changes and claims makes two calls instead of one.

Evidence: TestRetryWithoutMissingChanges/nothing_missing, before: assertion failed: 0 (src.reads int) != 1 (c.reads int).

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -339,13 +339,15 @@
 }
 
 // prefersNewest reports whether the next call reads the newest records only. A read of all
-// changes that has failed would ask for the same records again, and more of them each time.
+// changes that has failed would ask for the same records again, and more of them each time. If
+// other daemons claim no changes that are missing here, the newest record would be read in vain.
 func (f *follower[T]) prefersNewest() bool {
 	if f.noNewest {
 		return false
 	}
 	known := f.known()
-	return f.pause > 0 || f.more || known > f.next+1 && known > f.emptyUpTo
+	failed := f.pause > 0 && (f.s.Known == nil || known > f.next)
+	return failed || f.more || known > f.next+1 && known > f.emptyUpTo
 }
 
 // known returns the offset up to which, by the claims of other daemons, the source has
--- a/feed/newest_test.go
+++ b/feed/newest_test.go
@@ -237,3 +237,37 @@
 		})
 	}
 }
+
+// Guards against retries that read the whole newest record although nothing has changed, or other
+// daemons have sent what has: all nodes that the store has rejected read at the same moment.
+func TestRetryWithoutMissingChanges(t *testing.T) {
+	for name, c := range map[string]struct {
+		known         types.Offset
+		reads, newest int
+	}{
+		"nothing missing": {10, 1, 0},
+		"one missing":     {11, 0, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			src := &linkSource{listEnd: 10, end: func() types.Offset { return c.known }, rejected: true, recordBytes: 1, bytesPerS: 1e9, maxReadBytes: 1 << 20}
+			runFor(t, 450*time.Millisecond, func(time.Time) (Source[string], Schedule) {
+				return src, Schedule{
+					Due: func(clock.Instant) (pause, wait time.Duration) {
+						if !src.rejected {
+							pause = time.Minute
+						}
+						return pause, 0
+					},
+					Known: func() types.Offset { return c.known },
+					OnResult: func(r CallResult) {
+						if errors.Is(r.Err, errSlow) { // of the first read
+							src.rejected, src.reads, src.newest = false, 0, 0
+						}
+					},
+				}
+			})
+			assert.Equal(t, src.reads, c.reads)
+			assert.Equal(t, src.newest, c.newest)
+		})
+	}
+}
