directory: publish the registrations of one read at once

Callers see: a node on a small share of a core does not proceed with its feeds while it applies many registrations.

Change: Directory.Batch publishes the changes of one read or update together.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -152,13 +152,34 @@
 func (d *Directory) Load() *Snapshot { return d.snapshot.Load() }
 
 // Put adds or updates a registration and returns the resulting changes.
-func (d *Directory) Put(e Entry) []Change {
+func (d *Directory) Put(e Entry) (changes []Change) {
+	d.Batch(func(b *Batch) { changes = b.Put(e) })
+	return changes
+}
+
+// Batch collects the changes of one call of Directory.Batch.
+type Batch struct {
+	d       *Directory
+	changed bool
+}
+
+// Batch calls f and then publishes the changes that f has made. The cost of publishing grows with
+// the number of targets. f must not call other methods of d than Load.
+func (d *Directory) Batch(f func(*Batch)) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	changes := d.put(e, nil)
-	if len(changes) > 0 {
+	b := Batch{d: d}
+	f(&b)
+	if b.changed {
 		d.publish()
 	}
+}
+
+// Put is Directory.Put.
+func (b *Batch) Put(e Entry) []Change { return b.record(b.d.put(e, nil)) }
+
+func (b *Batch) record(changes []Change) []Change {
+	b.changed = b.changed || len(changes) > 0
 	return changes
 }
 
@@ -240,9 +261,14 @@
 // Expire removes the target at its end unless the target registers again before: a
 // registration that lapsed during an outage of the store says nothing about the health
 // of the target.
-func (d *Directory) Remove(id types.TargetID, now time.Time, grace time.Duration) []Change {
-	d.mu.Lock()
-	defer d.mu.Unlock()
+func (d *Directory) Remove(id types.TargetID, now time.Time, grace time.Duration) (changes []Change) {
+	d.Batch(func(b *Batch) { changes = b.Remove(id, now, grace) })
+	return changes
+}
+
+// Remove is Directory.Remove.
+func (b *Batch) Remove(id types.TargetID, now time.Time, grace time.Duration) []Change {
+	d := b.d
 	if d.current[id] == nil {
 		return nil
 	}
@@ -252,9 +278,7 @@
 		}
 		return nil
 	}
-	changes := d.remove(id, nil)
-	d.publish()
-	return changes
+	return b.record(d.remove(id, nil))
 }
 
 func (d *Directory) remove(id types.TargetID, changes []Change) []Change {
--- a/server/node/feeds.go
+++ b/server/node/feeds.go
@@ -201,28 +201,35 @@
 func (f *registrationHandler) foldAll(items []feed.Item[directory.Entry], unavailable time.Duration) (changed []feed.Item[directory.Entry]) {
 	grace := f.grace(unavailable)
 	now := time.Now()
-	for _, i := range items {
-		if f.fold(i, now, grace) {
-			changed = append(changed, i)
+	var changes []directory.Change
+	f.directory.Batch(func(b *directory.Batch) {
+		for _, i := range items {
+			c, relevant := fold(b, i, now, grace)
+			changes = append(changes, c...)
+			if relevant {
+				changed = append(changed, i)
+			}
 		}
+	})
+	for _, i := range items {
+		f.logMalformed(i)
 	}
+	f.logChanges(changes)
 	return changed
 }
 
-// fold applies one record to the directory and reports whether it is to be published to other
-// nodes. A removal always is, also one that only takes effect after the grace period.
-func (f *registrationHandler) fold(i feed.Item[directory.Entry], now time.Time, grace time.Duration) bool {
+// fold applies one record to the directory. It returns the resulting changes, and whether the record
+// is to be published to other nodes. A removal always is, also one that only takes effect after the
+// grace period.
+func fold(b *directory.Batch, i feed.Item[directory.Entry], now time.Time, grace time.Duration) (changes []directory.Change, relevant bool) {
 	switch {
 	case i.Err != nil:
-		f.logMalformed(i)
-		return false
+		return nil, false
 	case i.Value != nil:
-		changes := f.directory.Put(*i.Value)
-		f.logChanges(changes)
-		return len(changes) > 0
+		changes = b.Put(*i.Value)
+		return changes, len(changes) > 0
 	}
-	f.logChanges(f.directory.Remove(types.TargetID(i.Key), now, grace))
-	return true
+	return b.Remove(types.TargetID(i.Key), now, grace), true
 }
 
 // grace returns how long removed targets stay in use. Registrations expire during an outage of the
--- a/server/node/feeds_test.go
+++ b/server/node/feeds_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
+	"runtime"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -12,6 +14,7 @@
 	"github.com/lentilpick/lentilpick/daemon"
 	"github.com/lentilpick/lentilpick/directory"
 	"github.com/lentilpick/lentilpick/feed"
+	"github.com/lentilpick/lentilpick/types"
 )
 
 // Guards against requests to a target whose registration expired during an outage and that has not
@@ -79,3 +82,26 @@
 	f.HandlePeerUpdate([]feed.Item[directory.Entry]{{Key: "a", Next: 8}}, 0)
 	assert.Equal(t, d.Load().Len(), 1, "the grace period has started")
 }
+
+// Guards against a directory that is built anew for each registration of one read, at a cost that
+// grows with the number of targets.
+func TestRegistrationsOfOneReadArePublishedAtOnce(t *testing.T) {
+	items := func(n, slots int) (items []feed.Item[directory.Entry]) {
+		for i := range n {
+			id := fmt.Sprint("target-", i)
+			items = append(items, feed.Item[directory.Entry]{Key: id, Next: 1, Value: &directory.Entry{ID: types.TargetID(id), Service: "s", Slots: slots}})
+		}
+		return items
+	}
+	h := &registrationHandler{outageLogger: outageLogger{log: daemon.NewLogger(io.Discard, "error", "node")}, directory: directory.New(), onLoaded: func() {}}
+	h.HandleListing(feed.Listing[directory.Entry]{Items: items(2000, 1)}, 0)
+	allocated := func(changed []feed.Item[directory.Entry]) uint64 {
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		assert.Equal(t, len(h.HandleChanges(changed, 0)), len(changed))
+		runtime.ReadMemStats(&after)
+		return after.TotalAlloc - before.TotalAlloc
+	}
+	one, many := allocated(items(1, 2)), allocated(items(50, 3))
+	assert.Assert(t, many < 5*one, "%d bytes for 50 changes, %d for one", many, one)
+}
