feed: a fetch does not hide an update that could not be used

Callers see: a change that a node has been told of may be read up to 1.6 s later.

Cause: a fetch ends the wake of a missed update if it reaches every claimed change. The claim of the change in the missed update may still be on its way, or its sender may have ended; before, the node read the store at once.

Change: the end of the latest missed update is kept until the next read, and a fetch that does not reach it is followed by a read.

Evidence: TestFetchAfterUnusableUpdate, before: assertion failed: 10 != 13: the later change was not read.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -252,6 +252,8 @@
 	emptyUpTo types.Offset
 	// nextFetch is the earliest time of the next call of FetchMissing.
 	nextFetch clock.Instant
+	// missedUpTo is the end of the latest update that could not be used since the last read.
+	missedUpTo types.Offset
 }
 
 func (f *follower[T]) listOrRead(ctx context.Context) bool {
@@ -410,7 +412,7 @@
 }
 
 // fetchMissing fetches the changes that other daemons claim, and that this one has not applied,
-// from one of them. It reports whether it has applied changes and no claimed ones are missing.
+// from one of them. It reports whether it has applied changes and is not known to miss others.
 func (f *follower[T]) fetchMissing(ctx context.Context) bool {
 	if f.s.FetchMissing == nil || !f.listed {
 		return false
@@ -430,7 +432,7 @@
 		default:
 		}
 	}
-	if f.next == before || f.known() > f.next {
+	if f.next == before || max(f.known(), f.missedUpTo) > f.next {
 		return false
 	}
 	f.nextFetch = 0
@@ -471,6 +473,7 @@
 }
 
 func (f *follower[T]) notifyRead(r ReadResult) {
+	f.missedUpTo = 0
 	if f.s.OnRead != nil {
 		f.s.OnRead(r)
 	}
@@ -535,7 +538,7 @@
 	}
 	if u.Since > f.next {
 		// Records are missing: an earlier update was not usable.
-		f.reportMissed()
+		f.reportMissed(u)
 		return
 	}
 	var items []Item[T]
@@ -546,7 +549,7 @@
 		}
 		i, err := f.src.DecodeRecord(r)
 		if err != nil {
-			f.reportMissed()
+			f.reportMissed(u)
 			return
 		}
 		items = append(items, i)
@@ -558,7 +561,8 @@
 	}
 }
 
-func (f *follower[T]) reportMissed() {
+func (f *follower[T]) reportMissed(u Update) {
+	f.missedUpTo = max(f.missedUpTo, u.Next)
 	if f.s.OnMissed != nil {
 		f.s.OnMissed(f.next)
 	}
--- a/feed/newest_test.go
+++ b/feed/newest_test.go
@@ -271,3 +271,31 @@
 		})
 	}
 }
+
+// Guards against a daemon that takes a fetch for complete although an update that it could not use
+// has told it of a later change, which no claim has mentioned yet.
+func TestFetchAfterUnusableUpdate(t *testing.T) {
+	src := &linkSource{listEnd: 10, end: func() types.Offset { return 13 }, recordBytes: 1, bytesPerS: 1e9, maxReadBytes: 1 << 20}
+	var next types.Offset
+	runFor(t, time.Second, func(time.Time) (Source[string], Schedule) {
+		wake, updates := make(chan struct{}, 1), make(chan Update, 1)
+		updates <- Update{Since: 11, Next: 13, Records: []Record{{Key: "k", Value: []byte("v"), Next: 13}}}
+		return src, Schedule{
+			Due:         func(clock.Instant) (time.Duration, time.Duration) { return time.Minute, 0 },
+			Wake:        wake,
+			PeerUpdates: updates,
+			OnMissed: func(types.Offset) {
+				select {
+				case wake <- struct{}{}:
+				default:
+				}
+			},
+			Known: func() types.Offset { return 11 },
+			FetchMissing: func(_ context.Context, from types.Offset) (Update, error) {
+				return Update{Since: from, Next: 11, Records: []Record{{Key: "k", Value: []byte("v"), Next: 11}}}, nil
+			},
+			OnRead: func(r ReadResult) { next = r.Next },
+		}
+	})
+	assert.Equal(t, next, types.Offset(13), "the later change was not read")
+}
