feed: apply the updates that arrive during a read before its records

Callers see: in a quick series of changes of a grown configuration most nodes read the whole from the store at the same moment, although two readers publish deltas.

Cause: a reader whose read takes long publishes its result as a delta to the version that it had before. The other nodes have followed a faster reader and have skipped that version. They drop the older update, accept the next one of the slow reader, which overlaps theirs, and cannot decode it: RecordMissed discards the claims and wakes each of them at once. A read that returns a part is followed by another one without a look at the queue, so that a read during a series does this regularly.

Change: updates that arrived during a read are applied first, and records of the read that they replace are left out. A delta then has a base that others have.

TestUpdatesThatArriveDuringARead, newer than the read, before: handled 11, 12, 13 instead of 13. The virtual-time tests of server/node (Changes, Claims, Large, Series, Stateful, Store) pass, one run.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/lentilpick/lentilpick/clock"
@@ -288,7 +289,7 @@
 	}
 	next := c.Next
 	r := ReadResult{AsOf: began, Next: next}
-	if next != f.next {
+	if next != c.From {
 		r.Duration = f.s.Now().Sub(began)
 	}
 	if c.Newest {
@@ -296,10 +297,13 @@
 	}
 	// A read that returns no records was evaluated by the source after its wait. One with
 	// records may have been evaluated at once and its response delayed afterwards.
-	if next == f.next && f.s.Now().Sub(began) >= wait {
+	if next == c.From && f.s.Now().Sub(began) >= wait {
 		r.AsOf = began.Add(wait)
 	}
-	f.next, f.more = next, more
+	if len(items) > 0 {
+		items = f.applyDuringRead(items)
+	}
+	f.next, f.more = max(f.next, next), more
 	if i := f.h.HandleChanges(items, f.recordSuccess()); len(i) > 0 {
 		f.changed = i[len(i)-1].Next
 	}
@@ -312,6 +316,14 @@
 	return true
 }
 
+// applyDuringRead applies the updates that have arrived during a read, and returns the items of the
+// read that are not among them. What other daemons have by now is then the base of what this one
+// publishes; a delta to a record that they have skipped would make all of them read the source.
+func (f *follower[T]) applyDuringRead(items []Item[T]) []Item[T] {
+	f.applyQueued()
+	return slices.DeleteFunc(items, func(i Item[T]) bool { return i.Next != 0 && i.Next <= f.next })
+}
+
 // read reads the changes from the applied offset on, or only the newest records if that is
 // less than all changes.
 func (f *follower[T]) read(ctx context.Context, wait time.Duration) (CallResult, []Item[T], error) {
@@ -473,7 +485,9 @@
 }
 
 func (f *follower[T]) notifyRead(r ReadResult) {
-	f.missedUpTo = 0
+	if f.missedUpTo <= f.next {
+		f.missedUpTo = 0
+	}
 	if f.s.OnRead != nil {
 		f.s.OnRead(r)
 	}
--- a/feed/newest_test.go
+++ b/feed/newest_test.go
@@ -299,3 +299,62 @@
 	})
 	assert.Equal(t, next, types.Offset(13), "the later change was not read")
 }
+
+// Guards against a reader that publishes a change as a delta to a record that the other daemons have
+// skipped: while its read was on the way, they have received newer records from another reader. All
+// of them would read the source at the same moment.
+func TestUpdatesThatArriveDuringARead(t *testing.T) {
+	for name, c := range map[string]struct {
+		updateNext types.Offset
+		applied    []types.Offset
+	}{
+		"older than the read": {11, []types.Offset{11, 12}},
+		"newer than the read": {13, []types.Offset{13}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+				defer cancel()
+				updates := make(chan Update, 1)
+				began := time.Now()
+				end := func() types.Offset {
+					if time.Since(began) < 100*time.Millisecond {
+						return 12
+					}
+					return max(12, c.updateNext)
+				}
+				src := &linkSource{listEnd: 10, end: end, recordBytes: 100, bytesPerS: 1000, maxReadBytes: 1 << 20}
+				h := &orderHandler{}
+				time.AfterFunc(100*time.Millisecond, func() {
+					updates <- Update{Since: 10, Next: c.updateNext, Records: []Record{{Key: "k", Value: []byte("v"), Next: c.updateNext}}}
+				})
+				var next types.Offset
+				Follow(ctx, src, h, Schedule{
+					Now: clocktest.Virtual, Due: every(500*time.Millisecond, 0), PeerUpdates: updates,
+					MinPause: time.Second, MaxPause: second,
+					OnRead:    func(r ReadResult) { next = max(next, r.Next) },
+					OnApplied: func(n types.Offset) { next = max(next, n) },
+				})
+				assert.DeepEqual(t, h.applied, c.applied)
+				assert.Equal(t, next, max(12, c.updateNext))
+			})
+		})
+	}
+}
+
+// orderHandler records the offsets after the records in the order in which they are handled.
+type orderHandler struct {
+	fakeHandler
+	applied []types.Offset
+}
+
+func (h *orderHandler) HandleChanges(items []Item[string], _ time.Duration) []Item[string] {
+	for _, i := range items {
+		h.applied = append(h.applied, i.Next)
+	}
+	return items
+}
+
+func (h *orderHandler) HandlePeerUpdate(items []Item[string], _ time.Duration) {
+	h.HandleChanges(items, 0)
+}
