--- a/feed/limit.go
+++ b/feed/limit.go
@@ -12,10 +12,9 @@
 
 // ReadLimit determines how much one read of a source may return. A read that timed out asked
 // for more than the link transfers in time, and would do so again: the limit is halved. It
-// doubles with each read that succeeds, unless Fit has set it.
+// doubles with each read that succeeds.
 type ReadLimit struct {
-	kb     int  // 0 means MaxReadKB
-	fitted bool // by Fit
+	kb int // 0 means MaxReadKB
 }
 
 // KB returns the limit of the next read, in KB.
@@ -31,18 +30,18 @@
 
 // Succeeded records a read that returned what the limit allows.
 func (l *ReadLimit) Succeeded() {
-	if !l.fitted && l.KB() < MaxReadKB {
+	if l.KB() < MaxReadKB {
 		l.kb = min(2*l.KB(), MaxReadKB)
 	}
 }
 
-// Fit limits all further reads to about one record of the given size, in bytes. It is for sources
+// Fit limits the next read to about one record of the given size, in bytes. It is for sources
 // with a single key, of which only the newest record counts: a daemon that does not know how much
 // it has missed must not read all of it.
 func (l *ReadLimit) Fit(record int) {
 	const marginDivisor = 4 // a record is longer than the one before by a few entries
 	kb := record >> 10
-	l.kb, l.fitted = min(max(kb+kb/marginDivisor, minReadKB), maxRecordKB), true
+	l.kb = min(max(kb+kb/marginDivisor, minReadKB), maxRecordKB)
 }
 
 // TooSmall records a read that returned no record because the next one is larger than the
--- a/tools/mutations/faults.go
+++ b/tools/mutations/faults.go
@@ -14,7 +14,7 @@
 	configlog = "server/control/configlog.go"
 	progress  = "loadshare/progress.go"
 	share     = "loadshare/share.go"
-	follower  = "feed/feed.go"
+	follower  = "feed/follow.go"
 	crashes   = "crashguard/guard.go"
 	stops     = "shutdown/shutdown.go"
 	durations = "shutdown/durations.go"
@@ -92,7 +92,7 @@
 	{"claims: base without untold changes", progress, "p.base = max(p.base, r.Changed)", "p.base = max(p.base, 0)", "loadshare TestUntoldChangesAreNotKnown"},
 	{"claims: kept after news that was missed", progress, "p.next, p.queuedUpTo, p.claimedUpTo, p.hasPeerRead = next, next, 0, false", "p.next, p.queuedUpTo = next, next", "loadshare TestMissedNewsTakesBackClaims"},
 	{"claims: messages that were held up are fresh", share, "at.Add(-c.age-delay)", "at.Add(-c.age-0*delay)", "server/node TestClaimsOfFrozenReadersAreNotFresh"},
-	{"claims: read with changes is true as of its end", follower, "if next == f.next && f.s.Now().Sub(began) >= wait {", "if true {", clusterTest},
+	{"claims: read with changes is true as of its end", follower, "r := ReadResult{AsOf: began, Next: c.Next}", "r := ReadResult{AsOf: began.Add(wait), Next: c.Next}", "feed TestReadAgeIncludesDelays"},
 	{"crashes: part is never blocked", "gateway/crashes.go", "if blocked := s.g.settings.Crashes.Blocked(s.r.Prompt.Parts); blocked > 0 {", "if blocked := s.g.settings.Crashes.Blocked(nil); blocked > 0 {", "server/node TestPartThatCrashesEnginesIsRefused"},
 	{"crashes: not checked after the prefill", "gateway/stream.go", "	if err := s.checkCrashes(); err != nil {\n		return err\n	}\n	return s.decode()", "	return s.decode()", "gateway TestBlockedPromptReachesNoEngine"},
 	{"crashes: events of other engines count", "gateway/crashes.go", "RecordBroken(t, s.r.Prompt.Parts, s.runEvents)", "RecordBroken(t, s.r.Prompt.Parts, s.events)", "gateway TestEventsOfABrokenResponseAreThoseOfItsEngine"},
