transport: bytes that are no head of a response are not an answer

Callers saw: a target in trouble sent an answer with status 000, and the caller got its body as a 200. So did 001, 099, 600, 999, HTTP/0.9, HTTP/1.2, HTTP/2.0, two spaces or an empty line before the status, and each of these after an interim response. A 101 was passed on as a complete answer without a body.

Cause: the library that decodes the header accepts any three digits and any version, keeps 000 as 0 and reports 0 as 200. Nothing else looked at the line.

Change: Conn.ReadHead checks each status line before the library decodes it: HTTP/1.0 or HTTP/1.1, one space, three digits from 100 to 599 without 101. Interim responses are skipped as before, 100 at most. The targets' client and the engine client both read heads there. Such bytes are an invalid response: the connection is closed, the outcome is unknown, and the request is sent again only where its route allows it.

The check works because it sees the bytes themselves, for each head in turn, and accepts only what it names.

--- a/engine/client_test.go
+++ b/engine/client_test.go
@@ -400,3 +400,15 @@
 	_, err = c.Generate(f.address, &GenerateRequest{RequestID: "r2", MaxTokens: 1}, testDeadline())
 	assert.Assert(t, errors.Is(err, ErrMismatch), "%v", err)
 }
+
+// Guards against bytes that are no head of a response and are passed on as a reply.
+func TestInvalidHeadIsNoReply(t *testing.T) {
+	for _, line := range []string{"HTTP/1.1 000 X", "HTTP/1.1 099 X", "HTTP/1.1 101 X", "HTTP/1.1 600 X", "HTTP/2.0 200 X"} {
+		f := newFakeTarget(t, func(*http.Request, int, int) response {
+			return response{text: line + "\r\nX-Request-Id: r\r\nContent-Length: 2\r\n\r\nok", stall: true}
+		})
+		reply, err := testClient().Call(f.address, &Call{RequestID: "r", Method: "POST", Path: "/x"}, testDeadline())
+		assert.Assert(t, errors.Is(err, ErrFailed), "%s: reply %v, error %v", line, reply, err)
+		<-f.clientClosed
+	}
+}
--- a/transport/conn.go
+++ b/transport/conn.go
@@ -151,12 +151,14 @@
 
 // ReadHead reads the response header and leaves the body as a stream, without a read
 // limit until SetReadLimit is called. The error wraps ErrTooLarge if the header exceeds
-// its limits.
+// its limits, and ErrInvalidHead if what arrives is no response.
 func (c *Conn) ReadHead(resp *fasthttp.Response, skipBody bool) error {
 	resp.StreamBody = true
-	resp.SkipBody = skipBody
-	err := resp.Read(c.r)
+	status, err := readHead(c.r, &resp.Header)
 	c.readRemaining = math.MaxInt64
+	if err == nil && !skipBody && status != fasthttp.StatusNoContent && status != fasthttp.StatusNotModified {
+		err = resp.ReadBody(c.r, 0)
+	}
 	var small *fasthttp.ErrSmallBuffer
 	if errors.As(err, &small) {
 		return fmt.Errorf("%w: %w", ErrTooLarge, err)
