transport, platform: an unmarked end proves nothing before the request was read

Callers saw: a target that answered a long upload at once with a 200 without a length, sent a part of its body and closed the connection while the upload was still being written. They got that part as a complete answer, on every route. With a reset alone they got 502, as read and write return an error.

Cause: a response with neither a length nor chunks ends with its connection, and any io.EOF counted as that end. A target that closes its sending side first and the connection then, with the request unread, sends a FIN and then a reset. The kernel returns the FIN to the reader, and nothing asks for the reset.

Change: Conn notes a response that begins before its request was received. It looks for input between the pieces of 256 KiB of a request, and for bytes that are not acknowledged when the response has begun: what a target sends after it has read a request acknowledges all of it. At the end, ClosedInOrder requires that there was no such response, that all is acknowledged, and that the TCP state is that of a connection closed by the peer, not of a reset one.

What remains: a reset that arrives after the close was read is not seen, and a short request that the kernel of the target has received and the target has not read looks like one that was read.

--- a/transport/conn.go
+++ b/transport/conn.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+	"golang.org/x/sys/unix"
 )
 
 var (
@@ -33,6 +34,9 @@
 	// maxHeadBytes bounds the bytes read before the response body: the header, the
 	// headers of interim (1xx) responses, and the part of the body that is read ahead.
 	maxHeadBytes = 8 * readBufBytes
+	// writePieceBytes is the number of bytes of a request after which the connection is checked
+	// for a response that begins before its request was sent.
+	writePieceBytes = 256 << 10
 )
 
 // Conn is a connection to a target that carries one request at a time. It times
@@ -49,6 +53,7 @@
 	progressTimeout time.Duration
 	requestDeadline time.Time // upper bound of the I/O deadlines
 	sent            bool      // at least one byte of the request was written
+	early           bool      // the response began before the target had the whole request
 	readRemaining   int64     // bytes until the read limit
 }
 
@@ -78,9 +83,16 @@
 	if err := c.SetWriteDeadline(c.nextIODeadline()); err != nil {
 		return 0, err
 	}
-	n, err := c.Conn.Write(b)
-	c.sent = c.sent || n > 0
-	return n, err
+	written := 0
+	for {
+		n, err := c.Conn.Write(b[written:min(written+writePieceBytes, len(b))])
+		written += n
+		c.sent = c.sent || n > 0
+		if err != nil || written == len(b) {
+			return written, err
+		}
+		c.early = c.early || c.hasInput()
+	}
 }
 
 func (c *Conn) nextIODeadline() time.Time {
@@ -112,9 +124,10 @@
 func (c *Conn) Reader() *bufio.Reader { return c.r }
 
 // Begin starts a new request with the given progress timeout and deadline, and resets
-// Sent and the read limit.
+// Sent, Early and the read limit.
 func (c *Conn) Begin(progressTimeout time.Duration, deadline time.Time) {
 	c.progressTimeout, c.requestDeadline, c.sent, c.readRemaining = progressTimeout, deadline, false, maxHeadBytes
+	c.early = false
 }
 
 // WriteAll writes the parts of a request and flushes the buffer. The error wraps
@@ -154,6 +167,10 @@
 // its limits, and ErrInvalidHead if what arrives is no response.
 func (c *Conn) ReadHead(resp *fasthttp.Response, skipBody bool) error {
 	resp.StreamBody = true
+	if _, err := c.r.Peek(1); err == nil {
+		// What a target sends after it has read a request acknowledges all of it.
+		c.early = c.early || c.unacknowledged() > 0
+	}
 	status, err := readHead(c.r, &resp.Header)
 	c.readRemaining = math.MaxInt64
 	if err == nil && !skipBody && status != fasthttp.StatusNoContent && status != fasthttp.StatusNotModified {
@@ -166,6 +183,59 @@
 	return err
 }
 
+// Early reports whether the response is known to have begun before the target had received the
+// whole request. The connection must not carry another one.
+func (c *Conn) Early() bool { return c.early }
+
+// ClosedInOrder reports, after io.EOF, whether the close of the connection can be the end of a
+// response whose end is not marked. It is not if the response began before its request was
+// received, or if a reset followed the close: a target that closes a connection without having
+// read the request resets it, and a read returns the close before the reset.
+func (c *Conn) ClosedInOrder() bool {
+	if c.early || c.unacknowledged() > 0 {
+		return false
+	}
+	closeWait := true // for connections without a TCP state
+	c.control(func(fd int) {
+		if info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			closeWait = info.State == unix.BPF_TCP_CLOSE_WAIT
+		}
+	})
+	return closeWait
+}
+
+// unacknowledged returns the number of written bytes that the peer has not acknowledged, 0 if
+// this is not known.
+func (c *Conn) unacknowledged() int {
+	n := 0
+	c.control(func(fd int) {
+		if v, err := unix.IoctlGetInt(fd, unix.SIOCOUTQ); err == nil {
+			n = v
+		}
+	})
+	return n
+}
+
+// hasInput reports whether the peer has sent data or closed the connection.
+func (c *Conn) hasInput() bool {
+	input := c.r.Buffered() > 0
+	c.control(func(fd int) {
+		var one [1]byte
+		_, _, err := syscall.Recvfrom(fd, one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		input = input || err == nil
+	})
+	return input
+}
+
+// control calls f with the file descriptor of the connection, if it has one and is open.
+func (c *Conn) control(f func(fd int)) {
+	if s, ok := c.Conn.(syscall.Conn); ok {
+		if raw, err := s.SyscallConn(); err == nil {
+			_ = raw.Control(func(fd uintptr) { f(int(fd)) })
+		}
+	}
+}
+
 // Reusable reports whether the connection is open and has no data to read. Data on
 // an idle connection is a late response to an earlier request, so that the connection
 // must not carry another one.
