transport, platform, logclient: no head, no response of the store or the log

Nobody has reported it; found on the path beside the targets'. An answer of the store or the log service with status 000 counted as a 200: an append as done at the offset in the body, and a read as a read of the end of a topic. So did the other statuses and versions that are none.

Change: transport.ResponseConn checks the status line of each response with the same function as Conn.ReadHead. An interim response is an error as well: neither client awaits one, and the library would decode the head after it unchecked. The call fails: a read as unavailable, an append as ambiguous, and the connection is closed.

The check works because a request is written as a whole before its response is read, so that the first bytes after a write are a status line.

--- a/logclient/http.go
+++ b/logclient/http.go
@@ -90,7 +90,13 @@
 		MaxResponseBodySize:       maxResponseBytes,
 		MaxIdleConnDuration:       10 * time.Second,
 		MaxConnDuration:           5 * time.Minute,
-		Dial:                      dial,
+		Dial: func(address string) (net.Conn, error) {
+			conn, err := dial(address)
+			if err != nil {
+				return nil, err
+			}
+			return transport.NewResponseConn(conn), nil
+		},
 	}
 }
 
--- a/logclient/http_test.go
+++ b/logclient/http_test.go
@@ -1,7 +1,10 @@
 package logclient
 
 import (
+	"bufio"
 	"errors"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -63,3 +66,26 @@
 	const changeDeadline = 3 * time.Second
 	assert.Assert(t, followReadWait+readTimeout+followMinBackoff < changeDeadline)
 }
+
+// Guards against an append that counts as done because of bytes that are no response.
+func TestInvalidHeadIsNoResponse(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = http.ReadRequest(bufio.NewReader(conn))
+			_, _ = io.WriteString(conn, "HTTP/1.1 000 X\r\nContent-Length: 18\r\n\r\n{\"first_offset\":7}")
+			_ = conn.Close()
+		}
+	}()
+	c := NewClient(l.Addr().String(), nil)
+	offset, err := c.Append(t.Context(), "s", [][]byte{{1}})
+	assert.Assert(t, errors.Is(err, ErrAmbiguous), "offset %d, error %v", offset, err)
+	_, err = c.Read(t.Context(), "s", 0, 1, 0)
+	assert.Assert(t, errors.Is(err, ErrUnavailable), "%v", err)
+}
