transport: HTTP/1.0 with a transfer encoding is no response

A target that answered as HTTP/1.0 with Transfer-Encoding: chunked had the sizes of its chunks passed on as a part of the body, in a 200 that looked complete, also if it broke off between two chunks.

Cause: the library ignores the field in HTTP/1.0, as the version has none, and reads the body until the connection closes.

Change: Conn.ReadHead rejects such a head, as RFC 9112 (6.1) has it: the framing is faulty. Only heads of HTTP/1.0 are searched for the field.

TestTransferEncodingOfHTTP10IsNoResponse failed before with

body "3\r\none\r\n0\r\n\r\n", error <nil>

--- a/transport/head.go
+++ b/transport/head.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"strings"
 
 	"github.com/valyala/fasthttp"
 )
@@ -48,6 +49,9 @@
 		if err != nil {
 			return 0, err
 		}
+		if err := checkFraming(r, line); err != nil {
+			return 0, err
+		}
 		if err := h.Read(r); err != nil {
 			return 0, err
 		}
@@ -61,15 +65,21 @@
 // peekLine returns the next line without its line feed and leaves it in the buffer. The error
 // wraps ErrTooLarge if the line does not fit into the buffer.
 func peekLine(r *bufio.Reader) ([]byte, error) {
+	return peekUntil(r, func(b []byte) int { return bytes.IndexByte(b, '\n') })
+}
+
+// peekUntil returns the next bytes up to the index that find returns for them, which is negative
+// until they have arrived, and leaves them in the buffer.
+func peekUntil(r *bufio.Reader, find func(b []byte) int) ([]byte, error) {
 	for n := 1; ; n = r.Buffered() + 1 {
 		_, err := r.Peek(n)
 		b, _ := r.Peek(r.Buffered())
-		if i := bytes.IndexByte(b, '\n'); i >= 0 {
+		if i := find(b); i >= 0 {
 			return b[:i], nil
 		}
 		switch {
 		case errors.Is(err, bufio.ErrBufferFull):
-			return nil, fmt.Errorf("status line of more than %d bytes: %w", len(b), ErrTooLarge)
+			return nil, fmt.Errorf("head of more than %d bytes: %w", len(b), ErrTooLarge)
 		case errors.Is(err, io.EOF) && !isProtocolPrefix(b):
 			return nil, fmt.Errorf("connection closed after %.40q: %w", b, ErrInvalidHead)
 		case errors.Is(err, io.EOF) && len(b) > 0:
@@ -80,6 +90,34 @@
 	}
 }
 
+// endOfHead returns the index of the empty line that ends a head, or a negative number.
+func endOfHead(b []byte) int {
+	crlf, lf := bytes.Index(b, []byte("\n\r\n")), bytes.Index(b, []byte("\n\n"))
+	if crlf < 0 || lf >= 0 && lf < crlf {
+		return lf
+	}
+	return crlf
+}
+
+// checkFraming returns an error for a response of HTTP/1.0 with a transfer encoding, which that
+// version does not have. The library ignores the field and would pass the chunks on as the body.
+func checkFraming(r *bufio.Reader, line []byte) error {
+	if !bytes.HasPrefix(line, []byte("HTTP/1.0")) {
+		return nil
+	}
+	head, err := peekUntil(r, endOfHead)
+	if err != nil {
+		return err
+	}
+	for field := range bytes.Lines(head) {
+		name, _, _ := bytes.Cut(field, []byte(":"))
+		if strings.EqualFold(string(bytes.TrimSpace(name)), fasthttp.HeaderTransferEncoding) {
+			return fmt.Errorf("HTTP/1.0 with a transfer encoding: %w", ErrInvalidHead)
+		}
+	}
+	return nil
+}
+
 // isProtocolPrefix reports whether b may be the beginning of a status line.
 func isProtocolPrefix(b []byte) bool {
 	const protocol = "HTTP/1."
