platform, gateway: check callers' keys and keep them from targets

Callers with an unknown, removed or missing key were served.

Cause: headers were forwarded unless one of two lists named them, and neither named Authorization or X-Tenant; Tenants and Public of the configuration were not decoded.

With workspaces in the configuration, a route that is not public needs a valid credential, else 401 with one of four reasons, each with its counter. The priority of the workspace replaces that of the route. The node logs entries that are left out once a version and has a gauge of workspaces.

The key is checked once, against the configuration in force when the request arrived: a key that is removed while the request runs does not end it, because the users' rule counts from when the caller sent the request. So a retry or a resumption is not checked again.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -23,6 +23,7 @@
 	route     *routes.Route
 	service   *routes.Service
 	serviceID types.ServiceID
+	caller    Caller
 	budget    *admission.RetryBudget
 	durations *shutdown.RouteDurations
 	progress  shutdown.Progress
@@ -135,7 +136,7 @@
 // newCall returns a call with the fields that all stages share.
 func (x *exchange) newCall(t *directory.Target, s Stage) *Call {
 	return &Call{
-		Request: x.r, Target: t, Stage: s, Deadline: x.deadline, Priority: -1,
+		Request: x.r, Target: t, Stage: s, Caller: x.caller, Deadline: x.deadline, Priority: -1,
 		ProgressTimeout: x.deadline.Sub(x.now()), ResumeAfter: x.r.ResumeAfter, RequireLiveConnection: !x.route.Repeatable(),
 	}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"github.com/lentilpick/lentilpick/routes"
 	"github.com/lentilpick/lentilpick/shutdown"
 	"github.com/lentilpick/lentilpick/types"
+	"github.com/lentilpick/lentilpick/workspaces"
 )
 
 // Errors of target clients. Every error returned by a Targets or Response method wraps one
@@ -59,6 +60,8 @@
 	ID types.RequestID
 	// Host and Path select the route. Path excludes the query.
 	Host, Path string
+	// Credential identifies the workspace of the caller.
+	Credential workspaces.Credential
 	Arrived    time.Time
 	// Deadline is the deadline set by the caller, or zero.
 	Deadline time.Time
@@ -99,6 +102,7 @@
 	Request *Request
 	Target  *directory.Target
 	Stage   Stage
+	Caller  Caller
 	// KVSource is the KV cache to start from, for StageDecode.
 	KVSource Handle
 	// FetchFrom is the engine from which the target fetches missing shared parts of the
@@ -313,6 +317,9 @@
 	if x.route == nil {
 		return x.end(x.callerAttempt.Refuse(types.RefusedUnknownRoute))
 	}
+	if reason, ok := x.identify(); !ok {
+		return x.end(x.callerAttempt.Refuse(reason))
+	}
 	x.serviceID = x.route.PickService(r.Hash)
 	x.service = x.table.Service(x.serviceID)
 	x.deadline = r.Arrived.Add(x.route.Timeout)
--- a/routes/routes.go
+++ b/routes/routes.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/lentilpick/lentilpick/types"
+	"github.com/lentilpick/lentilpick/workspaces"
 )
 
 // Kind classifies routes by whether requests may be repeated.
@@ -57,7 +58,16 @@
 	MaxRuns int
 	// Resumable streams may be continued on another target.
 	Resumable bool
-	Services  []WeightedService
+	// Public routes need no credential.
+	Public   bool
+	Services []WeightedService
+}
+
+// WithPriority returns a copy of the route with another priority.
+func (r *Route) WithPriority(priority int) *Route {
+	c := *r
+	c.Priority = priority
+	return &c
 }
 
 // Repeatable reports whether a request may run more than once.
@@ -123,9 +133,11 @@
 // Table is an immutable version of the configuration. Tables of successive versions share what
 // they have in common.
 type Table struct {
-	Version  uint64
-	Limits   Limits
-	services map[types.ServiceID]*Service
+	Version uint64
+	Limits  Limits
+	// Workspaces identify callers by their credentials. With nil callers need none.
+	Workspaces *workspaces.Set
+	services   map[types.ServiceID]*Service
 	// all are the routes as configured. byHost leaves out those that are not used.
 	all    []*Route
 	byHost map[string]map[string]*Route
--- a/server/node/feeds.go
+++ b/server/node/feeds.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"errors"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -68,6 +69,8 @@
 	fieldFailures = "failures"
 	fieldSkipped  = "skipped"
 	fieldNewest   = "newest"
+	// fieldInvalid is the number of entries of a configuration that are left out.
+	fieldInvalid = "invalid"
 )
 
 // feedCallLogger logs the calls that follow one feed. Successful calls without records are not
@@ -150,6 +153,7 @@
 				fieldAppliedOffset: k.Next, fieldOwnRead: millis(k.Local), fieldPeerRead: millis(k.Peer), fieldSender: k.Sender, fieldThrough: k.ClaimedUpTo,
 				fieldSkipped: skipped,
 			}).Info("configuration in force")
+			f.logProblems(*i.Value)
 			f.onLoaded()
 			changed = append(changed, i)
 		}
@@ -157,6 +161,23 @@
 	return changed
 }
 
+// maxLoggedProblems bounds the entries of one configuration that are logged one by one.
+const maxLoggedProblems = 8
+
+// logProblems logs the entries of workspaces that are left out of a configuration.
+func (f *configHandler) logProblems(t *routes.Table) {
+	if t.Workspaces == nil {
+		return
+	}
+	problems := t.Workspaces.Problems()
+	if len(problems) == 0 {
+		return
+	}
+	f.log.WithError(errors.Join(problems[:min(len(problems), maxLoggedProblems)]...)).WithFields(logrus.Fields{
+		fieldConfig: t.Version, fieldInvalid: len(problems),
+	}).Warn("configuration has invalid entries of workspaces; left out")
+}
+
 // HandleFailure implements feed.Handler.
 func (f *configHandler) HandleFailure(err error, unavailable time.Duration) {
 	f.logLost(err, unavailable)
--- a/server/node/node.go
+++ b/server/node/node.go
@@ -211,6 +211,12 @@
 		n.metrics.Gauge("lentilpick_news_missed", "Feed updates from other nodes that could not be applied, so that the changes were read from the store.", n.exchanger.UpdatesMissed),
 		n.metrics.Gauge("lentilpick_claims_refused", "Claims of other nodes that could not be used, because this node had not applied the feed up to their base.", n.exchanger.ClaimsRefused),
 		n.metrics.Gauge("lentilpick_log_dropped", "Log lines that were dropped.", o.droppedLines.Load),
+		n.metrics.Gauge("lentilpick_workspaces", "Workspaces of the configuration in force.", func() int64 {
+			if t := n.gateway.Table(); t != nil && t.Workspaces != nil {
+				return int64(t.Workspaces.Len())
+			}
+			return 0
+		}),
 		n.metrics.Gauge("lentilpick_configuration", "Version of the configuration in force.", func() int64 {
 			if t := n.gateway.Table(); t != nil {
 				return int64(t.Version)
--- a/server/node/observer.go
+++ b/server/node/observer.go
@@ -43,24 +43,27 @@
 	log         *logrus.Entry
 	counters    *counters
 	sampleEvery uint64
-	// limit applies to all lines, unroutedLimit to those about requests without a route.
-	limit, unroutedLimit lineLimit
-	droppedLines         atomic.Int64
+	// limit applies to all lines. unroutedLimit and unidentifiedLimit apply to those about requests
+	// without a route and without a valid credential.
+	limit, unroutedLimit, unidentifiedLimit lineLimit
+	droppedLines                            atomic.Int64
 	// shutdown is the state of the planned stop of the node, and stopped counts how requests ended
 	// during it.
 	shutdown *shutdown.State
 	stopped  *stopTally
 }
 
-// unroutedDivisor limits the lines about requests without a route to the log rate divided by it, so
-// that callers which try random paths do not displace the lines about other requests.
+// unroutedDivisor limits the lines about requests without a route, and those about requests without
+// a valid credential, to the log rate divided by it, so that callers which try random paths or keys
+// do not displace the lines about other requests.
 const unroutedDivisor = 4
 
 func newObserver(log *logrus.Entry, c *counters, sample, rate int) *observer {
 	return &observer{
 		log: log, counters: c, sampleEvery: uint64(sample),
 		limit: lineLimit{rate: int64(rate)}, unroutedLimit: lineLimit{rate: int64(rate) / unroutedDivisor},
-		shutdown: &shutdown.State{}, stopped: &stopTally{},
+		unidentifiedLimit: lineLimit{rate: int64(rate) / unroutedDivisor},
+		shutdown:          &shutdown.State{}, stopped: &stopTally{},
 	}
 }
 
@@ -125,8 +128,14 @@
 // they are not.
 func (o *observer) allow(end *gateway.Event, lines int) bool {
 	r, notRun := end.Outcome.(types.NotRun)
-	unrouted := notRun && r.Reason() == types.RefusedUnknownRoute
-	if (!unrouted || o.unroutedLimit.take(lines)) && o.limit.take(lines) {
+	allowed := true
+	switch {
+	case notRun && r.Reason() == types.RefusedUnknownRoute:
+		allowed = o.unroutedLimit.take(lines)
+	case notRun && r.Reason().Unauthenticated():
+		allowed = o.unidentifiedLimit.take(lines)
+	}
+	if allowed && o.limit.take(lines) {
 		return true
 	}
 	o.droppedLines.Add(int64(lines))
--- a/server/node/observer_test.go
+++ b/server/node/observer_test.go
@@ -88,6 +88,11 @@
 		o.ObserveEnd(unknown)
 	}
 	assert.Assert(t, strings.Count(out.String(), "\n") <= 2*40/unroutedDivisor, "at most the rate of each of two seconds")
+	out.Reset()
+	for range 100 {
+		o.ObserveEnd(eventsOf(3, attempt.Refuse(types.RefusedCredentialUnknown), nil))
+	}
+	assert.Assert(t, strings.Count(out.String(), "\n") <= 2*40/unroutedDivisor, "at most the rate of each of two seconds")
 	o.ObserveEnd(eventsOf(3, attempt.Refuse(types.RefusedNoTarget), nil))
 	assert.Assert(t, strings.Contains(out.String(), types.RefusedNoTarget.String()))
 }
--- a/types/outcome.go
+++ b/types/outcome.go
@@ -42,6 +42,13 @@
 	// RefusedRateLimited means that the targets take no further request in time by the limits
 	// that they have declared.
 	RefusedRateLimited
+	// RefusedCredentialMissing, RefusedCredentialMalformed, RefusedCredentialRepeated and
+	// RefusedCredentialUnknown mean that the route needs a credential of a workspace, and that the
+	// request has none, one of another form, several, or one of no workspace.
+	RefusedCredentialMissing
+	RefusedCredentialMalformed
+	RefusedCredentialRepeated
+	RefusedCredentialUnknown
 	// RefusalReasonCount is the number of reasons, not a reason itself.
 	RefusalReasonCount
 )
@@ -54,7 +61,13 @@
 	"target_failed", "target_silent", "answer_truncated", "caller_gone",
 	"target_limit", "no_configuration", "unknown_route", "timeout",
 	"answer_too_long", "targets_paused", "internal_error", "prompt_crashes_targets",
-	"targets_rate_limited",
+	"targets_rate_limited", "credential_missing", "credential_malformed", "credential_repeated",
+	"credential_unknown",
+}
+
+// Unauthenticated reports whether the request was refused because of its credential.
+func (r RefusalReason) Unauthenticated() bool {
+	return r >= RefusedCredentialMissing && r <= RefusedCredentialUnknown
 }
 
 // String returns the name used in responses, logs and metrics.
