workspaces, platform: decode the scheme of credentials in platform

Callers saw nothing.

Cause: workspaces split the text of the header Authorization, which is encoding of one front end.

Change: workspaces.ForKey takes a key; platform.decodeCredential reads the scheme. FuzzCallerRequest checks that each forwarded line has the class of the caller, with names in odd forms among its seeds.

Evidence: the cases of the former TestParseCredential are in TestOnlyKeysIdentify and TestKeysDoNotReachTargets; FuzzCallerRequest found nothing in 89,687 runs (15 s).

--- a/workspaces/credential.go
+++ b/workspaces/credential.go
@@ -46,19 +46,18 @@
 	digest digest
 }
 
-// scheme precedes the key in a credential. Like all schemes of HTTP it ignores case.
-const scheme = "Token"
-
-// ParseCredential returns the credential with the given text: the scheme and a key.
-func ParseCredential(text string) Credential {
-	given, key, _ := strings.Cut(text, " ")
-	key = strings.Trim(key, " ")
-	if !strings.EqualFold(given, scheme) || !usableKey(key) {
-		return Credential{form: FormMalformed}
+// ForKey returns the credential with the given key. One with a key that no workspace can have is
+// malformed.
+func ForKey(key string) Credential {
+	if !usableKey(key) {
+		return Malformed()
 	}
 	return Credential{form: FormKey, digest: digestOf(key)}
 }
 
+// Malformed returns a credential of an unknown form.
+func Malformed() Credential { return Credential{form: FormMalformed} }
+
 // Repeated returns the credential of a request that has several.
 func Repeated() Credential { return Credential{form: FormRepeated} }
 
