entry: do not log rejected input

Callers saw nothing. With log level debug, the entry daemon logged the head of a request that the HTTP parser had rejected, with the caller's credentials.

Cause: the errors of the parser quote their input, and the HTTP server passes them to its logger.

Change: the logger shows errors of the network only; others become "input is not a valid request".

Evidence: TestRejectedInputIsNotLogged on the code before: "error when serving connection ...: invalid header key "Authorization ": ... contents: "GET ... Authorization : Bearer k-secret". All lines of the HTTP server pass through this logger.

--- a/server/entry/daemon.go
+++ b/server/entry/daemon.go
@@ -175,8 +175,19 @@
 // whose failures the metrics count.
 type debugLogger struct{ entry *logrus.Entry }
 
-// Printf implements fasthttp.Logger.
-func (l debugLogger) Printf(format string, args ...any) { l.entry.Debugf(format, args...) }
+// Printf implements fasthttp.Logger. It hides errors other than those of the network, because the
+// parser's quote the input with the caller's credentials.
+func (l debugLogger) Printf(format string, args ...any) {
+	shown := slices.Clone(args)
+	for i, a := range shown {
+		if err, ok := a.(error); ok && !errors.As(err, new(net.Error)) {
+			shown[i] = errInvalidInput
+		}
+	}
+	l.entry.Debugf(format, shown...)
+}
+
+var errInvalidInput = errors.New("input is not a valid request")
 
 // protocolError responds to input that is not a valid HTTP request.
 func (d *Daemon) protocolError(ctx *fasthttp.RequestCtx, err error) {
--- a/server/entry/input_test.go
+++ b/server/entry/input_test.go
@@ -1,16 +1,39 @@
 package entry
 
 import (
+	"bytes"
 	"io"
 	"net"
 	"net/http"
 	"strings"
 	"testing"
 
+	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/fasthttputil"
 	"gotest.tools/v3/assert"
 )
 
+// Guards against a log with the credentials of a request that the parser rejects.
+func TestRejectedInputIsNotLogged(t *testing.T) {
+	var out bytes.Buffer
+	log := logrus.New()
+	log.SetOutput(&out)
+	log.SetLevel(logrus.DebugLevel)
+	s := &fasthttp.Server{Logger: debugLogger{logrus.NewEntry(log)}, Handler: func(*fasthttp.RequestCtx) {}}
+	l := fasthttputil.NewInmemoryListener()
+	go func() { _ = s.Serve(l) }()
+	c, err := l.Dial()
+	assert.NilError(t, err)
+	_, err = io.WriteString(c, "GET /v1/services/book/x HTTP/1.1\r\nHost: h\r\nAuthorization : Bearer k-secret\r\n\r\n")
+	assert.NilError(t, err)
+	_, err = io.ReadAll(c) // the connection is closed after the line
+	assert.NilError(t, err)
+	assert.NilError(t, l.Close())
+	assert.Assert(t, strings.Contains(out.String(), "error when serving connection"), "%s", out.String())
+	assert.Assert(t, !strings.Contains(out.String(), "secret"), "%s", out.String())
+}
+
 // Guards against a refusal that resets the connection because part of the request was not read. The
 // caller may then lose the response. TestBadInput with a large header failed once in this way while
 // other tests ran ("write: connection reset by peer").
