--- /dev/null
+++ b/transport/head_test.go
@@ -0,0 +1,54 @@
+package transport
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+	"regexp"
+	"testing"
+
+	"github.com/valyala/fasthttp"
+)
+
+var finalStatusLine = regexp.MustCompile(`^HTTP/1\.[01] ([2-5][0-9][0-9])[ \r\n]`)
+
+// Guards against a head whose status differs from its status line, and against a head that breaks off
+// and counts as one.
+func FuzzResponseHead(f *testing.F) {
+	for _, s := range []string{
+		"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\none", "HTTP/1.1 000 X\r\n\r\n", "HTTP/1.0 503\nA: b\n\n",
+		"HTTP/1.1 100 X\r\n\r\nHTTP/1.1 204 X\r\n\r\n", "HTTP/1.1 103 X\r\nLink: x\r\n", "HTTP/1.1 200 OK\r\nA",
+		"HTTP/1.0 200 X\r\nTransfer-Encoding: chunked\r\n\r\n", "\r\nHTTP/1.1 200 X\r\n\r\n", "HTTP/1.1 -20 X\r\n\r\n", "HTTP/9.9 200 X\r\n\r\n",
+	} {
+		f.Add([]byte(s))
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		var h fasthttp.ResponseHeader
+		r := bufio.NewReaderSize(bytes.NewReader(b), readBufBytes)
+		status, err := readHead(r, &h)
+		if err != nil {
+			return
+		}
+		rest, err := io.ReadAll(r)
+		if err != nil && !errors.Is(err, io.EOF) {
+			t.Fatal(err)
+		}
+		head := b[:len(b)-len(rest)]
+		found := false
+		for i := range head {
+			if i > 0 && head[i-1] != '\n' {
+				continue
+			}
+			if m := finalStatusLine.FindSubmatch(head[i:]); m != nil && string(m[1]) == string(fasthttp.AppendUint(nil, status)) {
+				found = true
+			}
+		}
+		if !found || h.StatusCode() != status {
+			t.Fatalf("status %d, decoded %d, of head %q", status, h.StatusCode(), head)
+		}
+		if !bytes.HasSuffix(head, []byte("\n\n")) && !bytes.HasSuffix(head, []byte("\r\n")) {
+			t.Fatalf("head %q has no end", head)
+		}
+	})
+}
