transport: a silent target is waited for once

Cause: since ReadHead waits for the first byte of a response before it decodes the head, ignored the error of that wait and waited again. A request to a silent target took two progress timeouts until it was given up.

Change: the error ends ReadHead.

TestHeadTimesOutOnce failed before with "error i/o timeout after 2 reads".

--- a/transport/conn.go
+++ b/transport/conn.go
@@ -167,11 +167,13 @@
 // its limits, and ErrInvalidHead if what arrives is no response.
 func (c *Conn) ReadHead(resp *fasthttp.Response, skipBody bool) error {
 	resp.StreamBody = true
-	if _, err := c.r.Peek(1); err == nil {
+	status := 0
+	_, err := c.r.Peek(1)
+	if err == nil {
 		// What a target sends after it has read a request acknowledges all of it.
 		c.early = c.early || c.unacknowledged() > 0
+		status, err = readHead(c.r, &resp.Header)
 	}
-	status, err := readHead(c.r, &resp.Header)
 	c.readRemaining = math.MaxInt64
 	if err == nil && !skipBody && status != fasthttp.StatusNoContent && status != fasthttp.StatusNotModified {
 		err = resp.ReadBody(c.r, 0)
--- a/transport/head_test.go
+++ b/transport/head_test.go
@@ -5,8 +5,11 @@
 	"bytes"
 	"errors"
 	"io"
+	"net"
+	"os"
 	"regexp"
 	"testing"
+	"time"
 
 	"github.com/valyala/fasthttp"
 )
@@ -52,3 +55,27 @@
 		}
 	})
 }
+
+// silentConn is a connection whose reads time out.
+type silentConn struct {
+	net.Conn
+	reads int
+}
+
+func (c *silentConn) SetReadDeadline(time.Time) error { return nil }
+
+func (c *silentConn) Read([]byte) (int, error) {
+	c.reads++
+	return 0, os.ErrDeadlineExceeded
+}
+
+// Guards against a silent target for which a request waits through more than one progress timeout.
+func TestHeadTimesOutOnce(t *testing.T) {
+	raw := &silentConn{}
+	c := newConn(raw)
+	c.Begin(time.Second, time.Now().Add(time.Minute))
+	var resp fasthttp.Response
+	if err := c.ReadHead(&resp, false); !errors.Is(err, os.ErrDeadlineExceeded) || raw.reads != 1 {
+		t.Fatalf("error %v after %d reads", err, raw.reads)
+	}
+}
