--- a/directory/directory.go
+++ b/directory/directory.go
@@ -30,6 +30,8 @@
 	// StartedAt is the start time of the target in Unix milliseconds, which tells a
 	// restarted target from the earlier one. 0 means unknown.
 	StartedAt int64
+	// Version is the version of the target's software.
+	Version types.SoftwareVersion
 }
 
 // Target is a target in a snapshot. All fields except Load are immutable.
@@ -70,9 +72,17 @@
 // Lifetime returns the lifetime of the target.
 func (t *Target) Lifetime() Lifetime { return Lifetime{t.Hash, t.StartedAt} }
 
+// VersionTargets are the targets of a service that run one software version.
+type VersionTargets struct {
+	Version types.SoftwareVersion
+	// Targets is sorted by hash and must not be modified.
+	Targets []*Target
+}
+
 // Snapshot is an immutable set of the registered targets.
 type Snapshot struct {
 	byService map[types.ServiceID][]*Target
+	byVersion map[types.ServiceID][]VersionTargets
 	byID      map[types.TargetID]*Target
 	byHash    map[uint64]*Target
 	holders   *HolderIndex
@@ -86,6 +96,21 @@
 // the slice.
 func (s *Snapshot) Service(id types.ServiceID) []*Target { return s.byService[id] }
 
+// Versions returns the targets of a service by software version, sorted by version. The caller
+// must not modify the slice.
+func (s *Snapshot) Versions(id types.ServiceID) []VersionTargets { return s.byVersion[id] }
+
+// OfVersion returns the targets of a service that run a software version, sorted by hash. The
+// caller must not modify the slice.
+func (s *Snapshot) OfVersion(id types.ServiceID, v types.SoftwareVersion) []*Target {
+	for _, o := range s.byVersion[id] {
+		if o.Version == v {
+			return o.Targets
+		}
+	}
+	return nil
+}
+
 // Target returns the target with the given ID, or nil.
 func (s *Snapshot) Target(id types.TargetID) *Target { return s.byID[id] }
 
@@ -195,8 +220,12 @@
 	}
 	t := &Target{Entry: e, Hash: xxhash.Sum64String(string(e.ID))}
 	kind := ChangeAdded
+	if old != nil && old.Version != e.Version {
+		// A request that uses an older snapshot must not be sent to the other version.
+		old.Load.Leaving.Store(true)
+	}
 	switch {
-	case old == nil || old.StartedAt != e.StartedAt || old.Address != e.Address:
+	case old == nil || old.StartedAt != e.StartedAt || old.Address != e.Address || old.Version != e.Version:
 		t.Load = NewLoad()
 		if d.left.contains(t.Lifetime()) {
 			t.Load.declareLeaving()
@@ -341,6 +370,7 @@
 func (d *Directory) publish() {
 	s := &Snapshot{
 		byService: map[types.ServiceID][]*Target{},
+		byVersion: map[types.ServiceID][]VersionTargets{},
 		byID:      make(map[types.TargetID]*Target, len(d.current)),
 		byHash:    make(map[uint64]*Target, len(d.current)),
 		holders:   &d.holders,
@@ -350,8 +380,28 @@
 		s.byHash[t.Hash] = t
 		s.byService[t.Service] = append(s.byService[t.Service], t)
 	}
-	for _, all := range s.byService {
+	for id, all := range s.byService {
 		slices.SortFunc(all, func(a, b *Target) int { return cmp.Compare(a.Hash, b.Hash) })
+		s.byVersion[id] = groupByVersion(all)
 	}
 	d.snapshot.Store(s)
 }
+
+// groupByVersion returns the targets of a service by software version, sorted by version. With one
+// version, which is the usual case, the result shares the slice.
+func groupByVersion(all []*Target) []VersionTargets {
+	mixed := slices.ContainsFunc(all, func(t *Target) bool { return t.Version != all[0].Version })
+	if !mixed {
+		return []VersionTargets{{all[0].Version, all}}
+	}
+	groups := map[types.SoftwareVersion][]*Target{}
+	for _, t := range all {
+		groups[t.Version] = append(groups[t.Version], t)
+	}
+	out := make([]VersionTargets, 0, len(groups))
+	for v, targets := range groups {
+		out = append(out, VersionTargets{v, targets})
+	}
+	slices.SortFunc(out, func(a, b VersionTargets) int { return cmp.Compare(a.Version, b.Version) })
+	return out
+}
--- a/placement/candidates_test.go
+++ b/placement/candidates_test.go
@@ -103,6 +103,29 @@
 	assert.Equal(t, len(Candidates(small, "s", r, HasRole(types.RolePrefill))), FullScanLimit)
 }
 
+// Guards against a rare software version that a sample of all versions misses, and against a holder
+// of another version.
+func TestCandidatesOfVersion(t *testing.T) {
+	d := newFleet(2000)
+	for i, id := range []types.TargetID{"i-1", "i-2", "i-4"} {
+		e := d.Load().Target(id).Entry
+		e.Version = "v2"
+		d.Put(e)
+		d.RecordHolders(d.Load().Target("i-5"), promptOf(uint64(i), 0).Prompt.Parts)
+	}
+	s := d.Load()
+	for hash := range uint64(10) {
+		r := promptOf(1, hash)
+		f := OfVersion{"v2", HasRole(types.RolePrefill)}
+		assert.Equal(t, Pick(Candidates(s, "s", r, f), r, f, PrefillScorer{Costs: costs, Speed: speed}).Target.Version, types.SoftwareVersion("v2"))
+		assert.Assert(t, AnyAccepted(s, "s", r, OfVersion{"v2", GeneratesTokens{}}))
+		assert.Assert(t, !AnyAccepted(s, "s", r, OfVersion{"v3", GeneratesTokens{}}))
+		for _, c := range Candidates(s, "s", r, OfVersion{"", HasRole(types.RolePrefill)}) {
+			assert.Equal(t, c.Version, types.SoftwareVersion(""))
+		}
+	}
+}
+
 // BenchmarkChoice measures the choice of a prefill engine. From 60 to 11,000 engines its time must not
 // more than double.
 func BenchmarkChoice(b *testing.B) {
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -153,6 +153,17 @@
 	return t.Role != types.RolePrefill && Available{}.Accept(r, t)
 }
 
+// OfVersion accepts the targets of one software version that another filter accepts.
+type OfVersion struct {
+	Version types.SoftwareVersion
+	Filter
+}
+
+// Accept implements Filter.
+func (o OfVersion) Accept(r *Request, t *directory.Target) bool {
+	return t.Version == o.Version && o.Filter.Accept(r, t)
+}
+
 // Costs holds the cost parameters for choosing a target.
 type Costs struct {
 	// Local is the data centre of this daemon.
--- a/types/ids.go
+++ b/types/ids.go
@@ -20,6 +20,10 @@
 // DataCentreID identifies a data centre.
 type DataCentreID string
 
+// SoftwareVersion is the version of the software that a target runs. Targets of a service may run
+// several versions side by side. A target that does not report one has the empty version.
+type SoftwareVersion string
+
 // VMID identifies an entry VM and the daemons on it.
 type VMID string
 
