gateway: a stream goes on only at the software version that began it

What callers saw: streams with events of two software versions of one service, in one answer or over a caller's tries, all answered 200 and without a gap.

Cause: the gateway sent the rest of a stream to any target of the service, and did not read Resumes, so that a resumption by a caller went to any version too. With a split route it even went to another service, because the service is chosen by the ID of the request, and a resumption has a new one.

Change: gateway.VersionPolicy assigns the version at which a stream of a resumable route begins, and resolves it from the ID of the first request, which Resumes names. The request is bound to that version before anything is sent, and each choice passes placement.OfVersion. If no version is assigned it is refused with version_unknown, if it cannot be resolved with stream_version_unknown: 503, not run, Retry-After 0.1 s. Without a policy a stream begins at any version, and a resumption is served only while all registered targets have one. With the first event a stream is bound to the version of its target; if no other target of it is left, the response breaks off as when no target is left. A resumption chooses the service by the first request's ID. On a route that is not resumable no version was assigned, so that Last-Event-Id is resolved without the ID. The lines of a request have version.

Why it works: every node computes the same version from the same ID, and what it cannot compute is refused before a byte is sent. Not covered here: a target that has restarted with another version whose registration is not read yet.

--- a/gateway/event.go
+++ b/gateway/event.go
@@ -26,8 +26,11 @@
 	// ConfigVersion is the version of the configuration that applies, or 0 without a
 	// configuration.
 	ConfigVersion uint64
-	Target        types.TargetID
-	Stage         Stage
+	// Version is the software version of the target, for KindSend, and otherwise the one to which
+	// the stream is bound. It is empty if it is unknown or the stream is not bound.
+	Version types.SoftwareVersion
+	Target  types.TargetID
+	Stage   Stage
 	// Predicted is the predicted time from sending to the first result, for KindSend.
 	Predicted      time.Duration
 	UncachedTokens int
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -30,6 +30,9 @@
 	callerCtx context.Context // ends when the caller disconnects
 	ctx       context.Context // ends at the deadline as well
 
+	// binding restricts a stream to the software version that has begun it or has to.
+	binding versionBinding
+
 	callerAttempt types.Attempt
 	excluded      []types.TargetID
 	attempts      int  // requests that may have reached a target, except prefills
@@ -95,7 +98,7 @@
 }
 
 func (x *exchange) newEvent(k Kind) Event {
-	e := Event{Kind: k, Request: x.r, Service: x.serviceID, Elapsed: x.now().Sub(x.r.Arrived)}
+	e := Event{Kind: k, Request: x.r, Service: x.serviceID, Version: x.binding.version, Elapsed: x.now().Sub(x.r.Arrived)}
 	if x.table != nil {
 		e.ConfigVersion = x.table.Version
 	}
@@ -119,10 +122,11 @@
 	return placement.Candidates(x.g.directory.Load(), x.serviceID, q, f)
 }
 
-// pickTarget returns the best choice. If there are no others, targets that are avoided
+// pickTarget returns the best choice of the version to which the request is bound. If there are no others, targets that are avoided
 // because of failures are used as well: such a target may have recovered, whereas a
 // refusal is certain to fail the request.
 func (x *exchange) pickTarget(f placement.Filter, s placement.Scorer) placement.Choice {
+	f = x.binding.restrict(f)
 	q := x.placementRequest()
 	c := placement.Pick(x.candidates(q, f), q, f, s)
 	if c.Target == nil {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -66,6 +66,10 @@
 	Prompt *placement.Prompt
 	// ResumeAfter is the ID of the last event that the caller has received, or empty.
 	ResumeAfter string
+	// ResumeOf is the ID of the request that brought the first event of the stream that this
+	// request resumes, or empty. ResumeHash is a hash of it, as Hash is of ID.
+	ResumeOf   types.RequestID
+	ResumeHash uint64
 	// Bytes is the size of the message in bytes.
 	Bytes int
 	// Hash is a hash of ID.
@@ -213,6 +217,10 @@
 	Demand *demand.Table
 	// Crashes decides which prompts are refused because they crash engines. With nil none are.
 	Crashes CrashGuard
+	// Versions decides at which software version streams of resumable routes run. With nil they
+	// may begin at any, and a request that resumes a stream is served only if all targets of
+	// the service have one version.
+	Versions VersionPolicy
 	// Shutdown decides which requests may begin while the process stops. With nil it never
 	// stops.
 	Shutdown *shutdown.State
@@ -313,7 +321,7 @@
 	if x.route == nil {
 		return x.end(x.callerAttempt.Refuse(types.RefusedUnknownRoute))
 	}
-	x.serviceID = x.route.PickService(r.Hash)
+	x.serviceID = x.route.PickService(r.serviceHash())
 	x.service = x.table.Service(x.serviceID)
 	x.deadline = r.Arrived.Add(x.route.Timeout)
 	if !r.Deadline.IsZero() && r.Deadline.Before(x.deadline) {
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -74,7 +74,7 @@
 // have run, the reason is the failure of the last attempt, which is more useful to the
 // caller.
 func (x *exchange) noTarget() types.Outcome {
-	if pause := placement.ShortestPause(x.g.directory.Load().Service(x.serviceID), x.now()); pause > 0 && !x.callerAttempt.Sent() {
+	if pause := placement.ShortestPause(x.binding.targets(x.g.directory.Load(), x.serviceID), x.now()); pause > 0 && !x.callerAttempt.Sent() {
 		return x.refuse(types.RefusedTargetsPaused, max(pause, minRetryAfter))
 	}
 	reason := types.RefusedNoTarget
@@ -132,6 +132,7 @@
 func (x *exchange) recordSend(c placement.Choice, s Stage) {
 	e := x.newEvent(KindSend)
 	e.Target, e.Stage, e.Predicted, e.UncachedTokens = c.Target.ID, s, c.Predicted(), c.UncachedTokens
+	e.Version = c.Target.Version
 	x.lastTarget, x.lastErr = c.Target.ID, nil
 	x.recordDecision(e)
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -51,6 +51,9 @@
 func (x *exchange) serveStream() types.Outcome {
 	s := stream{exchange: x, lastEvent: x.r.ResumeAfter}
 	defer s.release()
+	if o := s.bindVersion(); o != nil {
+		return o
+	}
 	for {
 		err := s.checkCrashes()
 		if err == nil {
@@ -181,7 +184,7 @@
 // cacheSource returns the engine from which the shared parts of the prompt can be fetched.
 func (s *stream) cacheSource() placement.CacheSource {
 	q := s.placementRequest()
-	return placement.FindCacheSource(s.candidates(q, placement.HasRole(types.RolePrefill)), q, s.costs())
+	return placement.FindCacheSource(s.candidates(q, s.binding.restrict(placement.HasRole(types.RolePrefill))), q, s.costs())
 }
 
 func (s *stream) combinedScorer() placement.CombinedScorer {
@@ -432,6 +435,8 @@
 				if s.events == 0 || !s.started {
 					onFirst()
 				}
+				// The caller gets the rest of the stream from the same version only.
+				s.binding = versionBinding{t.Version, true}
 				if writeErr := s.forward(resp, events); writeErr != nil {
 					return writeErr
 				}
--- a/server/entry/answer.go
+++ b/server/entry/answer.go
@@ -124,6 +124,8 @@
 	types.RefusedInternal:          "the daemon failed to serve the request",
 	types.RefusedCrashingPrompt:    "a part of the prompt crashes targets; send it again later",
 	types.RefusedRateLimited:       "the targets take no more requests for now; send it again later",
+	types.RefusedVersionUnknown:    "no software version is known at which the stream may begin; send it again later",
+	types.RefusedStreamVersion:     "the software version that began the stream is not known; begin a new stream",
 	types.RefusedTargetsPaused:     "all targets have asked for a pause; send it again later",
 	types.RefusedTargetLimit:       "all targets have as many requests as they can serve in time; send it again later",
 }
--- a/server/node/observer.go
+++ b/server/node/observer.go
@@ -34,6 +34,8 @@
 	// fieldEvents how much of a stream its caller has received.
 	fieldParts  = "parts"
 	fieldEvents = "events"
+	// fieldVersion holds the software version of a target, or that of a stream.
+	fieldVersion = "version"
 )
 
 var stageNames = [...]string{"whole", "prefill", "decode"}
@@ -92,6 +94,9 @@
 	if e.ConfigVersion != 0 {
 		f[fieldConfig] = e.ConfigVersion
 	}
+	if e.Version != "" {
+		f[fieldVersion] = e.Version
+	}
 	switch e.Kind {
 	case gateway.KindSend:
 		f[daemon.FieldTarget], f[fieldStage] = e.Target, stageNames[e.Stage]
--- a/types/outcome.go
+++ b/types/outcome.go
@@ -42,6 +42,11 @@
 	// RefusedRateLimited means that the targets take no further request in time by the limits
 	// that they have declared.
 	RefusedRateLimited
+	// RefusedVersionUnknown means that no software version is known at which the stream may begin.
+	RefusedVersionUnknown
+	// RefusedStreamVersion means that the software version that began the stream, which the
+	// request resumes, cannot be determined.
+	RefusedStreamVersion
 	// RefusalReasonCount is the number of reasons, not a reason itself.
 	RefusalReasonCount
 )
@@ -54,7 +59,7 @@
 	"target_failed", "target_silent", "answer_truncated", "caller_gone",
 	"target_limit", "no_configuration", "unknown_route", "timeout",
 	"answer_too_long", "targets_paused", "internal_error", "prompt_crashes_targets",
-	"targets_rate_limited",
+	"targets_rate_limited", "version_unknown", "stream_version_unknown",
 }
 
 // String returns the name used in responses, logs and metrics.
