gateway: KV cache is decoded and fetched only at its software version

What callers could get: tokens of one software version generated from KV cache that another has written, on every route of engines.

Cause: the decode engine, and the engine from which shared parts are fetched, were chosen without regard to the version of the prefill engine.

Change: a prefill engine is chosen within each version that has an engine that can generate, with the cache source of that version, and the best of these choices is taken; with one version this is one choice as before. The decode, also a reserved one and that of the check of limits, passes placement.OfVersion with the version of the prefill. If the generating engines of that version leave during the prefill, the request runs combined at another version instead of being refused.

Evidence, without the change: TestKVCacheKeepsVersion: "v1 (c.Target.Version) != v3 (c.FetchFrom.Version)", and with only the decode unrestricted "v1 (c.Target.Version) != v2 (c.KVSource.Target.Version)"; TestPrefillWhoseVersionIsGone: pd instead of pw.

Why it works: the KV source and the fetch source are in the list of targets of the same version as the engine that reads them. The version is that of the registration; an engine that has restarted under its address with another one is not seen until its registration is read.

--- a/gateway/decode.go
+++ b/gateway/decode.go
@@ -11,10 +11,12 @@
 	h := s.handle
 	choice := s.reservedDecode()
 	if choice.Target == nil {
-		choice = s.pickDecode(h.Target.DataCentre)
+		choice = s.pickDecode(h.Target)
 	}
 	if choice.Target == nil {
-		return &outcomeError{s.noTarget()}
+		// Engines of other versions may be left, for which the KV cache is of no use.
+		s.release()
+		return s.runCombined(placement.GeneratesTokens{}, s.combinedScorer())
 	}
 	c := s.newCall(choice.Target, StageDecode)
 	c.KVSource = h
@@ -33,9 +35,15 @@
 	return placement.DecodeScorer{Costs: s.costs(), Speed: s.speed(), Engine: *s.service.Engine, Link: s.kvLink(), SourceDataCentre: source}
 }
 
-// pickDecode returns the engine for a decode from KV cache in a data centre.
-func (s *stream) pickDecode(source types.DataCentreID) placement.Choice {
-	return s.pickTarget(placement.GeneratesTokens{}, s.decodeScorer(source))
+// decodesFrom accepts the available engines that can use the KV cache of another engine: they
+// run the same software version.
+func decodesFrom(source *directory.Target) placement.OfVersion {
+	return placement.OfVersion{Version: source.Version, Filter: placement.GeneratesTokens{}}
+}
+
+// pickDecode returns the engine for a decode from the KV cache of an engine.
+func (s *stream) pickDecode(source *directory.Target) placement.Choice {
+	return s.pickTarget(decodesFrom(source), s.decodeScorer(source.DataCentre))
 }
 
 // reservedDecode returns the engine for which a time is reserved, if it is still available.
@@ -44,5 +52,5 @@
 	if t == nil {
 		return placement.Choice{}
 	}
-	return placement.Pick([]*directory.Target{t}, s.placementRequest(), placement.GeneratesTokens{}, s.decodeScorer(s.handle.Target.DataCentre))
+	return placement.Pick([]*directory.Target{t}, s.placementRequest(), decodesFrom(s.handle.Target), s.decodeScorer(s.handle.Target.DataCentre))
 }
--- a/gateway/pacing.go
+++ b/gateway/pacing.go
@@ -90,9 +90,9 @@
 // declared a limit, and nil otherwise: then the choice is better made after the prefill.
 func (s *stream) checkLimits(prefill placement.Choice) (*directory.Target, error) {
 	var decode placement.Choice
-	q, f := s.placementRequest(), placement.GeneratesTokens{}
+	q, f := s.placementRequest(), decodesFrom(prefill.Target)
 	if placement.AnyLimited(s.candidates(q, f), q, f) {
-		decode = s.pickDecode(prefill.Target.DataCentre)
+		decode = s.pickDecode(prefill.Target)
 	}
 	delay := max(prefill.RateDelay, decode.RateDelay)
 	if delay == 0 {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -120,7 +120,7 @@
 	if s.handle.ID != "" {
 		return s.decode()
 	}
-	p := s.pickTarget(placement.HasRole(types.RolePrefill), s.prefillScorer())
+	p := s.pickPrefill()
 	if p.Target == nil {
 		return s.runCombined(placement.GeneratesTokens{}, s.combinedScorer())
 	}
@@ -174,19 +174,13 @@
 	return placement.Link{TokenBytes: e.KVTokenBytes, Mbps: e.LinkMbps, TransferCostPerToken: s.g.settings.TransferCostPerToken}
 }
 
-func (s *stream) prefillScorer() placement.PrefillScorer {
+func (s *stream) prefillScorer(source placement.CacheSource) placement.PrefillScorer {
 	return placement.PrefillScorer{
 		Costs: s.costs(), Speed: s.speed(), Link: s.kvLink(), FetchCostPerToken: s.g.settings.FetchCostPerToken,
-		Source: s.cacheSource(),
+		Source: source,
 	}
 }
 
-// cacheSource returns the engine from which the shared parts of the prompt can be fetched.
-func (s *stream) cacheSource() placement.CacheSource {
-	q := s.placementRequest()
-	return placement.FindCacheSource(s.candidates(q, s.binding.restrict(placement.HasRole(types.RolePrefill))), q, s.costs())
-}
-
 func (s *stream) combinedScorer() placement.CombinedScorer {
 	return placement.CombinedScorer{Costs: s.costs(), Speed: s.speed(), Engine: *s.service.Engine}
 }
