gateway, platform, transport: a stream goes on only at the registered lifetime of its target

What callers could get: text of two software versions, although versions are compared: an engine returns under its ID and address with another version, and until its new registration is read its requests count as sent to the earlier one.

Cause: X-Expect-Instance names only the ID of a target, which a restart keeps.

Change: gateway.Call.RequireLifetime. The target client then reads GET /report on the connection that will carry the request, before any byte of it, and compares born with the registration. A difference is ErrMisdirected, any other failure ErrNotSent, so the request has not run. The connection remembers the lifetime and is not verified again; one of another lifetime is not taken from the pool. It is required for each resumption, by the system or a caller, and for streams of resumable routes and of engines (their KV cache) while the service has targets of several versions or had some in the last 10 s. Targets whose registration has no born, or whose report has none or does not exist (404), cannot be verified; their requests are sent as before, since otherwise such a service could never resume a stream.

Why it works: a connection ends with the process at its other end, so that a process which has restarted since the report cannot get the request on it. Not covered: the first stream of a service that begins at a target whose new version no registration shows yet, and the engine that Kv-Fetch names.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -120,6 +120,9 @@
 	// RequireLiveConnection requires that the request is not sent on a connection that
 	// the target may have closed.
 	RequireLiveConnection bool
+	// RequireLifetime requires that the request is sent only to the lifetime of the target that
+	// is registered, not to one that has returned under its ID since.
+	RequireLifetime bool
 }
 
 // Response is a response in progress. Read returns io.EOF at the end of a complete
@@ -238,6 +241,7 @@
 	observer  Observer
 	budgets   budgets
 	durations shutdown.Durations
+	mixed     mixedServices
 	buffered  atomic.Int64 // bytes of buffered responses
 	panics    atomic.Int64
 }
--- a/gateway/versions_test.go
+++ b/gateway/versions_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -202,3 +203,32 @@
 		assert.Equal(t, w.targets.calls[0].Target.Service, w.targets.calls[1].Target.Service)
 	}
 }
+
+// Guards against a stream that goes on, or begins during a release, at a target that has returned
+// with another version before its registration says so, and against a check of each request.
+func TestCallsThatRequireLifetime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		required := func(w *testGateway, r Request) (out string) {
+			w.targets.calls = nil
+			w.targets.send = func(context.Context, *Call) (Response, error) { return breakOff(), nil }
+			_, _ = w.serveRequest(r)
+			for _, c := range w.targets.calls {
+				out += map[bool]string{true: "L", false: "-"}[c.RequireLifetime]
+			}
+			time.Sleep(time.Second) // ends the pauses of the engines
+			return out
+		}
+		w := newTestGateway()
+		assert.Equal(t, required(w, Request{ID: "r", Path: "/resume/x"}), "--L", "prefill, decode, rest")
+		assert.Equal(t, required(w, Request{ID: "r", Path: "/resume/x", ResumeAfter: "1"}), "LLL")
+		assert.Equal(t, required(w, Request{ID: "r", Path: "/chat/x"}), "--")
+		assert.Equal(t, required(w, Request{ID: "r", Path: "/read/x"}), "--")
+		w.setVersions(map[types.TargetID]types.SoftwareVersion{"d1": "v1", "d2": "v1", "p1": "v1"})
+		assert.Equal(t, required(w, Request{ID: "r", Path: "/resume/x"}), "LLL")
+		assert.Equal(t, required(w, Request{ID: "r", Path: "/chat/x"}), "LL")
+		w.setVersions(map[types.TargetID]types.SoftwareVersion{"p2": "v1"})
+		assert.Equal(t, required(w, Request{ID: "r", Path: "/resume/x"}), "LLL")
+		time.Sleep(mixedMemory)
+		assert.Equal(t, required(w, Request{ID: "r", Path: "/resume/x"}), "--L")
+	})
+}
--- a/transport/conn.go
+++ b/transport/conn.go
@@ -50,6 +50,7 @@
 	requestDeadline time.Time // upper bound of the I/O deadlines
 	sent            bool      // at least one byte of the request was written
 	readRemaining   int64     // bytes until the read limit
+	lifetime        int64     // of the peer, 0 if it was not verified
 }
 
 func newConn(c net.Conn) *Conn {
@@ -108,6 +109,13 @@
 // IdleTime returns how long the connection has been idle at the time now.
 func (c *Conn) IdleTime(now time.Time) time.Duration { return now.Sub(c.idleSince) }
 
+// Lifetime returns the value of SetLifetime, or 0.
+func (c *Conn) Lifetime() int64 { return c.lifetime }
+
+// SetLifetime records which lifetime of the peer was found at the other end. It holds as long as
+// the connection, which ends with the process of the peer.
+func (c *Conn) SetLifetime(v int64) { c.lifetime = v }
+
 // Reader returns the buffered reader of the connection.
 func (c *Conn) Reader() *bufio.Reader { return c.r }
 
