gateway, placement: idle engines of all versions get prompts

Cause: the best prefill choices of the versions were compared by cost alone, and the first version won ties. Idle engines cost the same, so that one version got all prompts.

Change: placement.Better breaks ties like Pick, by rendezvous hashing. Two tests did not see their faults and are stricter: TestKVCacheKeepsVersion now has cases in which the prefill engine without a decode engine would be the best one, and TestCandidatesOfVersion holders of the other version.

Evidence: TestPrefillsSpreadOverVersions before: "map[v1:100]". Why it works: the rank depends on the request and the target, not on the order of versions.

--- a/gateway/prefill.go
+++ b/gateway/prefill.go
@@ -17,9 +17,7 @@
 			if s.binding.bound && s.binding.version != v.Version {
 				continue
 			}
-			if c := s.pickPrefillOf(v.Version, snapshot, q); c.Target != nil && (best.Target == nil || c.Cost < best.Cost) {
-				best = c
-			}
+			best = placement.Better(q, best, s.pickPrefillOf(v.Version, snapshot, q))
 		}
 		if best.Target != nil {
 			return best
--- a/gateway/prefill_test.go
+++ b/gateway/prefill_test.go
@@ -1,11 +1,14 @@
 package gateway
 
 import (
+	"context"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/lentilpick/lentilpick/directory"
+	"github.com/lentilpick/lentilpick/placement"
 	"github.com/lentilpick/lentilpick/types"
 )
 
@@ -22,6 +25,9 @@
 		if hash%2 == 0 {
 			w.d.Load().Target("p2").Load.Peers.Add(directory.Work{PrefillTokens: 50_000})
 		}
+		if hash%3 == 0 { // with p2, so that p4 would be best
+			w.d.Load().Target("p3").Load.Peers.Add(directory.Work{PrefillTokens: 50_000})
+		}
 		if hash%4 == 0 {
 			w.d.Load().Target("d2").Load.Peers.Add(directory.Work{Streams: 50})
 		}
@@ -55,3 +61,19 @@
 	assert.Equal(t, w.targets.stages(), "pw")
 	assert.Equal(t, len(w.targets.released), 1)
 }
+
+// Guards against a version whose engines get no prompts while all engines are idle.
+func TestPrefillsSpreadOverVersions(t *testing.T) {
+	w := newVersionedGateway(nil)
+	w.targets.send = func(context.Context, *Call) (Response, error) {
+		return &fakeResponse{status: 200, pieces: []string{"id: 1\n\n"}}, nil
+	}
+	prefills := map[types.SoftwareVersion]int{}
+	for hash := range uint64(100) {
+		r := Request{ID: "r", Host: "h", Path: "/chat/x", Arrived: time.Now(), Hash: hash, Prompt: &placement.Prompt{Tokens: 1000, MaxOutputTokens: 20}}
+		w.targets.calls = nil
+		_ = w.g.Serve(context.Background(), &r, &fakeCaller{})
+		prefills[w.targets.calls[0].Target.Version]++
+	}
+	assert.Assert(t, prefills["v1"] > 20 && prefills["v2"] > 20, "%v", prefills)
+}
--- a/placement/candidates_test.go
+++ b/placement/candidates_test.go
@@ -111,7 +111,7 @@
 		e := d.Load().Target(id).Entry
 		e.Version = "v2"
 		d.Put(e)
-		d.RecordHolders(d.Load().Target("i-5"), promptOf(uint64(i), 0).Prompt.Parts)
+		d.RecordHolders(d.Load().Target(id), promptOf(uint64(i), 0).Prompt.Parts)
 	}
 	s := d.Load()
 	for hash := range uint64(10) {
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -94,6 +94,20 @@
 	return best
 }
 
+// Better returns the one of two choices for a request with the lower cost, with ties broken as by
+// Pick. A choice without a target loses.
+func Better(r *Request, a, b Choice) Choice {
+	switch {
+	case a.Target == nil:
+		return b
+	case b.Target == nil || a.Cost < b.Cost:
+		return a
+	case a.Cost == b.Cost && mix(a.Target.Hash^r.Hash) > mix(b.Target.Hash^r.Hash):
+		return a
+	}
+	return b
+}
+
 // mix is the finalizer of MurmurHash3 (Appleby, public domain).
 func mix(h uint64) uint64 {
 	h ^= h >> 33
