--- a/tools/mutations/faults.go
+++ b/tools/mutations/faults.go
@@ -18,6 +18,7 @@
 	crashes   = "crashguard/guard.go"
 	stops     = "shutdown/shutdown.go"
 	durations = "shutdown/durations.go"
+	versions  = "gateway/versions.go"
 
 	authorityTest     = "proof TestStatefulAuthority"
 	configurationTest = "proof TestStatefulConfiguration"
@@ -139,4 +140,20 @@
 	{"stops: no outcome at the end", "platform/front.go", "		c.cancelRequest(gateway.ErrStopping)\n", "", "platform TestStopAnswersRequestsInProgressAtItsEnd"},
 	{"stops: end counts as a caller that left", "gateway/exchange.go", "errors.Is(context.Cause(x.callerCtx), ErrStopping)", "errors.Is(context.Cause(x.callerCtx), ErrPaused)", "gateway TestRequestsInProgressEndWithTheStop"},
 	{"stops: requests that have not arrived get no response", "platform/front.go", "		c.endRead()\n", "", "platform TestStopRefusesRequestsThatHaveNotArrived"},
+	{"versions: rest of a stream from any version", "gateway/stream.go", "s.binding = versionBinding{t.Version, true}", "_ = t.Version", "gateway TestRestOfStreamKeepsVersion"},
+	{"versions: resumption at the version of a new stream", versions, "	case s.r.resumes():\n", "	case false:\n", "gateway TestVersionOverTries"},
+	{"versions: streams begin at any version", versions, "	case s.route.Resumable && policy != nil:\n", "	case false:\n", "gateway TestVersionOverTries"},
+	{"versions: IDs of other routes are resolved", versions, "	if !s.route.Resumable {\n", "	if false {\n", "gateway TestUnknownVersionIsRefused"},
+	{"versions: longer time of the caller does not count", versions, "maxAge = max(maxAge, s.r.Deadline.Sub(s.now()))", "_ = s.r.Deadline", "gateway TestMaxAgeOfResumedStream"},
+	{"versions: resumption at another service", versions, "	if r.ResumeOf != \"\" {\n", "	if false {\n", "gateway TestResumedStreamKeepsService"},
+	{"versions: decode at another version", "gateway/decode.go", "s.pickTarget(decodesFrom(source), ", "s.pickTarget(placement.GeneratesTokens{}, ", "gateway TestKVCacheKeepsVersion"},
+	{"versions: prefill that no engine can decode", "gateway/prefill.go", "if !placement.AnyAccepted(", "if false && !placement.AnyAccepted(", "gateway TestKVCacheKeepsVersion"},
+	{"versions: holders of other versions", "placement/candidates.go", "ofVersion && t.Version != o.Version", "ofVersion && t.Version == o.Version+\"x\"", "placement TestCandidatesOfVersion"},
+	{"versions: load outlives the version", "directory/directory.go", " || old.Version != e.Version:", ":", "directory TestOtherVersionIsNewLifetime"},
+	{"versions: earlier snapshots use the target", "directory/directory.go", "old != nil && old.Version != e.Version", "false", "directory TestOtherVersionIsNewLifetime"},
+	{"versions: lifetime is not compared", "platform/lifetime.go", "if born != 0 && born != want {", "if false {", "platform TestRequestReachesVerifiedLifetimeOnly"},
+	{"versions: lifetime is read for each request", "platform/lifetime.go", "	x.conn.SetLifetime(born)\n", "", "platform TestConnectionIsVerifiedOnce"},
+	{"versions: report beyond a declared limit", "platform/lifetime.go", "if !c.Target.Load.TryReserve(time.Now()) {", "if c.Target.Load.TryReserve(time.Now()); false {", "platform TestLifetimeOfLimitedOrOldTarget"},
+	{"versions: resumption at any lifetime", versions, "x.events > 0 || x.r.resumes()", "x.events < 0", "gateway TestCallsThatRequireLifetime"},
+	{"versions: beginnings at any lifetime", versions, "	last.Store(clock.Nanos(now))\n	return true\n", "	last.Store(0)\n	return false\n", "gateway TestCallsThatRequireLifetime"},
 }
