--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -69,6 +69,10 @@
 	Prompt *placement.Prompt
 	// ResumeAfter is the ID of the last event that the caller has received, or empty.
 	ResumeAfter string
+	// ResumeOf is the ID of the request that brought the first event of the stream that this
+	// request resumes, or empty. ResumeHash is a hash of it, as Hash is of ID.
+	ResumeOf   types.RequestID
+	ResumeHash uint64
 	// Bytes is the size of the message in bytes.
 	Bytes int
 	// Hash is a hash of ID.
@@ -120,6 +124,9 @@
 	// RequireLiveConnection requires that the request is not sent on a connection that
 	// the target may have closed.
 	RequireLiveConnection bool
+	// RequireLifetime requires that the request is sent only to the lifetime of the target that
+	// is registered, not to one that has returned under its ID since.
+	RequireLifetime bool
 }
 
 // Response is a response in progress. Read returns io.EOF at the end of a complete
@@ -217,6 +224,10 @@
 	Demand *demand.Table
 	// Crashes decides which prompts are refused because they crash engines. With nil none are.
 	Crashes CrashGuard
+	// Versions decides at which software version streams of resumable routes run. With nil they
+	// may begin at any, and a request that resumes a stream is served only if all targets of
+	// the service have one version.
+	Versions VersionPolicy
 	// Shutdown decides which requests may begin while the process stops. With nil it never
 	// stops.
 	Shutdown *shutdown.State
@@ -234,6 +245,7 @@
 	observer  Observer
 	budgets   budgets
 	durations shutdown.Durations
+	mixed     mixedServices
 	buffered  atomic.Int64 // bytes of buffered responses
 	panics    atomic.Int64
 }
@@ -320,7 +332,7 @@
 	if reason, ok := x.identify(); !ok {
 		return x.end(x.callerAttempt.Refuse(reason))
 	}
-	x.serviceID = x.route.PickService(r.Hash)
+	x.serviceID = x.route.PickService(r.serviceHash())
 	x.service = x.table.Service(x.serviceID)
 	x.deadline = r.Arrived.Add(x.route.Timeout)
 	if !r.Deadline.IsZero() && r.Deadline.Before(x.deadline) {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -51,6 +51,9 @@
 func (x *exchange) serveStream() types.Outcome {
 	s := stream{exchange: x, lastEvent: x.r.ResumeAfter}
 	defer s.release()
+	if o := s.bindVersion(); o != nil {
+		return o
+	}
 	for {
 		err := s.checkCrashes()
 		if err == nil {
@@ -117,7 +120,7 @@
 	if s.handle.ID != "" {
 		return s.decode()
 	}
-	p := s.pickTarget(placement.HasRole(types.RolePrefill), s.prefillScorer())
+	p := s.pickPrefill()
 	if p.Target == nil {
 		return s.runCombined(placement.GeneratesTokens{}, s.combinedScorer())
 	}
@@ -171,19 +174,13 @@
 	return placement.Link{TokenBytes: e.KVTokenBytes, Mbps: e.LinkMbps, TransferCostPerToken: s.g.settings.TransferCostPerToken}
 }
 
-func (s *stream) prefillScorer() placement.PrefillScorer {
+func (s *stream) prefillScorer(source placement.CacheSource) placement.PrefillScorer {
 	return placement.PrefillScorer{
 		Costs: s.costs(), Speed: s.speed(), Link: s.kvLink(), FetchCostPerToken: s.g.settings.FetchCostPerToken,
-		Source: s.cacheSource(),
+		Source: source,
 	}
 }
 
-// cacheSource returns the engine from which the shared parts of the prompt can be fetched.
-func (s *stream) cacheSource() placement.CacheSource {
-	q := s.placementRequest()
-	return placement.FindCacheSource(s.candidates(q, placement.HasRole(types.RolePrefill)), q, s.costs())
-}
-
 func (s *stream) combinedScorer() placement.CombinedScorer {
 	return placement.CombinedScorer{Costs: s.costs(), Speed: s.speed(), Engine: *s.service.Engine}
 }
@@ -432,6 +429,8 @@
 				if s.events == 0 || !s.started {
 					onFirst()
 				}
+				// The caller gets the rest of the stream from the same version only.
+				s.binding = versionBinding{t.Version, true}
 				if writeErr := s.forward(resp, events); writeErr != nil {
 					return writeErr
 				}
--- a/types/outcome.go
+++ b/types/outcome.go
@@ -49,6 +49,11 @@
 	RefusedCredentialMalformed
 	RefusedCredentialRepeated
 	RefusedCredentialUnknown
+	// RefusedVersionUnknown means that no software version is known at which the stream may begin.
+	RefusedVersionUnknown
+	// RefusedStreamVersion means that the software version that began the stream, which the
+	// request resumes, cannot be determined.
+	RefusedStreamVersion
 	// RefusalReasonCount is the number of reasons, not a reason itself.
 	RefusalReasonCount
 )
@@ -62,7 +67,7 @@
 	"target_limit", "no_configuration", "unknown_route", "timeout",
 	"answer_too_long", "targets_paused", "internal_error", "prompt_crashes_targets",
 	"targets_rate_limited", "credential_missing", "credential_malformed", "credential_repeated",
-	"credential_unknown",
+	"credential_unknown", "version_unknown", "stream_version_unknown",
 }
 
 // Unauthenticated reports whether the request was refused because of its credential.
