versions: the software version that begins a stream, agreed among all nodes

Cause: callers take streams up at any node, also after all nodes have restarted, and only the software version that began a stream may continue it.

Change: a library without I/O. A plan gives each version a share of a service's streams; a node assigns the version by weighted rendezvous hashing of the request's ID, so that every node computes the same one. A record holds the plan in force, the next one and the earlier ones by which streams may still run. The next plan begins streams only by a second record, written after the propagation bound: otherwise a node that has not learned it yet would resolve its streams by the plan before. Resolve compares all plans by which the stream may have begun, and returns a version only if they agree. A node whose plans may be outdated neither assigns nor resolves while several versions are in use.

--- a/types/target.go
+++ b/types/target.go
@@ -56,6 +56,9 @@
 	return nil
 }
 
+// SoftwareVersion is the version of a target's software.
+type SoftwareVersion string
+
 // TargetKind distinguishes model engines from plain services.
 type TargetKind uint8
 
--- /dev/null
+++ b/versions/table.go
@@ -0,0 +1,267 @@
+package versions
+
+import (
+	"maps"
+	"math"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/lentilpick/lentilpick/clock"
+	"github.com/lentilpick/lentilpick/types"
+)
+
+// Settings are the bounds on which the agreement of the daemons is based.
+type Settings struct {
+	// Propagation is the longest time from the write of a record until every daemon has it.
+	Propagation time.Duration
+	// MaxAge is the longest time from the begin of a stream to a request that continues it.
+	MaxAge time.Duration
+	// Now reads a clock that is not adjusted and counts suspensions.
+	Now func() clock.Instant
+}
+
+// Table holds the plans of all services. Assign, Resolve and Several load an immutable snapshot; the
+// other methods are serialised by a mutex. All methods are safe for concurrent use.
+type Table struct {
+	settings Settings
+	snapshot atomic.Pointer[map[types.ServiceID]*service]
+	// confirmed is the clock.Instant as of which the plans are known to be the newest ones.
+	confirmed atomic.Int64
+
+	mu sync.Mutex // serialises writers
+}
+
+// service is the immutable state of one service.
+type service struct {
+	record  *Record       // nil until a record is known
+	learned clock.Instant // when the record was applied
+	past    []pastPlan
+	// registered are the targets of each version that can begin streams.
+	registered map[types.SoftwareVersion]int
+	// unsaved reports that the store has an older record than this daemon, or none.
+	unsaved bool
+}
+
+// pastPlan is a plan that was replaced, as this daemon learned at the given time.
+type pastPlan struct {
+	Plan
+	replaced clock.Instant
+}
+
+// never is an Instant before every other one, with which differences do not overflow.
+const never = math.MinInt64 / 2
+
+// NewTable returns a table without plans.
+func NewTable(s Settings) *Table {
+	t := &Table{settings: s}
+	t.snapshot.Store(&map[types.ServiceID]*service{})
+	t.confirmed.Store(never)
+	return t
+}
+
+// Confirm records that no newer record than those in the table existed at the given time.
+func (t *Table) Confirm(at clock.Instant) {
+	for {
+		old := t.confirmed.Load()
+		if old >= int64(at) || t.confirmed.CompareAndSwap(old, int64(at)) {
+			return
+		}
+	}
+}
+
+// outdated reports whether there may be a record that every other daemon has.
+func (t *Table) outdated() bool {
+	return t.settings.Now().Sub(clock.Instant(t.confirmed.Load())) > t.settings.Propagation
+}
+
+// Assign returns the version at which a stream begins. It returns false if there is no plan, or if
+// the plan may be outdated and more than one version is in use. Without a record the only version
+// that is registered counts as the plan: Resolve then returns false on every daemon.
+func (t *Table) Assign(id types.ServiceID, request types.RequestID) (types.SoftwareVersion, bool) {
+	s := (*t.snapshot.Load())[id]
+	switch {
+	case s == nil:
+		return "", false
+	case s.record == nil:
+		return s.onlyRegistered()
+	case t.several(s) && t.outdated():
+		return "", false
+	}
+	return s.record.Current.Version(request)
+}
+
+// Resolve returns the version that began a stream at most maxAge ago. first is the ID of the request
+// that began it, empty if unknown. It returns false if plans by which the stream may have begun
+// differ, or if this daemon may lack one of them.
+func (t *Table) Resolve(id types.ServiceID, first types.RequestID, maxAge time.Duration) (types.SoftwareVersion, bool) {
+	s := (*t.snapshot.Load())[id]
+	if s == nil || s.record == nil || maxAge > t.settings.MaxAge || t.several(s) && t.outdated() {
+		return "", false
+	}
+	version, ok := s.record.Current.resolve(first)
+	agrees := func(p Plan) {
+		v, known := p.resolve(first)
+		ok = ok && known && v == version
+	}
+	if s.record.Next != nil {
+		agrees(*s.record.Next)
+	}
+	oldest := t.settings.Now().Add(-t.settings.Propagation - maxAge)
+	for _, p := range s.past {
+		if p.replaced >= oldest {
+			agrees(p.Plan)
+		}
+	}
+	if !ok {
+		return "", false
+	}
+	return version, true
+}
+
+// resolve is Version, or the only version if the ID is unknown.
+func (p Plan) resolve(id types.RequestID) (types.SoftwareVersion, bool) {
+	if id == "" {
+		return p.single()
+	}
+	return p.Version(id)
+}
+
+// Several reports whether more than one version of the service is registered or may be in use.
+func (t *Table) Several(id types.ServiceID) bool {
+	s := (*t.snapshot.Load())[id]
+	return s != nil && t.several(s)
+}
+
+// Record returns the newest known record of a service, or nil. The caller must not modify it.
+func (t *Table) Record(id types.ServiceID) *Record {
+	if s := (*t.snapshot.Load())[id]; s != nil {
+		return s.record
+	}
+	return nil
+}
+
+// Services returns the services that have a plan or registered targets, sorted.
+func (t *Table) Services() []types.ServiceID {
+	return slices.Sorted(maps.Keys(*t.snapshot.Load()))
+}
+
+// Apply takes over a record unless the table has it or a newer one, and reports whether it did.
+func (t *Table) Apply(id types.ServiceID, r Record) (applied bool) {
+	t.update(id, func(s *service) {
+		if s.record != nil && !r.Newer(s.record) {
+			s.unsaved = s.unsaved && s.record.Newer(&r)
+			return
+		}
+		applied = true
+		now := t.settings.Now()
+		s.past = t.replacedPlans(s, &r, now)
+		s.record, s.learned, s.unsaved = &r, now, false
+	})
+	return applied
+}
+
+// replacedPlans returns the past plans after a record. A plan keeps the time at which this daemon
+// first learned that it was replaced.
+func (t *Table) replacedPlans(s *service, r *Record, now clock.Instant) (past []pastPlan) {
+	add := func(p pastPlan) {
+		known := slices.ContainsFunc(past, func(q pastPlan) bool { return q.Equal(p.Plan) })
+		if !known && !r.active(p.Plan) && !t.over(p, now) {
+			past = append(past, p)
+		}
+	}
+	for _, p := range s.past {
+		add(p)
+	}
+	if s.record != nil {
+		add(pastPlan{s.record.Current, now})
+		if s.record.Next != nil {
+			add(pastPlan{*s.record.Next, now})
+		}
+	}
+	for _, p := range r.Previous {
+		if !s.replacedEarlier(p) {
+			add(pastPlan{p, now})
+		}
+	}
+	return past
+}
+
+// replacedEarlier reports whether the plan is in past, so that its time is known.
+func (s *service) replacedEarlier(p Plan) bool {
+	return slices.ContainsFunc(s.past, func(q pastPlan) bool { return q.Equal(p) })
+}
+
+// over reports whether no stream that began by the plan can be continued any more.
+func (t *Table) over(p pastPlan, now clock.Instant) bool {
+	return now.Sub(p.replaced) > t.settings.Propagation+t.settings.MaxAge
+}
+
+// Register sets the targets of each version of a service that can begin streams.
+func (t *Table) Register(id types.ServiceID, targets map[types.SoftwareVersion]int) {
+	s := (*t.snapshot.Load())[id]
+	if s == nil && len(targets) == 0 || s != nil && maps.Equal(s.registered, targets) {
+		return
+	}
+	t.update(id, func(s *service) { s.registered = maps.Clone(targets) })
+}
+
+// SetStored tells the table which records the store has. It marks those of which the store has an
+// older one or none, so that Propose returns them again.
+func (t *Table) SetStored(stored map[types.ServiceID]Record) {
+	for _, id := range t.Services() {
+		r, ok := stored[id]
+		known := t.Record(id)
+		if known != nil && (!ok || known.Newer(&r)) {
+			t.update(id, func(s *service) { s.unsaved = true })
+		}
+	}
+}
+
+func (t *Table) update(id types.ServiceID, f func(*service)) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	old := *t.snapshot.Load()
+	services := maps.Clone(old)
+	s := &service{}
+	if old[id] != nil {
+		*s = *old[id]
+	}
+	f(s)
+	services[id] = s
+	t.snapshot.Store(&services)
+}
+
+func (s *service) onlyRegistered() (types.SoftwareVersion, bool) {
+	if len(s.registered) != 1 {
+		return "", false
+	}
+	for v := range s.registered {
+		return v, true
+	}
+	return "", false
+}
+
+// several is Table.Several.
+func (t *Table) several(s *service) bool {
+	if len(s.registered) > 1 {
+		return true
+	}
+	first, ok := s.onlyRegistered()
+	differs := func(p Plan) bool {
+		v, single := p.single()
+		if !single {
+			return len(p.Shares) > 0
+		}
+		if !ok {
+			first, ok = v, true
+		}
+		return v != first
+	}
+	if r := s.record; r != nil && (differs(r.Current) || r.Next != nil && differs(*r.Next)) {
+		return true
+	}
+	now := t.settings.Now()
+	return slices.ContainsFunc(s.past, func(p pastPlan) bool { return !t.over(p, now) && differs(p.Plan) })
+}
