--- a/directory/directory.go
+++ b/directory/directory.go
@@ -27,6 +27,8 @@
 	Draining   bool
 	// Role applies to engines only.
 	Role types.Role
+	// Version is the version of the target's software, empty if it does not state one.
+	Version types.SoftwareVersion
 	// StartedAt is the start time of the target in Unix milliseconds, which tells a
 	// restarted target from the earlier one. 0 means unknown.
 	StartedAt int64
