node: plans of software versions, as records that all nodes follow

Cause: the library versions needs the same plans at every node, also after all nodes have restarted at once.

Change: plans are records of the keyed topic lentilpick-versions. Nodes follow it as a fourth shared feed (peer updates, claims, seeds; the version of load messages is 9 now). A node is ready only with the plans. The gateway does not use the plans yet.

Evidence: TestTwoWritersOfVersionPlans runs two writers at the same times and sees conflicts, one record for each sequence number and the same record at both; TestNodeWritesVersionPlan runs a node with the stand-ins.

--- a/loadshare/message.go
+++ b/loadshare/message.go
@@ -21,7 +21,7 @@
 
 const (
 	magic      = 0x6c
-	version    = 8
+	version    = 9
 	headerSize = 3 + 8 + 8
 	// flagsAt is the index of the flags byte in a datagram.
 	flagsAt = 2
--- a/loadshare/progress.go
+++ b/loadshare/progress.go
@@ -11,7 +11,7 @@
 )
 
 // Feeds is the number of feeds of the store whose reads the nodes share.
-const Feeds = 3
+const Feeds = 4
 
 // neverRead is the age of a feed that was not read yet, and the upper bound of all ages.
 const neverRead = time.Hour
@@ -287,6 +287,9 @@
 	// Next is the offset up to which this node has applied changes, and ClaimedUpTo the one
 	// up to which peers have claimed that there are no further changes.
 	Next, ClaimedUpTo types.Offset
+	// Pending reports whether changes of other nodes wait to be applied. Peer does not hold for
+	// the applied state then.
+	Pending bool
 }
 
 // ReadState returns the state of the feed with the given index at now.
@@ -294,7 +297,7 @@
 	p := e.feeds[index]
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return ReadState{p.localAge(now), p.peerAge(now), e.peers.Load().name(p.freshestPeer), p.next, p.claimedUpTo}
+	return ReadState{p.localAge(now), p.peerAge(now), e.peers.Load().name(p.freshestPeer), p.next, p.claimedUpTo, p.queuedUpTo > p.next}
 }
 
 // ChangeSource returns the peer that was the first to claim the newest known change of the feed
--- a/server/node/counters.go
+++ b/server/node/counters.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/metric"
@@ -11,6 +12,7 @@
 	"github.com/lentilpick/lentilpick/gateway"
 	"github.com/lentilpick/lentilpick/loadshare"
 	"github.com/lentilpick/lentilpick/types"
+	"github.com/lentilpick/lentilpick/versions"
 )
 
 // counters are the metrics of the request path.
@@ -43,6 +45,8 @@
 	crashes metric.Int64Counter
 	// broken counts the responses whose connection broke, by what that proves.
 	broken *daemon.ReasonCounter
+	// versionRecords counts the records of software versions that this node has written, by reason.
+	versionRecords *daemon.ReasonCounter
 	// stopping counts the requests that ended during a planned stop.
 	stopping *daemon.ReasonCounter
 }
@@ -53,7 +57,7 @@
 var firstEventBuckets = []float64{0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.5, 0.6, 0.8, 1, 1.5, 2, 3, 5}
 
 // feedNames are the names of the feeds in metrics, by index.
-var feedNames = [loadshare.Feeds]string{feedConfig: "configuration", feedRegistrations: "registrations", feedMembers: "members"}
+var feedNames = [loadshare.Feeds]string{feedConfig: "configuration", feedRegistrations: "registrations", feedMembers: "members", feedVersions: "versions"}
 
 // storeCallIndex returns the index of a reason in storeCallNames.
 func storeCallIndex(index int, r feed.CallReason) int {
@@ -142,6 +146,9 @@
 	if c.stopping, err = m.NewReasonCounter("lentilpick_stop_requests", "Requests that ended during a planned stop, by their arrival before or during it and by their end.", stopOutcomeNames[:]); err != nil {
 		return nil, err
 	}
+	if c.versionRecords, err = m.NewReasonCounter("lentilpick_version_records", "Records of plans of software versions that this node has written, by reason.", versionReasonNames()); err != nil {
+		return nil, err
+	}
 	if c.pauses, err = m.Meter.Int64Counter("lentilpick_pauses", metric.WithDescription("Refusals with which a target requested a pause.")); err != nil {
 		return nil, err
 	}
@@ -156,6 +163,17 @@
 	return c, err
 }
 
+func versionReasonNames() (names []string) {
+	for _, r := range versions.Reasons() {
+		names = append(names, string(r))
+	}
+	return names
+}
+
+func (c *counters) countVersionRecord(r versions.Reason) {
+	c.versionRecords.Add(slices.Index(versions.Reasons(), r))
+}
+
 // countFeedCall counts a completed call to the store that follows the feed with the given index.
 func (c *counters) countFeedCall(index int, r feed.CallResult) {
 	ctx := context.Background()
--- a/server/node/node.go
+++ b/server/node/node.go
@@ -32,6 +32,8 @@
 	"github.com/lentilpick/lentilpick/platform"
 	"github.com/lentilpick/lentilpick/shutdown"
 	"github.com/lentilpick/lentilpick/transport"
+	"github.com/lentilpick/lentilpick/types"
+	"github.com/lentilpick/lentilpick/versions"
 )
 
 // ErrStart reports that the node failed to start.
@@ -95,7 +97,10 @@
 	// the store.
 	mirrors [len(wireFeeds)]mirror.Feed
 
-	configLoaded, registrationsLoaded atomic.Bool
+	// versions holds the software versions at which streams begin.
+	versions *versions.Table
+
+	configLoaded, registrationsLoaded, versionsLoaded atomic.Bool
 	// shutdown is the state of the planned stop, and stopped what became of the requests that
 	// ended during it.
 	shutdown shutdown.State
@@ -112,7 +117,7 @@
 	debug.SetGCPercent(s.GCPercent)
 	n := &Node{
 		settings: s, machine: m, log: log, store: platform.NewStore(m.StoreAddress),
-		directory: directory.New(),
+		directory: directory.New(), versions: newVersionTable(clock.Now),
 	}
 	var err error
 	if n.metrics, err = daemon.NewMetrics("lentilpick-node"); err != nil {
@@ -206,6 +211,7 @@
 		n.metrics.Gauge("lentilpick_hub_takeovers", "Hubs of the exchange of load that this node has passed over because they were silent.", n.exchanger.HubTakeovers),
 		n.metrics.Gauge("lentilpick_relay_dropped", "Messages of other nodes that were not forwarded because too many were pending.", n.exchanger.RelayDropped),
 		n.metrics.Gauge("lentilpick_limited_targets", "Targets that have declared a limit of requests.", n.limitedTargets),
+		n.metrics.Gauge("lentilpick_mixed_services", "Services with more than one software version that is registered or may be in use.", n.mixedServices),
 		n.metrics.Gauge("lentilpick_blocked_parts", "Prompt parts whose requests are refused because they crash engines.", func() int64 { return int64(n.crashes.guard.BlockedParts(clock.Now())) }),
 		n.metrics.Gauge("lentilpick_news_told", "Feed updates that were published to other nodes.", n.exchanger.UpdatesPublished),
 		n.metrics.Gauge("lentilpick_news_missed", "Feed updates from other nodes that could not be applied, so that the changes were read from the store.", n.exchanger.UpdatesMissed),
@@ -229,6 +235,15 @@
 	return limited
 }
 
+func (n *Node) mixedServices() (mixed int64) {
+	for _, id := range n.versions.Services() {
+		if n.versions.Several(id) {
+			mixed++
+		}
+	}
+	return mixed
+}
+
 // setPeers replaces the list of the other nodes.
 func (n *Node) setPeers(members []Member) {
 	n.peers.Store(&members)
@@ -374,6 +389,7 @@
 	go registerMember(serving, n.store, n.self(), n.members.isListed, n.log)
 	go followFeed(ctx, n.newSharedFeed(feedMembers, memberReadInterval, 0), platform.Keyed(n.store, membersTopic, DecodeMember), n.members,
 		registerRetryInterval, memberReadInterval)
+	n.startVersions(ctx, serving, &versionHandler{outageLogger: source(feedNames[feedVersions]), table: n.versions, onLoaded: func() { n.versionsLoaded.Store(true) }})
 	if n.settings.PlanRoles {
 		holder := authority.Holder{VM: n.machine.VM, Incarnation: strconv.FormatUint(rand.Uint64(), 36)}
 		k := &roleController{
@@ -385,6 +401,20 @@
 	}
 }
 
+// startVersions starts the goroutines that follow and write the plans of the software versions. They
+// run until ctx ends, the one that writes until serving ends.
+func (n *Node) startVersions(ctx, serving context.Context, h *versionHandler) {
+	topic := func() *platform.Topic[versions.Record] { return platform.Keyed(n.store, versionsTopic, decodeVersions) }
+	p := &versionPlanner{
+		log: n.log, counters: n.counters, table: n.versions, directory: n.directory, store: n.store, source: topic(), now: clock.Now, rank: n.rank,
+		confirmed: n.versionsConfirmed(h), due: map[types.ServiceID]dueProposal{},
+		mayWrite: func() bool { return n.registrationsLoaded.Load() && n.versionsLoaded.Load() },
+	}
+	go followFeed(ctx, n.newSharedFeed(feedVersions, 0, versionsWait), topic(), h, minReadBackoff, maxReadBackoff)
+	go p.update(ctx)
+	go p.plan(serving)
+}
+
 func (n *Node) self() Member {
 	return Member{
 		VM: n.machine.VM, DataCentre: n.machine.DataCentre,
@@ -392,10 +422,10 @@
 	}
 }
 
-// ready reports whether a configuration and the registrations are loaded and the node is not
-// stopping.
+// ready reports whether a configuration, the registrations and the plans of the software versions are
+// loaded and the node is not stopping.
 func (n *Node) ready() bool {
-	return n.configLoaded.Load() && n.registrationsLoaded.Load() && n.shutdown.Schedule() == nil
+	return n.configLoaded.Load() && n.registrationsLoaded.Load() && n.versionsLoaded.Load() && n.shutdown.Schedule() == nil
 }
 
 func (n *Node) handleReady(ctx *fasthttp.RequestCtx) {
--- a/server/node/pace.go
+++ b/server/node/pace.go
@@ -15,6 +15,7 @@
 	feedConfig = iota
 	feedRegistrations
 	feedMembers
+	feedVersions
 )
 
 // readPacer decides when a node reads a feed. The first-ranked node of each data centre is the
--- a/server/node/peerfeeds.go
+++ b/server/node/peerfeeds.go
@@ -32,6 +32,7 @@
 	feedConfig:        nodev1.Feed_FEED_CONFIGURATION,
 	feedRegistrations: nodev1.Feed_FEED_REGISTRATIONS,
 	feedMembers:       nodev1.Feed_FEED_MEMBERS,
+	feedVersions:      nodev1.Feed_FEED_VERSIONS,
 }
 
 // peerService serves the records that this node has read from the store to other nodes. It
--- /dev/null
+++ b/server/node/versions_test.go
@@ -0,0 +1,127 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lentilpick/lentilpick/clock"
+	"github.com/lentilpick/lentilpick/clock/clocktest"
+	"github.com/lentilpick/lentilpick/daemon"
+	"github.com/lentilpick/lentilpick/directory"
+	"github.com/lentilpick/lentilpick/feed"
+	"github.com/lentilpick/lentilpick/platform"
+	"github.com/lentilpick/lentilpick/types"
+	"github.com/lentilpick/lentilpick/versions"
+)
+
+// Guards against records of other writers that become plans, and against a record that changes
+// between nodes.
+func TestVersionRecords(t *testing.T) {
+	next := versions.NewPlan(3, map[types.SoftwareVersion]int{"v2": 4})
+	r := versions.Record{
+		Sequence: 3, Writer: 1<<64 - 1, Next: &next, Previous: []versions.Plan{{}},
+		Current: versions.NewPlan(1, map[types.SoftwareVersion]int{"": 1, "v1": 7}),
+	}
+	b, err := encodeVersions(r)
+	assert.NilError(t, err)
+	got, err := decodeVersions("chat", b)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, got, r)
+	for _, bad := range []string{
+		``, `{}`, `{"sequence":-1}`, `{"sequence":1,"current":{"shares":{"v1":0}}}`, `{"sequence":1,"next":{"shares":{"v1":-2}}}`,
+		`{"sequence":1,"previous":[` + strings.Repeat(`{},`, maxPlans) + `{}]}`,
+	} {
+		_, err := decodeVersions("chat", []byte(bad))
+		assert.Assert(t, errors.Is(err, errVersionRecord), "%s", bad)
+	}
+}
+
+// versionLog is a store of versionsTopic in memory. Calls take a moment, so that writers overlap.
+type versionLog struct {
+	feed.Source[versions.Record] // nil; only List is called
+	values                       []string
+	conflicts                    int
+}
+
+func (s *versionLog) List(context.Context) (feed.Listing[versions.Record], error) {
+	l := feed.Listing[versions.Record]{Next: types.Offset(len(s.values))}
+	time.Sleep(time.Millisecond)
+	if n := len(s.values); n > 0 {
+		v, err := decodeVersions("chat", []byte(s.values[n-1]))
+		l.Items = append(l.Items, feed.Item[versions.Record]{Key: "chat", Value: &v, Err: err})
+	}
+	return l, nil
+}
+
+func (s *versionLog) PutAt(_ context.Context, _, _ string, value []byte, end types.Offset) error {
+	time.Sleep(time.Millisecond)
+	if int(end) != len(s.values) {
+		s.conflicts++
+		return platform.ErrConflict
+	}
+	s.values = append(s.values, string(value))
+	return nil
+}
+
+// Guards against two nodes that each put a plan of their own in force.
+func TestTwoWritersOfVersionPlans(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		store, d := &versionLog{}, directory.New()
+		put := func(id int, v types.SoftwareVersion) {
+			d.Put(directory.Entry{ID: types.TargetID(fmt.Sprint(id)), Service: "chat", Version: v})
+		}
+		put(1, "v1")
+		metrics, err := daemon.NewMetrics("test")
+		assert.NilError(t, err)
+		c, err := newCounters(metrics)
+		assert.NilError(t, err)
+		var tables [2]*versions.Table
+		for i := range tables {
+			tables[i] = newVersionTable(clocktest.Virtual)
+			p := &versionPlanner{
+				log: daemon.NewLogger(io.Discard, "error", "node"), counters: c, table: tables[i], directory: d, store: store, source: store,
+				now: clocktest.Virtual, rank: func() int { return 0 }, confirmed: func(now clock.Instant) clock.Instant { return now },
+				mayWrite: func() bool { return true }, due: map[types.ServiceID]dueProposal{},
+			}
+			go p.update(ctx)
+			go p.plan(ctx)
+		}
+		time.Sleep(10 * time.Second)
+		put(2, "v2")
+		time.Sleep(time.Minute)
+		var sequences []uint64
+		for _, v := range store.values {
+			var r versionRecord
+			assert.NilError(t, json.Unmarshal([]byte(v), &r))
+			sequences = append(sequences, r.Sequence)
+		}
+		assert.DeepEqual(t, sequences[:3], []uint64{1, 2, 3})
+		assert.Assert(t, store.conflicts > 0)
+		assert.DeepEqual(t, tables[0].Record("chat"), tables[1].Record("chat"))
+		assert.Equal(t, len(tables[0].Record("chat").Current.Shares), 2)
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// Guards against a node that writes no plan or does not learn it from the store.
+func TestNodeWritesVersionPlan(t *testing.T) {
+	w := newEnvWithNode(t, 0)
+	w.configure()
+	w.awaitReady()
+	w.waitFor("a plan of the software versions", func() bool {
+		services := w.node.versions.Services()
+		return len(services) > 0 && w.node.versions.Record(services[0]) != nil && len(w.store.Records("keyed."+versionsTopic)) > 0
+	})
+}
--- a/versions/propose.go
+++ b/versions/propose.go
@@ -27,6 +27,11 @@
 	ReasonRestored Reason = "restored"
 )
 
+// Reasons returns all reasons.
+func Reasons() []Reason {
+	return []Reason{ReasonFirst, ReasonAppeared, ReasonLost, ReasonShares, ReasonActivated, ReasonSettled, ReasonRestored}
+}
+
 const (
 	// maxOverload is the share of a version's streams, relative to its share of the targets,
 	// beyond which a new plan is needed. Each change makes some streams impossible to resume
