--- a/server/node/node.go
+++ b/server/node/node.go
@@ -408,7 +408,7 @@
 	p := &versionPlanner{
 		log: n.log, counters: n.counters, table: n.versions, directory: n.directory, store: n.store, source: topic(), now: clock.Now, rank: n.rank,
 		confirmed: n.versionsConfirmed(h), due: map[types.ServiceID]dueProposal{},
-		mayWrite: func() bool { return n.registrationsLoaded.Load() && n.versionsLoaded.Load() },
+		mayWrite: func() bool { return n.registrationsLoaded.Load() && n.versionsLoaded.Load() && !h.failing.Load() },
 	}
 	go followFeed(ctx, n.newSharedFeed(feedVersions, 0, versionsWait), topic(), h, minReadBackoff, maxReadBackoff)
 	go p.update(ctx)
--- a/server/node/versions.go
+++ b/server/node/versions.go
@@ -31,10 +31,11 @@
 	maxStreamAge = time.Minute
 	// versionsInterval is the time between two checks of the plans.
 	versionsInterval = 500 * time.Millisecond
-	// versionsHold is how long a difference to the plan has to last before a new one is written.
-	// Targets that are replaced are missing for a moment.
-	versionsHold = time.Second
-	// versionsRetryInterval is the time until the next attempt after a failed write.
+	// appearedHold and missingHold are how long a difference to the plan has to last before a new one
+	// is written. Registrations that lapsed during an outage of the store are back within some 2 s.
+	appearedHold = time.Second
+	missingHold  = 3 * time.Second
+	// versionsRetryInterval is the time until the next attempt of the first node after a failed write.
 	versionsRetryInterval = 2 * time.Second
 	// versionsWriteTimeout bounds the calls of one write.
 	versionsWriteTimeout = 3 * time.Second
@@ -158,15 +159,16 @@
 	rank      func() int
 	// confirmed returns a time as of which the table has the newest records.
 	confirmed func(now clock.Instant) clock.Instant
-	// mayWrite reports whether this node knows the records and the targets.
+	// mayWrite reports whether this node knows the records and the targets, and the store answers.
 	mayWrite func() bool
 	due      map[types.ServiceID]dueProposal // used by plan only
 }
 
-// dueProposal is a record that is needed, and when this node writes it if it still is.
+// dueProposal is a record that is needed since a time. This node writes it only after earliest, which
+// a failed attempt sets.
 type dueProposal struct {
-	reason versions.Reason
-	at     clock.Instant
+	reason          versions.Reason
+	since, earliest clock.Instant
 }
 
 // update passes the registered targets to the table, and the time as of which it has the newest
@@ -209,7 +211,6 @@
 		}
 		for _, id := range p.table.Services() {
 			if p.isDue(id) {
-				p.due[id] = dueProposal{p.due[id].reason, p.now().Add(versionsRetryInterval)}
 				p.write(ctx, id)
 			}
 		}
@@ -225,19 +226,24 @@
 	}
 	d, known := p.due[id]
 	if !known || d.reason != reason {
-		d = dueProposal{reason, p.now().Add(p.delay(reason))}
+		d = dueProposal{reason: reason, since: p.now()}
 		p.due[id] = d
 	}
-	return p.now() >= d.at
+	return p.now().Sub(d.since) >= p.delay(reason) && p.now() >= d.earliest
 }
 
+// steps returns by how many steps this node acts later than the first one.
+func (p *versionPlanner) steps() time.Duration { return time.Duration(min(p.rank(), maxTakeoverSteps)) }
+
 // delay returns how long this node waits before it writes a record. Those that follow from an
 // earlier record, and the first one, are written at once by the first node.
 func (p *versionPlanner) delay(r versions.Reason) time.Duration {
-	d := time.Duration(min(p.rank(), maxTakeoverSteps)) * versionsInterval
+	d := p.steps() * versionsInterval
 	switch r {
-	case versions.ReasonAppeared, versions.ReasonLost, versions.ReasonShares:
-		return d + versionsHold
+	case versions.ReasonAppeared:
+		return d + appearedHold
+	case versions.ReasonLost, versions.ReasonShares:
+		return d + missingHold
 	}
 	return d
 }
@@ -249,12 +255,12 @@
 	defer cancel()
 	l, err := p.source.List(ctx)
 	if err != nil {
-		p.logFailure(id, err)
+		p.fail(id, err)
 		return
 	}
 	for _, i := range l.Items {
 		if i.Err != nil && i.Key == string(id) {
-			p.logFailure(id, i.Err) // it may be of a later release, and must not be replaced
+			p.fail(id, i.Err) // it may be of a later release, and must not be replaced
 			return
 		}
 	}
@@ -272,7 +278,7 @@
 		err = p.store.PutAt(ctx, versionsTopic, string(id), value, l.Next)
 	}
 	if err != nil {
-		p.logFailure(id, err)
+		p.fail(id, err)
 		return
 	}
 	p.table.Apply(id, r)
@@ -280,7 +286,11 @@
 	versionFields(p.log, id, r).WithField(fieldReason, reason).Info("plan of software versions written")
 }
 
-func (p *versionPlanner) logFailure(id types.ServiceID, err error) {
+// fail logs a failed write and delays the next attempt.
+func (p *versionPlanner) fail(id types.ServiceID, err error) {
+	d := p.due[id]
+	d.earliest = p.now().Add(versionsRetryInterval * (1 + p.steps()))
+	p.due[id] = d
 	p.log.WithError(err).WithField(daemon.FieldService, id).Info("failed to write the plan of software versions")
 }
 
--- a/server/node/versions_test.go
+++ b/server/node/versions_test.go
@@ -72,7 +72,8 @@
 	return nil
 }
 
-// Guards against two nodes that each put a plan of their own in force.
+// Guards against two nodes that each put a plan of their own in force, and against plans that follow
+// registrations that lapse for a moment.
 func TestTwoWritersOfVersionPlans(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
@@ -99,7 +100,7 @@
 		}
 		time.Sleep(10 * time.Second)
 		put(2, "v2")
-		time.Sleep(time.Minute)
+		time.Sleep(2 * maxStreamAge)
 		var sequences []uint64
 		for _, v := range store.values {
 			var r versionRecord
@@ -110,6 +111,12 @@
 		assert.Assert(t, store.conflicts > 0)
 		assert.DeepEqual(t, tables[0].Record("chat"), tables[1].Record("chat"))
 		assert.Equal(t, len(tables[0].Record("chat").Current.Shares), 2)
+		records := len(store.values)
+		d.Remove("2", time.Now(), 0)
+		time.Sleep(2 * time.Second)
+		put(2, "v2")
+		time.Sleep(10 * time.Second)
+		assert.Equal(t, len(store.values), records, "a registration that lapsed for 2 s changes the plan")
 		cancel()
 		synctest.Wait()
 	})
