server/node: lines of a resumption name the first request of its stream

Cause: a refused resumption has a new request ID, and its lines did not lead to the request that began the stream, whose lines say at which version it ran.

Evidence: TestResumptionIsLoggedWithItsVersion fails without resumes: the line has only "version":"v2".

--- a/server/node/observer.go
+++ b/server/node/observer.go
@@ -36,6 +36,8 @@
 	fieldEvents = "events"
 	// fieldVersion holds the software version of a target, or that of a stream.
 	fieldVersion = "version"
+	// fieldResumes holds the ID of the first request of a stream that a caller resumes.
+	fieldResumes = "resumes"
 )
 
 var stageNames = [...]string{"whole", "prefill", "decode"}
@@ -97,6 +99,9 @@
 	if e.Version != "" {
 		f[fieldVersion] = e.Version
 	}
+	if e.Request.ResumeOf != "" {
+		f[fieldResumes] = e.Request.ResumeOf
+	}
 	switch e.Kind {
 	case gateway.KindSend:
 		f[daemon.FieldTarget], f[fieldStage] = e.Target, stageNames[e.Stage]
--- a/server/node/observer_test.go
+++ b/server/node/observer_test.go
@@ -92,6 +92,15 @@
 	assert.Assert(t, strings.Contains(out.String(), types.RefusedNoTarget.String()))
 }
 
+// Guards against a refused resumption whose lines lead neither to its first request nor to the
+// version of its stream.
+func TestResumptionIsLoggedWithItsVersion(t *testing.T) {
+	var out bytes.Buffer
+	var attempt types.Attempt
+	testObserver(t, &out, 40).ObserveEnd(eventsOf(3, attempt.Refuse(types.RefusedNoTarget), func(e *gateway.Event) { e.Version, e.Request.ResumeOf = "v2", "r0" }))
+	assert.Assert(t, strings.Contains(out.String(), `"resumes":"r0"`) && strings.Contains(out.String(), `"version":"v2"`), out.String())
+}
+
 // blockingWriter is a writer whose Write never returns.
 type blockingWriter struct{ started chan struct{} }
 
