gateway: bounded number of versions in the choice of a prefill engine

Cause: the choice looked at each software version of a service. Faulty registrations, each with a version of its own, would make it a pass over all targets.

Change: at most 4 versions for each choice, starting at one that depends on the request.

--- a/gateway/prefill.go
+++ b/gateway/prefill.go
@@ -6,18 +6,25 @@
 	"github.com/lentilpick/lentilpick/types"
 )
 
+// maxVersions bounds the software versions among which a prefill engine is chosen. Requests start at
+// different ones, so that more versions, which only faulty registrations have, cost no more time.
+const maxVersions = 4
+
 // pickPrefill returns the best prefill engine among those whose software version also has an
 // engine that can generate: the KV cache of one version is of no use to another.
 func (s *stream) pickPrefill() placement.Choice {
 	q := s.placementRequest()
 	snapshot := s.g.directory.Load()
+	versions := snapshot.Versions(s.serviceID)
 	for _, q.AllowFailing = range []bool{false, true} {
 		best := placement.Choice{}
-		for _, v := range snapshot.Versions(s.serviceID) {
-			if s.binding.bound && s.binding.version != v.Version {
-				continue
+		if s.binding.bound {
+			best = s.pickPrefillOf(s.binding.version, snapshot, q)
+		} else {
+			for i := range min(len(versions), maxVersions) {
+				v := versions[(q.Hash%uint64(len(versions))+uint64(i))%uint64(len(versions))]
+				best = placement.Better(q, best, s.pickPrefillOf(v.Version, snapshot, q))
 			}
-			best = placement.Better(q, best, s.pickPrefillOf(v.Version, snapshot, q))
 		}
 		if best.Target != nil {
 			return best
