--- a/directory/versions_test.go
+++ b/directory/versions_test.go
@@ -10,11 +10,9 @@
 // before, against a request that reaches it by an older snapshot, and against a stale grouping.
 func TestOtherVersionIsNewLifetime(t *testing.T) {
 	d := New()
-	e := entry("a")
-	e.Version = "v1"
+	e, b := entry("a"), entry("b")
+	e.Version, b.Version = "v1", "v1"
 	d.Put(e)
-	b := entry("b")
-	b.Version = "v1"
 	d.Put(b)
 	old := d.Load().Target("a")
 	old.Load.RecordPrefill([]Part{{Key: 1, Tokens: 100}}, 100)
--- a/tools/mutations/faults.go
+++ b/tools/mutations/faults.go
@@ -144,7 +144,7 @@
 	{"versions: resumption at the version of a new stream", versions, "	case s.r.resumes():\n", "	case false:\n", "gateway TestVersionOverTries"},
 	{"versions: streams begin at any version", versions, "	case s.route.Resumable && policy != nil:\n", "	case false:\n", "gateway TestVersionOverTries"},
 	{"versions: IDs of other routes are resolved", versions, "	if !s.route.Resumable {\n", "	if false {\n", "gateway TestUnknownVersionIsRefused"},
-	{"versions: longer time of the caller does not count", versions, "maxAge = max(maxAge, s.r.Deadline.Sub(s.now()))", "_ = s.r.Deadline", "gateway TestMaxAgeOfResumedStream"},
+	{"versions: longer time of the caller does not count", versions, "maxAge = max(maxAge, s.r.Deadline.Sub(s.now()))", "_ = s.r.Deadline", "gateway TestUnknownVersionIsRefused"},
 	{"versions: resumption at another service", versions, "	if r.ResumeOf != \"\" {\n", "	if false {\n", "gateway TestResumedStreamKeepsService"},
 	{"versions: decode at another version", "gateway/decode.go", "s.pickTarget(decodesFrom(source), ", "s.pickTarget(placement.GeneratesTokens{}, ", "gateway TestKVCacheKeepsVersion"},
 	{"versions: prefill that no engine can decode", "gateway/prefill.go", "if !placement.AnyAccepted(", "if false && !placement.AnyAccepted(", "gateway TestKVCacheKeepsVersion"},
