gateway: streams begin at the registered lifetime after a failure of the target

What callers could get: a stream that begins at an engine which has crashed and returned with another version, counted as one of the earlier version, while no registration of the service shows the new one.

Cause: beginnings required the lifetime only while several versions were known.

Change: they also require it from a target whose last request failed, which is how a node sees a crash. The cost is one report for each connection that is opened then.

Evidence: TestCallsThatRequireLifetime without it: "--L != LLL". Not covered: a crash that the node has not seen, because it had no request there.

--- a/directory/load.go
+++ b/directory/load.go
@@ -241,6 +241,9 @@
 	l.RetryAfter.Store(clock.Nanos(now.Add(pause)))
 }
 
+// Failing reports whether the last request failed.
+func (l *Load) Failing() bool { return l.consecutiveFailures.Load() > 0 }
+
 // RecordUnreachable records that no connection could be opened at the given time. It
 // counts as two consecutive failures.
 func (l *Load) RecordUnreachable(now time.Time) {
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -141,7 +141,7 @@
 	return &Call{
 		Request: x.r, Target: t, Stage: s, Deadline: x.deadline, Priority: -1,
 		ProgressTimeout: x.deadline.Sub(x.now()), ResumeAfter: x.r.ResumeAfter, RequireLiveConnection: !x.route.Repeatable(),
-		RequireLifetime: x.requiresLifetime(),
+		RequireLifetime: x.requiresLifetime(t),
 	}
 }
 
--- a/gateway/versions.go
+++ b/gateway/versions.go
@@ -148,15 +148,18 @@
 }
 
 // requiresLifetime reports whether a call may reach only the registered lifetime of its target: to
-// go on with a stream, and to begin one while the service has several versions. A stream that
-// begins at an unknown version cannot go on, and engines exchange KV cache on all routes.
-func (x *exchange) requiresLifetime() bool {
+// go on with a stream, and to begin one while the service has several versions or after a failure
+// of the target, which may have crashed and returned with another version. A stream that begins at
+// an unknown version cannot go on, and engines exchange KV cache on all routes.
+func (x *exchange) requiresLifetime(t *directory.Target) bool {
 	if x.route.Kind != routes.KindStream {
 		return false
 	}
 	if x.events > 0 || x.r.resumes() {
 		return true
 	}
-	engine := x.service != nil && x.service.Engine != nil
-	return (x.route.Resumable || engine) && x.g.mixed.recently(x.serviceID, len(x.g.directory.Load().Versions(x.serviceID)), x.now())
+	if engine := x.service != nil && x.service.Engine != nil; !engine && !x.route.Resumable {
+		return false
+	}
+	return t.Load.Failing() || x.g.mixed.recently(x.serviceID, len(x.g.directory.Load().Versions(x.serviceID)), x.now())
 }
--- a/gateway/versions_test.go
+++ b/gateway/versions_test.go
@@ -8,6 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/lentilpick/lentilpick/admission"
 	"github.com/lentilpick/lentilpick/directory"
 	"github.com/lentilpick/lentilpick/placement"
 	"github.com/lentilpick/lentilpick/routes"
@@ -191,6 +192,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		w := newTestGateway()
 		w.targets.send = breakOff
+		w.g.SetRetryLimits(admission.RetryLimits{Ratio: 1, MaxSaved: 100})
 		check := func(r Request, want string) {
 			t.Helper()
 			got := ""
@@ -200,11 +202,15 @@
 			}
 			assert.Equal(t, got, want)
 			time.Sleep(time.Second) // ends the pauses of the engines
+			w.d.Load().All(func(t *directory.Target) { t.Load.RecordSuccess() })
 		}
 		check(Request{Path: "/resume/x"}, "--L") // prefill, decode, rest
 		check(Request{Path: "/resume/x", ResumeAfter: "1"}, "LLL")
 		check(Request{Path: "/chat/x"}, "--")
 		check(Request{Path: "/read/x"}, "--")
+		w.d.Load().All(func(t *directory.Target) { t.Load.RecordFailure(time.Now()) })
+		check(Request{Path: "/resume/x"}, "LLL")
+		check(Request{Path: "/resume/x"}, "--L")
 		w.setVersions(map[types.TargetID]types.SoftwareVersion{"d1": "v1", "d2": "v1", "p1": "v1"})
 		check(Request{Path: "/resume/x"}, "LLL")
 		check(Request{Path: "/chat/x"}, "LL")
