--- a/tools/mutations/faults.go
+++ b/tools/mutations/faults.go
@@ -164,7 +164,7 @@
 	{"versions: resumption at the version of a new stream", versions, "	case s.r.resumes():\n", "	case false:\n", "gateway TestVersionOverTries"},
 	{"versions: streams begin at any version", versions, "	case s.route.Resumable && policy != nil:\n", "	case false:\n", "gateway TestVersionOverTries"},
 	{"versions: IDs of other routes are resolved", versions, "	if !s.route.Resumable {\n", "	if false {\n", "gateway TestUnknownVersionIsRefused"},
-	{"versions: longer time of the caller does not count", versions, "maxAge = max(maxAge, s.r.Deadline.Sub(s.now()))", "_ = s.r.Deadline", "gateway TestMaxAgeOfResumedStream"},
+	{"versions: longer time of the caller does not count", versions, "maxAge = max(maxAge, s.r.Deadline.Sub(s.now()))", "_ = s.r.Deadline", "gateway TestUnknownVersionIsRefused"},
 	{"versions: resumption at another service", versions, "	if r.ResumeOf != \"\" {\n", "	if false {\n", "gateway TestResumedStreamKeepsService"},
 	{"versions: decode at another version", "gateway/decode.go", "s.pickTarget(decodesFrom(source), ", "s.pickTarget(placement.GeneratesTokens{}, ", "gateway TestKVCacheKeepsVersion"},
 	{"versions: prefill that no engine can decode", "gateway/prefill.go", "if !placement.AnyAccepted(", "if false && !placement.AnyAccepted(", "gateway TestKVCacheKeepsVersion"},
@@ -175,5 +175,6 @@
 	{"versions: lifetime is read for each request", "platform/lifetime.go", "	x.conn.SetLifetime(born)\n", "", "platform TestConnectionIsVerifiedOnce"},
 	{"versions: report beyond a declared limit", "platform/lifetime.go", "if !c.Target.Load.TryReserve(time.Now()) {", "if c.Target.Load.TryReserve(time.Now()); false {", "platform TestLifetimeOfLimitedOrOldTarget"},
 	{"versions: resumption at any lifetime", versions, "x.events > 0 || x.r.resumes()", "x.events < 0", "gateway TestCallsThatRequireLifetime"},
+	{"versions: beginnings at any lifetime after a failure", versions, "return t.Load.Failing() || ", "return ", "gateway TestCallsThatRequireLifetime"},
 	{"versions: beginnings at any lifetime", versions, "	last.Store(clock.Nanos(now))\n	return true\n", "	last.Store(0)\n	return false\n", "gateway TestCallsThatRequireLifetime"},
 }
