--- a/loadshare/progress.go
+++ b/loadshare/progress.go
@@ -60,6 +60,10 @@
 	peerRead     clock.Instant
 	hasPeerRead  bool
 	freshestPeer uint64
+	// seenNext is the value of next at the latest claim, and seenAt the time of the first claim at
+	// which it had this value.
+	seenNext types.Offset
+	seenAt   clock.Instant
 	// refused counts the claims that this node could not use, because it has not applied
 	// the feed up to their base.
 	refused int64
@@ -87,6 +91,9 @@
 func (p *Progress) RecordRead(r feed.ReadResult, published bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if r.Listed && r.Next < p.next {
+		p.reset()
+	}
 	p.lastRead, p.hasRead = r, true
 	p.next = max(p.next, r.Next)
 	p.cancelWake()
@@ -101,6 +108,28 @@
 	}
 }
 
+// reset forgets all offsets, because the source has returned from an older copy and gives out
+// offsets again. The caller holds p.mu and is the goroutine that receives the updates.
+func (p *Progress) reset() {
+	p.changed, p.base, p.next, p.queuedUpTo, p.knownUpTo, p.claimedUpTo, p.seenNext = 0, 0, 0, 0, 0, 0, 0
+	p.hasPeerRead = false
+	for len(p.updates) > 0 {
+		<-p.updates
+	}
+}
+
+// maxTransit is the longest time from a claim to its arrival for which endsEarlier allows.
+const maxTransit = time.Second
+
+// endsEarlier reports whether a claim proves that the source has returned from an older copy: it was
+// read after this node had applied an offset, and ended before it. The caller holds p.mu.
+func (p *Progress) endsEarlier(c claim, asOf clock.Instant) bool {
+	if p.next != p.seenNext {
+		p.seenNext, p.seenAt = p.next, asOf.Add(c.age)
+	}
+	return c.readUpTo < p.next && asOf.Sub(p.seenAt) > maxTransit
+}
+
 // RecordApplied records that all changes up to the offset next are applied after an update
 // from a peer. It raises base, but not changed. The peer that read the change announces it;
 // if this node announced it too, other nodes would read from the store what is already on
@@ -212,16 +241,35 @@
 		return
 	}
 	p.wakePending = true
-	time.AfterFunc(minWakeDelay+rand.N(MaxWakeDelay-minWakeDelay), func() {
+	p.wakeAfter(minWakeDelay+rand.N(MaxWakeDelay-minWakeDelay), p.lacksKnown)
+}
+
+// wakeAfter requests a read after a time if it is still needed. The caller has set wakePending.
+func (p *Progress) wakeAfter(d time.Duration, needed func() bool) {
+	time.AfterFunc(d, func() {
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		p.wakePending = false
-		if p.lacksKnown() {
+		if needed() {
 			p.requestRead()
 		}
 	})
 }
 
+// maxListDelay spreads the lists of all nodes after the source has returned from an older copy.
+const maxListDelay = 500 * time.Millisecond
+
+// delayList requests a read after a random time, unless the node has listed the source by then. The
+// caller holds p.mu.
+func (p *Progress) delayList() {
+	if p.wakePending {
+		return
+	}
+	p.wakePending = true
+	applied := p.next
+	p.wakeAfter(rand.N(maxListDelay), func() bool { return p.next >= applied })
+}
+
 // lacksKnown reports whether a peer has claimed a change that this node has neither applied
 // nor queued.
 func (p *Progress) lacksKnown() bool {
@@ -257,6 +305,12 @@
 func (p *Progress) applyClaim(c claim, asOf clock.Instant, sender uint64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if c.age < neverRead && p.endsEarlier(c, asOf) {
+		p.refused++
+		p.hasPeerRead = false
+		p.delayList()
+		return
+	}
 	if c.changed > p.knownUpTo {
 		p.knownUpTo, p.announcer = c.changed, sender
 	}
--- a/loadshare/progress_test.go
+++ b/loadshare/progress_test.go
@@ -73,3 +73,33 @@
 	_, ok = r.ChangeSource(1)
 	assert.Assert(t, !ok, "the peer has left")
 }
+
+// Guards against a store that returns from an older copy and gives out offsets again: nodes that do
+// not read it themselves took its new records for ones that they had applied.
+func TestChangesAfterTheTopicHasBecomeShorter(t *testing.T) {
+	s, _ := newExchanger(t, "one")
+	r, _ := newExchanger(t, "two")
+	measureTransit(t, r, s)
+	for _, e := range []*Exchanger{s, r} {
+		e.Feed(1).RecordRead(read(now.Add(-time.Minute), 100, 0), true)
+	}
+	deliver(t, s, r, true, now.Add(-time.Minute/3))
+	listed := func(at time.Time) feed.ReadResult {
+		l := read(at, 90, 0)
+		l.Listed = true
+		return l
+	}
+	s.Feed(1).RecordRead(listed(now.Add(-time.Second)), true)
+	deliver(t, s, r, true, now)
+	assert.Assert(t, r.Feed(1).Age(instant(now)) == time.Minute)
+	select {
+	case <-r.Feed(1).Wake():
+	case <-time.After(4 * maxListDelay):
+		t.Fatal("no read is requested")
+	}
+	r.Feed(1).RecordRead(listed(now), false)
+	s.PublishUpdate(1, feed.Update{Since: 90, Next: 91, Records: []feed.Record{{Key: "k", Value: []byte("v"), Next: 91}}})
+	s.Feed(1).RecordRead(read(now.Add(time.Second), 91, 91), true)
+	deliver(t, s, r, true, now.Add(time.Second))
+	assert.Equal(t, len(r.Feed(1).Updates()), 1)
+}
--- a/mirror/delta_test.go
+++ b/mirror/delta_test.go
@@ -200,3 +200,18 @@
 	assert.Equal(t, u.Next, types.Offset(5))
 	assert.Assert(t, slices.ContainsFunc(u.Records, func(r feed.Record) bool { return r.Key == "b" }))
 }
+
+// Guards against a delta to a record of the store that was lost when it returned from an older copy:
+// offsets are given out again, so that the base may be another record.
+func TestBasesEndWithTheirOffsets(t *testing.T) {
+	var f Feed
+	h, updates := newReader(&f, 7)
+	h.HandleChanges([]feed.Item[string]{version(8)}, 0)
+	h.HandleListing(listing(5, version(5)), 0)
+	for _, base := range []types.Offset{7, 8} {
+		_, err := decode(&f, feed.Record{Key: "config", DeltaBase: base, Next: 9, Value: (*updates)[0].Records[0].Value})
+		assert.Assert(t, errors.Is(err, feed.ErrUnusable))
+	}
+	h.HandleChanges([]feed.Item[string]{version(6)}, 0)
+	assert.Equal(t, (*updates)[1].Since, types.Offset(5))
+}
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -153,6 +153,10 @@
 			f.bases.add(before)
 		}
 	}
+	if next < f.next {
+		// The store has returned from an older copy and gives out offsets again.
+		f.bases, f.next, f.completeUpTo = bases{}, 0, 0
+	}
 	// A record of a later page may be newer than next, but the changes of other keys between
 	// them are missing.
 	f.next = max(f.next, next)
