node: plans of software versions count as current from the read itself

Cause: the time as of which a node has the newest plans was only updated each 0.5 s, so that a node that had just become ready refused streams of services with several versions until then (found by reading).

Change: the pacer of the feed confirms each own read when it ends. The fake store of TestTwoWritersOfVersionPlans has a lock: go test -race reported the test's own data.

Evidence: go test -race ./server/node -run Version, 3 times.

--- a/server/node/node.go
+++ b/server/node/node.go
@@ -25,6 +25,7 @@
 	"github.com/lentilpick/lentilpick/daemon"
 	"github.com/lentilpick/lentilpick/demand"
 	"github.com/lentilpick/lentilpick/directory"
+	"github.com/lentilpick/lentilpick/feed"
 	"github.com/lentilpick/lentilpick/gateway"
 	"github.com/lentilpick/lentilpick/loadshare"
 	"github.com/lentilpick/lentilpick/mirror"
@@ -410,7 +411,9 @@
 		confirmed: n.versionsConfirmed(h), due: map[types.ServiceID]dueProposal{},
 		mayWrite: func() bool { return n.registrationsLoaded.Load() && n.versionsLoaded.Load() && !h.failing.Load() },
 	}
-	go followFeed(ctx, n.newSharedFeed(feedVersions, 0, versionsWait), topic(), h, minReadBackoff, maxReadBackoff)
+	f := n.newSharedFeed(feedVersions, 0, versionsWait)
+	f.pacer.onRead = func(r feed.ReadResult) { n.versions.Confirm(r.AsOf) }
+	go followFeed(ctx, f, topic(), h, minReadBackoff, maxReadBackoff)
 	go p.update(ctx)
 	go p.plan(serving)
 }
--- a/server/node/pace.go
+++ b/server/node/pace.go
@@ -38,6 +38,8 @@
 	// fetchMissing, if not nil, fetches changes that peers have announced from one of them. It is
 	// for feeds whose keys are never removed.
 	fetchMissing func(ctx context.Context, from types.Offset) (feed.Update, error)
+	// onRead, if not nil, is called after each successful read.
+	onRead func(feed.ReadResult)
 	// readsForPeers reports whether the latest read was due because this node is the reader or
 	// took over from it, so that the changes are published. It is used only by the goroutine
 	// that reads.
@@ -109,6 +111,9 @@
 func (p *readPacer) recordRead(r feed.ReadResult) {
 	p.lastDuration = r.Duration
 	p.progress.RecordRead(r, p.readsForPeers)
+	if p.onRead != nil {
+		p.onRead(r)
+	}
 	if p.readsForPeers {
 		p.announce()
 	}
--- a/server/node/versions_test.go
+++ b/server/node/versions_test.go
@@ -6,7 +6,9 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -48,15 +50,23 @@
 // versionLog is a store of versionsTopic in memory. Calls take a moment, so that writers overlap.
 type versionLog struct {
 	feed.Source[versions.Record] // nil; only List is called
+	mu                           sync.Mutex
 	values                       []string
 	conflicts                    int
 }
 
+func (s *versionLog) records() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.values)
+}
+
 func (s *versionLog) List(context.Context) (feed.Listing[versions.Record], error) {
-	l := feed.Listing[versions.Record]{Next: types.Offset(len(s.values))}
+	values := s.records()
+	l := feed.Listing[versions.Record]{Next: types.Offset(len(values))}
 	time.Sleep(time.Millisecond)
-	if n := len(s.values); n > 0 {
-		v, err := decodeVersions("chat", []byte(s.values[n-1]))
+	if n := len(values); n > 0 {
+		v, err := decodeVersions("chat", []byte(values[n-1]))
 		l.Items = append(l.Items, feed.Item[versions.Record]{Key: "chat", Value: &v, Err: err})
 	}
 	return l, nil
@@ -64,6 +74,8 @@
 
 func (s *versionLog) PutAt(_ context.Context, _, _ string, value []byte, end types.Offset) error {
 	time.Sleep(time.Millisecond)
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if int(end) != len(s.values) {
 		s.conflicts++
 		return platform.ErrConflict
@@ -102,21 +114,24 @@
 		put(2, "v2")
 		time.Sleep(2 * maxStreamAge)
 		var sequences []uint64
-		for _, v := range store.values {
+		for _, v := range store.records() {
 			var r versionRecord
 			assert.NilError(t, json.Unmarshal([]byte(v), &r))
 			sequences = append(sequences, r.Sequence)
 		}
 		assert.DeepEqual(t, sequences[:3], []uint64{1, 2, 3})
-		assert.Assert(t, store.conflicts > 0)
+		store.mu.Lock()
+		conflicts := store.conflicts
+		store.mu.Unlock()
+		assert.Assert(t, conflicts > 0)
 		assert.DeepEqual(t, tables[0].Record("chat"), tables[1].Record("chat"))
 		assert.Equal(t, len(tables[0].Record("chat").Current.Shares), 2)
-		records := len(store.values)
+		records := len(store.records())
 		d.Remove("2", time.Now(), 0)
 		time.Sleep(2 * time.Second)
 		put(2, "v2")
 		time.Sleep(10 * time.Second)
-		assert.Equal(t, len(store.values), records, "a registration that lapsed for 2 s changes the plan")
+		assert.Equal(t, len(store.records()), records, "a registration that lapsed for 2 s changes the plan")
 		cancel()
 		synctest.Wait()
 	})
