--- a/server/node/feeds_test.go
+++ b/server/node/feeds_test.go
@@ -1,10 +1,13 @@
 package node
 
 import (
+	"bytes"
+	"context"
 	"errors"
 	"fmt"
 	"io"
 	"runtime"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -12,9 +15,14 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/lentilpick/lentilpick/daemon"
+	"github.com/lentilpick/lentilpick/demand"
 	"github.com/lentilpick/lentilpick/directory"
 	"github.com/lentilpick/lentilpick/feed"
+	"github.com/lentilpick/lentilpick/gateway"
+	"github.com/lentilpick/lentilpick/loadshare"
+	"github.com/lentilpick/lentilpick/routes"
 	"github.com/lentilpick/lentilpick/types"
+	"github.com/lentilpick/lentilpick/workspaces"
 )
 
 // Guards against requests to a target whose registration expired during an outage and that has not
@@ -58,6 +66,45 @@
 	assert.Equal(t, len(f.HandleChanges(back, 0)), 0, "a repeated registration is not a change")
 }
 
+// Guards against a known key that is refused while the store is away, when an older configuration or
+// one that cannot be decoded is read, or because of invalid entries, which are logged once.
+func TestKnownKeysStayValid(t *testing.T) {
+	var out bytes.Buffer
+	g := gateway.New(gateway.Settings{Now: time.Now, Demand: &demand.Table{}}, directory.New(), nil, nil, testObserver(t, io.Discard, 1))
+	h := &configHandler{outageLogger: outageLogger{log: daemon.NewLogger(&out, "warn", "node")}, gateway: g, onLoaded: func() {}, readState: func() loadshare.ReadState { return loadshare.ReadState{} }}
+	table := func(version uint64, all ...*workspaces.Workspace) *routes.Table {
+		x := routes.NewTable(version, routes.Limits{}, []routes.Route{{Name: "r", Host: "h", Prefix: "/", Timeout: time.Second}}, []routes.Service{{}})
+		x.Workspaces = workspaces.Next(nil, all)
+		return x
+	}
+	known, other := workspaces.NewWorkspace("a", nil, []string{"k-known"}), workspaces.NewWorkspace("b", nil, []string{"k-secret", "k-secret 2"})
+	newest, older := table(2, known, other, workspaces.NewWorkspace("c", nil, []string{"k-secret"})), table(1)
+	for name, step := range map[string]func(){
+		"first": func() {
+			h.HandleListing(feed.Listing[*routes.Table]{Items: []feed.Item[*routes.Table]{{Value: &newest}}}, 0)
+		},
+		"again": func() { h.HandlePeerUpdate([]feed.Item[*routes.Table]{{Value: &newest}}, 0) },
+		"older": func() { h.HandleChanges([]feed.Item[*routes.Table]{{Value: &older}}, 0) },
+		"listing of old": func() {
+			h.HandleListing(feed.Listing[*routes.Table]{Items: []feed.Item[*routes.Table]{{Value: &older}}}, 0)
+		},
+		"empty listing": func() { h.HandleListing(feed.Listing[*routes.Table]{}, 0) },
+		"not decoded":   func() { h.HandleChanges([]feed.Item[*routes.Table]{{Err: errors.New("malformed")}}, 0) },
+		"removed":       func() { h.HandleChanges([]feed.Item[*routes.Table]{{Key: "config"}}, 0) },
+		"store is away": func() { h.HandleFailure(errors.New("unavailable"), time.Hour) },
+	} {
+		h.HandleListing(feed.Listing[*routes.Table]{Items: []feed.Item[*routes.Table]{{Value: &newest}}}, 0)
+		step()
+		for key, want := range map[string]types.RefusalReason{"k-known": types.RefusedNoTarget, "k-secret": types.RefusedCredentialUnknown} {
+			r := g.Serve(context.Background(), &gateway.Request{Host: "h", Path: "/", Credential: workspaces.ForKey(key), Arrived: time.Now()}, nil)
+			reason, _ := types.ReasonOf(r.Outcome)
+			assert.Equal(t, reason, want, "%s: %s", name, key)
+		}
+	}
+	assert.Equal(t, strings.Count(out.String(), "left out"), 1, "%s", out.String())
+	assert.Assert(t, strings.Contains(out.String(), `"invalid":2`) && !strings.Contains(out.String(), "k-"), "%s", out.String())
+}
+
 // Guards against a removal without an outage that does not take effect immediately.
 func TestRemovalWithoutOutageIsImmediate(t *testing.T) {
 	d := directory.New()
--- a/workspaces/workspaces_test.go
+++ b/workspaces/workspaces_test.go
@@ -111,6 +111,14 @@
 	return append(content, strconv.Itoa(s.Len()))
 }
 
+// Guards against a look-up that compares only the part of the digest by which it searches.
+func TestWholeDigestIsCompared(t *testing.T) {
+	s := Next(nil, []*Workspace{NewWorkspace("a", nil, []string{"k1"})})
+	c := ForKey("k1")
+	c.digest[len(c.digest)-1] ^= 1
+	assert.Equal(t, nameOf(s.Find(c)), "")
+}
+
 func manyWorkspaces(n int) []*Workspace {
 	all := make([]*Workspace, n)
 	for i := range all {
