transport: a reset that shortly follows the close ends no response

Cause: the target sends a FIN and then a reset. When the node reads the end of the connection between the two, its TCP state is that of an orderly close.

Change: after an upload of 16 KiB or more, ClosedInOrder checks the state again 2 ms later. Both values are chosen: the two packets follow each other within microseconds, and smaller requests are read with their head.

TestResetShortlyAfterTheClose failed without the second check with "the reset was not seen".

--- a/tools/mutations/faults.go
+++ b/tools/mutations/faults.go
@@ -79,6 +79,7 @@
 	{"ends: reset after the close", "transport/conn.go", "closeWait = info.State == unix.BPF_TCP_CLOSE_WAIT", "closeWait = info.State > 0", "platform TestResetAfterCloseIsNoEnd"},
 	{"ends: response during the request", "transport/conn.go", "	if c.early || c.unacknowledged() > 0 {\n", "	if c.unacknowledged() > 0 {\n", "platform TestResponseBeforeTheEndOfTheRequest"},
 	{"ends: connection of an early response", "platform/targets.go", "x.EndMarked() && !conn.Early()", "x.EndMarked()", "platform TestResponseBeforeTheEndOfTheRequest"},
+	{"ends: reset shortly after the close", "transport/conn.go", "	c.sleep(resetDelay)\n	return c.inCloseWait()\n", "	return true\n", "transport TestResetShortlyAfterTheClose"},
 	{"ends: any unmarked end", "platform/targets.go", "if !x.EndMarked() && !x.conn.ClosedInOrder() {", "if false {", "platform TestResetAfterCloseIsNoEnd"},
 	{"ends: engine's connection of an early response", "engine/client.go", "x.resp.ConnectionClose() || x.conn.Early()", "x.resp.ConnectionClose()", "engine TestReplyBeforeTheEndOfTheRequest"},
 	{"targets: requests to paused targets", "platform/signals.go", "	if t.Admits(time.Now()) {", "	if true {", "platform TestSignals"},
--- a/transport/conn.go
+++ b/transport/conn.go
@@ -37,6 +37,12 @@
 	// writePieceBytes is the number of bytes of a request after which the connection is checked
 	// for a response that begins before its request was sent.
 	writePieceBytes = 256 << 10
+	// resetDelay is how long a reset may arrive after the close that it follows. A target that
+	// closes a connection without having read the request sends both within microseconds.
+	resetDelay = 2 * time.Millisecond
+	// minUploadBytes is the size of a request from which on a reset is waited for. Targets read
+	// smaller requests with their head.
+	minUploadBytes = 16 << 10
 )
 
 // Conn is a connection to a target that carries one request at a time. It times
@@ -53,12 +59,15 @@
 	progressTimeout time.Duration
 	requestDeadline time.Time // upper bound of the I/O deadlines
 	sent            bool      // at least one byte of the request was written
+	written         int64     // bytes of the request that were written
 	early           bool      // the response began before the target had the whole request
 	readRemaining   int64     // bytes until the read limit
+
+	sleep func(time.Duration) // time.Sleep, except in tests
 }
 
 func newConn(c net.Conn) *Conn {
-	cn := &Conn{Conn: c, opened: time.Now()}
+	cn := &Conn{Conn: c, opened: time.Now(), sleep: time.Sleep}
 	cn.r = bufio.NewReaderSize(cn, readBufBytes)
 	cn.w = bufio.NewWriterSize(cn, writeBufBytes)
 	return cn
@@ -87,7 +96,7 @@
 	for {
 		n, err := c.Conn.Write(b[written:min(written+writePieceBytes, len(b))])
 		written += n
-		c.sent = c.sent || n > 0
+		c.sent, c.written = c.sent || n > 0, c.written+int64(n)
 		if err != nil || written == len(b) {
 			return written, err
 		}
@@ -127,7 +136,7 @@
 // Sent, Early and the read limit.
 func (c *Conn) Begin(progressTimeout time.Duration, deadline time.Time) {
 	c.progressTimeout, c.requestDeadline, c.sent, c.readRemaining = progressTimeout, deadline, false, maxHeadBytes
-	c.early = false
+	c.early, c.written = false, 0
 }
 
 // WriteAll writes the parts of a request and flushes the buffer. The error wraps
@@ -192,12 +201,26 @@
 // ClosedInOrder reports, after io.EOF, whether the close of the connection can be the end of a
 // response whose end is not marked. It is not if the response began before its request was
 // received, or if a reset followed the close: a target that closes a connection without having
-// read the request resets it, and a read returns the close before the reset.
+// read the request resets it, and a read returns the close before the reset. After an upload it
+// waits for resetDelay.
 func (c *Conn) ClosedInOrder() bool {
 	if c.early || c.unacknowledged() > 0 {
 		return false
 	}
-	closeWait := true // for connections without a TCP state
+	if !c.inCloseWait() {
+		return false
+	}
+	if c.written < minUploadBytes {
+		return true
+	}
+	c.sleep(resetDelay)
+	return c.inCloseWait()
+}
+
+// inCloseWait reports whether the peer has closed the connection and not reset it. It returns true
+// for a connection without a TCP state.
+func (c *Conn) inCloseWait() bool {
+	closeWait := true
 	c.control(func(fd int) {
 		if info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
 			closeWait = info.State == unix.BPF_TCP_CLOSE_WAIT
--- a/transport/head_test.go
+++ b/transport/head_test.go
@@ -79,3 +79,38 @@
 		t.Fatalf("error %v after %d reads", err, raw.reads)
 	}
 }
+
+// Guards against the end of a part of a response that counts as its end because the reset of the
+// connection arrives a moment after its close was read.
+func TestResetShortlyAfterTheClose(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	raw, err := net.Dial("tcp4", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	target, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := newConn(raw)
+	defer c.Close()
+	c.Begin(5*time.Second, time.Now().Add(5*time.Second))
+	if err := c.WriteAll(make([]byte, minUploadBytes)); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.ReadFull(target, make([]byte, minUploadBytes-1)); err != nil {
+		t.Fatal(err)
+	}
+	_ = target.(*net.TCPConn).CloseWrite()
+	if _, err := c.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
+		t.Fatalf("error %v", err)
+	}
+	c.sleep = func(time.Duration) { _ = target.Close() } // resets, because a byte was not read
+	if c.ClosedInOrder() {
+		t.Fatal("the reset was not seen")
+	}
+}
