versions: streams of a version without targets begin by the next plan

A version that has had no targets for twice the bound on the propagation of registrations begins its streams by the next plan. All nodes that have that record count both plans as possible, so that none resolves such a stream; the others have no target of the lost version. A version that had no targets at some time in the window is not resolved, so that its return does not make an earlier stream look like one of it.

--- a/server/node/node.go
+++ b/server/node/node.go
@@ -118,7 +118,7 @@
 	debug.SetGCPercent(s.GCPercent)
 	n := &Node{
 		settings: s, machine: m, log: log, store: platform.NewStore(m.StoreAddress),
-		directory: directory.New(), versions: newVersionTable(clock.Now),
+		directory: directory.New(), versions: newVersionTable(2*m.MaxDrainDelay, clock.Now),
 	}
 	var err error
 	if n.metrics, err = daemon.NewMetrics("lentilpick-node"); err != nil {
--- a/server/node/versions.go
+++ b/server/node/versions.go
@@ -49,8 +49,8 @@
 	fieldSequence = "sequence"
 )
 
-func newVersionTable(now func() clock.Instant) *versions.Table {
-	return versions.NewTable(versions.Settings{Propagation: versionsPropagation, MaxAge: maxStreamAge, Now: now})
+func newVersionTable(lossDelay time.Duration, now func() clock.Instant) *versions.Table {
+	return versions.NewTable(versions.Settings{Propagation: versionsPropagation, MaxAge: maxStreamAge, LossDelay: lossDelay, Now: now})
 }
 
 // versionHandler applies the records of versionsTopic. It implements feed.Handler.
--- a/server/node/versions_test.go
+++ b/server/node/versions_test.go
@@ -101,7 +101,7 @@
 		assert.NilError(t, err)
 		var tables [2]*versions.Table
 		for i := range tables {
-			tables[i] = newVersionTable(clocktest.Virtual)
+			tables[i] = newVersionTable(2*time.Second, clocktest.Virtual)
 			p := &versionPlanner{
 				log: daemon.NewLogger(io.Discard, "error", "node"), counters: c, table: tables[i], directory: d, store: store, source: store,
 				now: clocktest.Virtual, rank: func() int { return 0 }, confirmed: func(now clock.Instant) clock.Instant { return now },
--- a/versions/table.go
+++ b/versions/table.go
@@ -18,6 +18,11 @@
 	Propagation time.Duration
 	// MaxAge is the longest time from the begin of a stream to a request that continues it.
 	MaxAge time.Duration
+	// LossDelay is the time for which a version must have had no targets before its streams begin
+	// by the next plan. It must be twice the longest time until every daemon knows of a change of
+	// the targets: until all know of the loss, and until this one would know of a return. With 0
+	// they never do.
+	LossDelay time.Duration
 	// Now reads a clock that is not adjusted and counts suspensions.
 	Now func() clock.Instant
 }
@@ -40,6 +45,12 @@
 	past    []pastPlan
 	// registered are the targets of each version that can begin streams.
 	registered map[types.SoftwareVersion]int
+	// lost holds since when versions have had no targets, since lostDefault those that had none from
+	// the first registration on.
+	lost        map[types.SoftwareVersion]clock.Instant
+	lostDefault clock.Instant
+	// returned holds when versions last had targets again.
+	returned map[types.SoftwareVersion]clock.Instant
 	// unsaved reports that the store has an older record than this daemon, or none.
 	unsaved bool
 }
@@ -89,7 +100,27 @@
 	case t.several(s) && t.outdated():
 		return "", false
 	}
-	return s.record.Current.Version(request)
+	v, ok := s.record.Current.Version(request)
+	if ok && s.record.Next != nil && t.isLost(s, v) {
+		// Every daemon that has the record counts both plans as possible, and no other daemon
+		// has a target of the lost version to resume the stream.
+		if next, _ := s.record.Next.Version(request); s.registered[next] > 0 {
+			return next, true
+		}
+	}
+	return v, ok
+}
+
+// isLost reports whether the version has had no targets for LossDelay.
+func (t *Table) isLost(s *service, v types.SoftwareVersion) bool {
+	if t.settings.LossDelay <= 0 || len(s.registered) == 0 || s.registered[v] > 0 {
+		return false
+	}
+	since, known := s.lost[v]
+	if !known {
+		since = s.lostDefault
+	}
+	return t.settings.Now().Sub(since) > t.settings.LossDelay
 }
 
 // Resolve returns the version that began a stream at most maxAge ago. first is the ID of the request
@@ -114,12 +145,22 @@
 			agrees(p.Plan)
 		}
 	}
-	if !ok {
+	if !ok || s.absentSince(version, oldest) {
 		return "", false
 	}
 	return version, true
 }
 
+// absentSince reports whether the version had no targets at some time since then. Its streams may
+// have begun by a next plan that this daemon does not have yet.
+func (s *service) absentSince(v types.SoftwareVersion, then clock.Instant) bool {
+	if len(s.registered) == 0 {
+		return false
+	}
+	at, returned := s.returned[v]
+	return s.registered[v] == 0 || returned && at >= then
+}
+
 // resolve is Version, or the only version if the ID is unknown.
 func (p Plan) resolve(id types.RequestID) (types.SoftwareVersion, bool) {
 	if id == "" {
@@ -204,7 +245,47 @@
 	if s == nil && len(targets) == 0 || s != nil && maps.Equal(s.registered, targets) {
 		return
 	}
-	t.update(id, func(s *service) { s.registered = maps.Clone(targets) })
+	t.update(id, func(s *service) {
+		now := t.settings.Now()
+		if s.registered == nil {
+			s.lostDefault = now
+		}
+		s.returned = returnedVersions(s, targets, now)
+		s.lost = lostVersions(s, targets, now)
+		s.registered = maps.Clone(targets)
+	})
+}
+
+// returnedVersions returns the times of returns after a change of the targets of a service. Versions
+// that were there at the first registration have not returned.
+func returnedVersions(s *service, targets map[types.SoftwareVersion]int, now clock.Instant) map[types.SoftwareVersion]clock.Instant {
+	returned := maps.Clone(s.returned)
+	for v, n := range targets {
+		if n == 0 || s.registered == nil || s.registered[v] > 0 {
+			continue
+		}
+		if returned == nil {
+			returned = map[types.SoftwareVersion]clock.Instant{}
+		}
+		returned[v] = now
+	}
+	return returned
+}
+
+// lostVersions returns the lost versions of a service after a change of its targets.
+func lostVersions(s *service, targets map[types.SoftwareVersion]int, now clock.Instant) map[types.SoftwareVersion]clock.Instant {
+	lost := map[types.SoftwareVersion]clock.Instant{}
+	for v, n := range s.registered {
+		if n > 0 && targets[v] == 0 {
+			lost[v] = now
+		}
+	}
+	for v, since := range s.lost {
+		if targets[v] == 0 {
+			lost[v] = since
+		}
+	}
+	return lost
 }
 
 // SetStored tells the table which records the store has. It marks those of which the store has an
--- a/versions/versions_test.go
+++ b/versions/versions_test.go
@@ -18,7 +18,10 @@
 const (
 	propagation = 3 * time.Second
 	maxAge      = 10 * time.Second
-	chat        = types.ServiceID("chat")
+	// viewAge is the longest time until a node has registered a change of the targets.
+	viewAge   = 2 * time.Second
+	lossDelay = 2 * viewAge
+	chat      = types.ServiceID("chat")
 )
 
 // init fixes the seed, so that the histories of a run are the same each time.
@@ -40,7 +43,7 @@
 }
 
 func newTestNode(now *clock.Instant, offset time.Duration) testNode {
-	return testNode{NewTable(Settings{propagation, maxAge, func() clock.Instant { return now.Add(offset) }}), now}
+	return testNode{NewTable(Settings{Propagation: propagation, MaxAge: maxAge, LossDelay: lossDelay, Now: func() clock.Instant { return now.Add(offset) }}), now}
 }
 
 // learn applies the newest record.
@@ -211,20 +214,23 @@
 		const nodes = 4
 		now := clock.Instant(time.Hour)
 		var (
-			store   *Record
-			all     [nodes]testNode
-			learned [nodes]clock.Instant
-			streams []stream
+			store      *Record
+			all        [nodes]testNode
+			learned    [nodes]clock.Instant
+			streams    []stream
+			registered = targets{}
+			// unseen is since when nodes have not registered a change, 0 if they know all.
+			unseen [nodes]clock.Instant
 		)
 		restart := func(i int) {
 			all[i] = newTestNode(&now, time.Duration(i)*time.Minute)
 			all[i].learn(store)
-			learned[i] = now
+			all[i].Register(chat, registered)
+			learned[i], unseen[i] = now, 0
 		}
 		for i := range all {
 			restart(i)
 		}
-		registered := targets{}
 		for step := range 60 {
 			now = now.Add(time.Duration(rapid.IntRange(1, 1500).Draw(t, "ms")) * time.Millisecond)
 			for i, n := range all {
@@ -232,6 +238,10 @@
 					n.learn(store)
 					learned[i] = now
 				}
+				if unseen[i] > 0 && (now.Sub(unseen[i]) >= viewAge || rapid.IntRange(0, 3).Draw(t, "registers") == 0) {
+					n.Register(chat, registered)
+					unseen[i] = 0
+				}
 			}
 			i := rapid.IntRange(0, nodes-1).Draw(t, "node")
 			n := all[i]
@@ -240,13 +250,19 @@
 				registered = maps.Clone(registered)
 				registered[types.SoftwareVersion(rapid.SampledFrom([]string{"v1", "v2", "v3"}).Draw(t, "version"))] = rapid.IntRange(0, 4).Draw(t, "targets")
 				maps.DeleteFunc(registered, func(_ types.SoftwareVersion, n int) bool { return n == 0 })
+				for k := range unseen {
+					if unseen[k] == 0 {
+						unseen[k] = now
+					}
+				}
 				n.Register(chat, registered)
+				unseen[i] = 0
 			case 1:
 				restart(i)
 			case 2, 3:
 				n.Register(chat, registered)
 				store = n.step(store, uint64(step))
-				learned[i] = now
+				learned[i], unseen[i] = now, 0
 			}
 			n = all[i]
 			for k := range 5 {
@@ -268,3 +284,27 @@
 		}
 	})
 }
+
+// Guards against streams that are refused until the next plan is in force although their version
+// has had no targets for long, and against others that begin by it.
+func TestStreamsOfALostVersionBeginByTheNextPlan(t *testing.T) {
+	now := clock.Instant(0)
+	n := newTestNode(&now, 0)
+	n.Register(chat, targets{"v1": 4})
+	r := n.step(nil, 1)
+	n.Register(chat, targets{"v2": 4})
+	n.step(r, 1)
+	assign := func() types.SoftwareVersion {
+		n.Confirm(now)
+		v, _ := n.Assign(chat, requestID(1))
+		return v
+	}
+	now = now.Add(lossDelay)
+	assert.Equal(t, assign(), types.SoftwareVersion("v1"))
+	now++
+	assert.Equal(t, assign(), types.SoftwareVersion("v2"))
+	_, ok := n.Resolve(chat, requestID(1), maxAge)
+	assert.Assert(t, !ok)
+	n.Register(chat, targets{"v1": 4, "v2": 4})
+	assert.Equal(t, assign(), types.SoftwareVersion("v1"))
+}
