gateway: lifetimes are verified at the beginning of resumable streams only

A check costs its caller a round trip. During a release only streams of resumable routes need it at their beginning: the others never go on at another engine. After a failure of a target it stays for all streams of engines.

Left open by this: a prefill of a route that is not resumable may reach an engine that has returned under its ID with another version, for as long as its registration is not read and no request to it has failed.

TestCallsThatRequireLifetime expects this, and in return that a failure of the targets makes streams of such routes check, which it did not cover.

--- a/gateway/versions.go
+++ b/gateway/versions.go
@@ -148,9 +148,9 @@
 }
 
 // requiresLifetime reports whether a call may reach only the registered lifetime of its target: to
-// go on with a stream, and to begin one while the service has several versions or after a failure
-// of the target, which may have crashed and returned with another version. A stream that begins at
-// an unknown version cannot go on, and engines exchange KV cache on all routes.
+// go on with a stream, and to begin one that may be resumed while the service has several versions.
+// After a failure of the target, which may have crashed and returned with another version, the same
+// holds for all streams of engines, which exchange KV cache.
 func (x *exchange) requiresLifetime(t *directory.Target) bool {
 	if x.route.Kind != routes.KindStream {
 		return false
@@ -158,8 +158,9 @@
 	if x.events > 0 || x.r.resumes() {
 		return true
 	}
-	if engine := x.service != nil && x.service.Engine != nil; !engine && !x.route.Resumable {
-		return false
+	engine := x.service != nil && x.service.Engine != nil
+	if (engine || x.route.Resumable) && t.Load.Failing() {
+		return true
 	}
-	return t.Load.Failing() || x.g.mixed.recently(x.serviceID, len(x.g.directory.Load().Versions(x.serviceID)), x.now())
+	return x.route.Resumable && x.g.mixed.recently(x.serviceID, len(x.g.directory.Load().Versions(x.serviceID)), x.now())
 }
--- a/gateway/versions_test.go
+++ b/gateway/versions_test.go
@@ -213,6 +213,8 @@
 		check(Request{Path: "/resume/x"}, "--L")
 		w.setVersions(map[types.TargetID]types.SoftwareVersion{"d1": "v1", "d2": "v1", "p1": "v1"})
 		check(Request{Path: "/resume/x"}, "LLL")
+		check(Request{Path: "/chat/x"}, "--")
+		w.d.Load().All(func(t *directory.Target) { t.Load.RecordFailure(time.Now()) })
 		check(Request{Path: "/chat/x"}, "LL")
 		w.setVersions(map[types.TargetID]types.SoftwareVersion{"p2": "v1"})
 		check(Request{Path: "/resume/x"}, "LLL")
--- a/tools/mutations/faults.go
+++ b/tools/mutations/faults.go
@@ -200,6 +200,6 @@
 	{"versions: lifetime is read for each request", "platform/lifetime.go", "	x.conn.SetLifetime(born)\n", "", "platform TestConnectionIsVerifiedOnce"},
 	{"versions: report beyond a declared limit", "platform/lifetime.go", "if !c.Target.Load.TryReserve(time.Now()) {", "if c.Target.Load.TryReserve(time.Now()); false {", "platform TestLifetimeOfLimitedOrOldTarget"},
 	{"versions: resumption at any lifetime", versions, "x.events > 0 || x.r.resumes()", "x.events < 0", "gateway TestCallsThatRequireLifetime"},
-	{"versions: beginnings at any lifetime after a failure", versions, "return t.Load.Failing() || ", "return ", "gateway TestCallsThatRequireLifetime"},
+	{"versions: beginnings at any lifetime after a failure", versions, "(engine || x.route.Resumable) && t.Load.Failing()", "false && (engine || t.Load.Failing())", "gateway TestCallsThatRequireLifetime"},
 	{"versions: beginnings at any lifetime", versions, "	last.Store(clock.Nanos(now))\n	return true\n", "	last.Store(0)\n	return false\n", "gateway TestCallsThatRequireLifetime"},
 }
