versions: take-ups after the first record of a service

Change: the unknown plan stands before the first one only if the writer has seen several versions without a record. A node without a record begins streams only if it has seen one version.

--- a/versions/propose.go
+++ b/versions/propose.go
@@ -80,15 +80,19 @@
 }
 
 // proposeFirst returns the first record. Its plan is in force at once, because a daemon without a
-// record resolves no streams. Those that began without a record cannot be resolved, for which the
-// plan without shares stands.
+// record resolves no streams. If streams may have begun at another version before, they cannot be
+// resolved, for which the plan without shares stands.
 func proposeFirst(s *service, writer uint64) (Record, Reason, bool) {
 	const sequence = 1
 	p := NewPlan(sequence, s.registered)
 	if len(p.Shares) == 0 {
 		return Record{}, "", false
 	}
-	return Record{Sequence: sequence, Writer: writer, Current: p, Previous: []Plan{{}}}, ReasonFirst, true
+	r := Record{Sequence: sequence, Writer: writer, Current: p}
+	if len(s.unplanned) > 1 {
+		r.Previous = []Plan{{}}
+	}
+	return r, ReasonFirst, true
 }
 
 // imbalance returns the reason for which the current plan does not fit the registered targets, or "".
--- a/versions/table.go
+++ b/versions/table.go
@@ -40,6 +40,8 @@
 	past    []pastPlan
 	// registered are the targets of each version that can begin streams.
 	registered map[types.SoftwareVersion]int
+	// unplanned are the versions that were registered without a record.
+	unplanned map[types.SoftwareVersion]bool
 	// unsaved reports that the store has an older record than this daemon, or none.
 	unsaved bool
 }
@@ -78,12 +80,14 @@
 
 // Assign returns the version at which a stream begins. It returns false if there is no plan, or if
 // the plan may be outdated and more than one version is in use. Without a record the only version
-// that is registered counts as the plan: Resolve then returns false on every daemon.
+// that has been registered counts as the plan.
 func (t *Table) Assign(id types.ServiceID, request types.RequestID) (types.SoftwareVersion, bool) {
 	s := (*t.snapshot.Load())[id]
 	switch {
 	case s == nil:
 		return "", false
+	case s.record == nil && len(s.unplanned) > 1:
+		return "", false
 	case s.record == nil:
 		return s.onlyRegistered()
 	case t.several(s) && t.outdated():
@@ -204,7 +208,18 @@
 	if s == nil && len(targets) == 0 || s != nil && maps.Equal(s.registered, targets) {
 		return
 	}
-	t.update(id, func(s *service) { s.registered = maps.Clone(targets) })
+	t.update(id, func(s *service) {
+		if s.record == nil {
+			s.unplanned = maps.Clone(s.unplanned)
+			for v := range targets {
+				if s.unplanned == nil {
+					s.unplanned = map[types.SoftwareVersion]bool{}
+				}
+				s.unplanned[v] = true
+			}
+		}
+		s.registered = maps.Clone(targets)
+	})
 }
 
 // SetStored tells the table which records the store has. It marks those of which the store has an
--- a/versions/versions_test.go
+++ b/versions/versions_test.go
@@ -225,6 +225,15 @@
 			restart(i)
 		}
 		registered := targets{}
+		// register passes the targets to a node, or to all nodes before the first record: a service
+		// whose versions are all replaced at that time, unseen by the writer, is not covered.
+		register := func(i int) {
+			for k, n := range all {
+				if k == i || store == nil {
+					n.Register(chat, registered)
+				}
+			}
+		}
 		for step := range 60 {
 			now = now.Add(time.Duration(rapid.IntRange(1, 1500).Draw(t, "ms")) * time.Millisecond)
 			for i, n := range all {
@@ -240,11 +249,13 @@
 				registered = maps.Clone(registered)
 				registered[types.SoftwareVersion(rapid.SampledFrom([]string{"v1", "v2", "v3"}).Draw(t, "version"))] = rapid.IntRange(0, 4).Draw(t, "targets")
 				maps.DeleteFunc(registered, func(_ types.SoftwareVersion, n int) bool { return n == 0 })
-				n.Register(chat, registered)
+				register(i)
 			case 1:
-				restart(i)
+				if store != nil {
+					restart(i)
+				}
 			case 2, 3:
-				n.Register(chat, registered)
+				register(i)
 				store = n.step(store, uint64(step))
 				learned[i] = now
 			}
@@ -268,3 +279,20 @@
 		}
 	})
 }
+
+// Guards against streams of two versions that begin without a record and are resolved by the first one.
+func TestReplacedVersionBeforeTheFirstRecord(t *testing.T) {
+	now := clock.Instant(0)
+	n := newTestNode(&now, 0)
+	n.Register(chat, targets{"v1": 1})
+	v, ok := n.Assign(chat, requestID(1))
+	assert.Assert(t, ok && v == "v1")
+	first, _, _ := n.Propose(chat, 1)
+	assert.Equal(t, len(first.Previous), 0)
+	n.Register(chat, targets{})
+	n.Register(chat, targets{"v2": 1})
+	_, ok = n.Assign(chat, requestID(1))
+	assert.Assert(t, !ok)
+	first, _, _ = n.Propose(chat, 1)
+	assert.Equal(t, len(first.Previous), 1)
+}
