--- a/versions/table.go
+++ b/versions/table.go
@@ -18,11 +18,9 @@
 	Propagation time.Duration
 	// MaxAge is the longest time from the begin of a stream to a request that continues it.
 	MaxAge time.Duration
-	// LossDelay is the time for which a version must have had no targets before its streams begin
-	// by the next plan. It must be twice the longest time until every daemon knows of a change of
-	// the targets: until all know of the loss, and until this one would know of a return. With 0
-	// they never do.
-	LossDelay time.Duration
+	// ViewAge is the longest time until every daemon has registered a change of the targets. With 0
+	// streams of a version without targets wait for the next plan to be in force.
+	ViewAge time.Duration
 	// Now reads a clock that is not adjusted and counts suspensions.
 	Now func() clock.Instant
 }
@@ -51,6 +49,8 @@
 	lostDefault clock.Instant
 	// returned holds when versions last had targets again.
 	returned map[types.SoftwareVersion]clock.Instant
+	// unplanned are the versions that were registered without a record.
+	unplanned map[types.SoftwareVersion]bool
 	// unsaved reports that the store has an older record than this daemon, or none.
 	unsaved bool
 }
@@ -89,12 +89,14 @@
 
 // Assign returns the version at which a stream begins. It returns false if there is no plan, or if
 // the plan may be outdated and more than one version is in use. Without a record the only version
-// that is registered counts as the plan: Resolve then returns false on every daemon.
+// that has been registered counts as the plan.
 func (t *Table) Assign(id types.ServiceID, request types.RequestID) (types.SoftwareVersion, bool) {
 	s := (*t.snapshot.Load())[id]
 	switch {
 	case s == nil:
 		return "", false
+	case s.record == nil && len(s.unplanned) > 1:
+		return "", false
 	case s.record == nil:
 		return s.onlyRegistered()
 	case t.several(s) && t.outdated():
@@ -102,8 +104,6 @@
 	}
 	v, ok := s.record.Current.Version(request)
 	if ok && s.record.Next != nil && t.isLost(s, v) {
-		// Every daemon that has the record counts both plans as possible, and no other daemon
-		// has a target of the lost version to resume the stream.
 		if next, _ := s.record.Next.Version(request); s.registered[next] > 0 {
 			return next, true
 		}
@@ -111,16 +111,20 @@
 	return v, ok
 }
 
-// isLost reports whether the version has had no targets for LossDelay.
+// isLost reports whether a version has been without targets for so long that its streams may begin by
+// the next plan. By then every daemon knows of the loss, and was told of a return before it resolves
+// streams again. The next plan is older than any return that this daemon may not know, so that
+// daemons that start after the return have it.
 func (t *Table) isLost(s *service, v types.SoftwareVersion) bool {
-	if t.settings.LossDelay <= 0 || len(s.registered) == 0 || s.registered[v] > 0 {
+	now := t.settings.Now()
+	if t.settings.ViewAge <= 0 || len(s.registered) == 0 || s.registered[v] > 0 || now.Sub(s.learned) <= t.settings.ViewAge {
 		return false
 	}
 	since, known := s.lost[v]
 	if !known {
 		since = s.lostDefault
 	}
-	return t.settings.Now().Sub(since) > t.settings.LossDelay
+	return now.Sub(since) > 2*t.settings.ViewAge
 }
 
 // Resolve returns the version that began a stream at most maxAge ago. first is the ID of the request
@@ -252,6 +256,15 @@
 		}
 		s.returned = returnedVersions(s, targets, now)
 		s.lost = lostVersions(s, targets, now)
+		if s.record == nil {
+			s.unplanned = maps.Clone(s.unplanned)
+			for v := range targets {
+				if s.unplanned == nil {
+					s.unplanned = map[types.SoftwareVersion]bool{}
+				}
+				s.unplanned[v] = true
+			}
+		}
 		s.registered = maps.Clone(targets)
 	})
 }
