soak: scenarios of workspaces' keys and of software versions

Scenario keys changes the keys of six workspaces while callers send held, dropped, unknown, missing, malformed and repeated keys, with workspace headers of their own; nodes are killed, the store is away, targets refuse and truncate.

--- a/cmd/internal/soak/changes.go
+++ b/cmd/internal/soak/changes.go
@@ -14,8 +14,6 @@
 	"syscall"
 	"time"
 
-	"github.com/ansel1/merry/v2"
-
 	"github.com/lentilpick/lentilpick/platform/standin"
 )
 
@@ -106,7 +104,7 @@
 		dep.store.LimitRate(n.ip, int(s.Links[i%len(s.Links)]*1e6/8))
 		k := &changesNode{node: n}
 		s.nodes = append(s.nodes, k)
-		if err := s.awaitReady(k); err != nil {
+		if err := awaitReady(k.node); err != nil {
 			return "", err
 		}
 	}
@@ -357,7 +355,7 @@
 		s.report(s.deployment.startNode(n.node))
 	}
 	for _, n := range drawn {
-		s.report(s.awaitReady(n))
+		s.report(awaitReady(n.node))
 		n.faultEnds(time.Now())
 	}
 	s.mu.Lock()
@@ -365,15 +363,6 @@
 	s.kills += len(drawn)
 }
 
-func (s *changesRun) awaitReady(n *changesNode) error {
-	for limit := time.Now().Add(startTimeout); !n.isReady(); sleep(context.Background(), readyPollInterval) {
-		if time.Now().After(limit) {
-			return merry.Appendf(ErrSoak, "%s is not ready within %v of its start", n.name, startTimeout)
-		}
-	}
-	return nil
-}
-
 func (s *changesRun) summary() string {
 	var b strings.Builder
 	fmt.Fprintf(&b, "timer-delay=%s changes=%d rejections=%d kills=%d store-calls=%d store-bytes=%d",
--- a/cmd/internal/soak/deployment.go
+++ b/cmd/internal/soak/deployment.go
@@ -58,7 +58,14 @@
 	targets      []targetSpec
 	behaviour    standin.Behaviour
 	routeTimeout time.Duration
-	prefillShare int64 // in thousandths, 0 for a share that follows the demand
+	prefillShare int64               // in thousandths, 0 for a share that follows the demand
+	routes       []standin.Route     // the default routes if nil
+	workspaces   []standin.Workspace // none if nil, so that requests need no key
+	versions     []string            // software versions of the targets, in rotation
+	logLevel     string              // that of the nodes, their default if empty
+	// direct registers the targets without links, so that a target that is down refuses
+	// connections.
+	direct bool
 }
 
 // deployment is a set of nodes, targets and a store on loopback addresses.
@@ -84,11 +91,24 @@
 		return nil, err
 	}
 	for i, r := range l.targets {
-		t, err := standin.NewTarget(d.store, r.id, r.service, d.dataCentre(i), r.phase, "127.0.0.1:0")
+		version := standin.DefaultVersion
+		if len(l.versions) > 0 {
+			version = l.versions[i%len(l.versions)]
+		}
+		address := "127.0.0.1:0"
+		if l.direct {
+			address = directAddress
+		}
+		t, err := standin.NewTargetOfVersion(d.store, r.id, r.service, d.dataCentre(i), r.phase, version, address)
 		if err != nil {
 			return nil, err
 		}
 		t.SetBehaviour(l.behaviour)
+		if l.direct {
+			t.ShareKVCache()
+			d.targets = append(d.targets, t)
+			continue
+		}
 		link, err := newLink(t.Address())
 		if err != nil {
 			return nil, err
@@ -105,6 +125,10 @@
 	return d, nil
 }
 
+// directAddress is the address of targets without links. No connection starts from it, so that a
+// target that was down gets its port back.
+const directAddress = "127.0.0.9:0"
+
 // faultsLayout is the deployment under random faults.
 func faultsLayout() layout {
 	return layout{
@@ -175,6 +199,9 @@
 func (d *deployment) startNode(n *node) error {
 	settings := filepath.Join(d.outDir, n.name+"-settings.toml")
 	text := fmt.Sprintf("prefill_share = %d\nsample_one = 1\nlog_rate = 10000\n", d.plannedShare.Load())
+	if d.logLevel != "" {
+		text += fmt.Sprintf("log_level = %q\n", d.logLevel)
+	}
 	if err := os.WriteFile(settings, []byte(text), 0o600); err != nil {
 		return err
 	}
@@ -223,5 +250,9 @@
 // configure publishes the next version of the configuration.
 func (d *deployment) configure() {
 	d.configVersion++
-	d.store.ConfigureTimeout(d.configVersion, d.routeTimeout)
+	routes := d.routes
+	if routes == nil {
+		routes = standin.Routes
+	}
+	d.store.ConfigureWorkspaces(d.configVersion, d.routeTimeout, routes, d.workspaces)
 }
--- a/cmd/internal/soak/soak.go
+++ b/cmd/internal/soak/soak.go
@@ -18,14 +18,15 @@
 
 // Cmd runs the soak for one or more seeds.
 type Cmd struct {
-	Bin      string          `default:"bin" help:"Directory of the program binaries."`
-	Out      string          `default:"out/soak" help:"Directory for settings and logs, with a subdirectory for each seed."`
-	Seed     uint64          `default:"1" help:"First seed."`
-	Runs     int             `default:"1" help:"Number of consecutive seeds to run, one after the other."`
-	Duration time.Duration   `default:"8s" help:"Duration of fault injection in each run."`
-	Scenario string          `default:"faults" enum:"faults,stops,changes" help:"faults: random faults of all kinds; stops: series of planned stops; changes: series of changes of a large configuration."`
-	Stops    StopsSettings   `embed:"" prefix:"stops-"`
-	Changes  ChangesSettings `embed:"" prefix:"changes-"`
+	Bin      string           `default:"bin" help:"Directory of the program binaries."`
+	Out      string           `default:"out/soak" help:"Directory for settings and logs, with a subdirectory for each seed."`
+	Seed     uint64           `default:"1" help:"First seed."`
+	Runs     int              `default:"1" help:"Number of consecutive seeds to run, one after the other."`
+	Duration time.Duration    `default:"8s" help:"Duration of fault injection in each run."`
+	Scenario string           `default:"faults" enum:"faults,stops,changes,keys,versions" help:"faults: random faults of all kinds; stops: series of planned stops; changes: series of changes of a large configuration; keys: workspaces whose keys change; versions: targets of several software versions that crash under streams."`
+	Stops    StopsSettings    `embed:"" prefix:"stops-"`
+	Changes  ChangesSettings  `embed:"" prefix:"changes-"`
+	Versions VersionsSettings `embed:"" prefix:"versions-"`
 }
 
 // Run implements the command.
@@ -50,6 +51,10 @@
 		return runStops(c.Bin, out, seed, c.Duration, c.Stops)
 	case "changes":
 		return runChanges(c.Bin, out, seed, c.Duration, c.Changes)
+	case "keys":
+		return runKeys(c.Bin, out, seed, c.Duration)
+	case "versions":
+		return runVersions(c.Bin, out, seed, c.Duration, c.Versions)
 	}
 	return runFaults(c.Bin, out, seed, c.Duration)
 }
