--- a/cmd/internal/soak/keys.go
+++ b/cmd/internal/soak/keys.go
@@ -25,7 +25,7 @@
 	maxChangeGap    = 800 * time.Millisecond
 	keysFaultGap    = 7 * time.Second
 	keysDownTime    = 1500 * time.Millisecond
-	keysTargetFault = 500 * time.Millisecond
+	keysTargetFault = 100 * time.Millisecond
 	keysCallers     = 4 // of each node
 	keysCallGap     = 15 * time.Millisecond
 	keysRouteTime   = standin.DefaultTimeout
@@ -239,8 +239,8 @@
 
 func (s *keysRun) summary(f *keysFigures) string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "timer-delay=%s changes=%d kills=%d outages=%d requests=%d log-lines=%d",
-		s.delay.max().Round(time.Millisecond), s.changes, s.kills, s.outages, len(s.calls), f.logLines)
+	fmt.Fprintf(&b, "timer-delay=%s changes=%d kills=%d outages=%d requests=%d prefills=%d retries=%d resumptions=%d log-lines=%d",
+		s.delay.max().Round(time.Millisecond), s.changes, s.kills, s.outages, len(s.calls), f.prefills, f.retries, f.resumptions, f.logLines)
 	for _, name := range slices.Sorted(maps.Keys(f.outcomes)) {
 		fmt.Fprintf(&b, " %s=%d", name, f.outcomes[name])
 	}
--- a/cmd/internal/soak/keys_callers.go
+++ b/cmd/internal/soak/keys_callers.go
@@ -131,6 +131,10 @@
 	for k, v := range standin.Headers(c.id, c.route.Prompted) {
 		fmt.Fprintf(&b, "%s: %s\r\n", k, v)
 	}
+	if c.route.Resumable && rng.IntN(100) < brokenStreamPercent {
+		name, value := standin.StreamPlan{BreakAfter: 1 + rng.IntN(standin.Events-1)}.Header()
+		fmt.Fprintf(&b, "%s: %s\r\n", name, value)
+	}
 	key, claim := standin.KeyHeader, standin.WorkspaceHeader
 	field := func(name, value string) {
 		fmt.Fprintf(&b, "%s: %s\r\n", drawOf(rng, name, name, strings.ToLower(name), strings.ToUpper(name)), value)
--- a/cmd/internal/soak/keys_oracle.go
+++ b/cmd/internal/soak/keys_oracle.go
@@ -38,6 +38,20 @@
 	logLines int
 	// held and heldServed are the requests with a key that was held, and those answered with 200.
 	held, heldServed int
+	// prefills, retries and resumptions are requests that targets received for requests of callers.
+	prefills, retries, resumptions int
+}
+
+// count counts the way in which a request reached a target.
+func (f *keysFigures) count(r *standin.Receipt, again bool) {
+	switch {
+	case r.Prefill:
+		f.prefills++
+	case r.HasHeader(standin.ResumeAfterHeader):
+		f.resumptions++
+	case again:
+		f.retries++
+	}
 }
 
 func (f *keysFigures) add(v keyVerdict, description string) {
@@ -130,7 +144,8 @@
 			}
 		}
 		at := fmt.Sprintf("request %s, route %s, %s key, sent to %s at %s, status %d", c.id, c.route.Name, c.use, c.node.name, c.sent.Format("15:04:05.000"), c.status)
-		for _, r := range received[c.id] {
+		for i, r := range received[c.id] {
+			f.count(&r, i > 0 && c.route.Kind != "streaming")
 			f.add(classifyReceipt(c, &r), fmt.Sprintf("%s: the target received %q", at, r.Headers))
 		}
 		f.add(classifyCall(c, len(received[c.id]) > 0, c.node.disturbedFor(c.sent)), at)
