soak: warm-up, reasons and orders of kills in scenario versions

A trace by refusal reason shows stream_version_unknown: nodes cannot resolve streams that may have begun before the first record of their service. On the platform traffic starts 14 s after the machines, so that the scenario waits as long before its callers and faults (--versions-warmup).

The summary prints statuses with reasons, for new streams and take-ups. The time limit is 6 s instead of 10 s, within those of the platform's sheets. Odd seeds begin with the kill of all nodes, so that a short run has one.

Scenario keys begins with the store's outage for odd seeds, so that a short run has one.

--- a/cmd/internal/soak/keys.go
+++ b/cmd/internal/soak/keys.go
@@ -165,10 +165,11 @@
 	}
 }
 
-// disturb kills a node and starts it again, or takes the store away for a while, in turn until end.
+// disturb kills a node and starts it again, or takes the store away for a while, in turn until end. It
+// begins with the store for odd seeds.
 func (s *keysRun) disturb(end time.Time, rng *rand.Rand) {
 	sleep(context.Background(), keysFaultsAfter)
-	for turn := 0; time.Now().Before(end); turn++ {
+	for turn := int(s.seed % 2); time.Now().Before(end); turn++ {
 		disturbed := s.nodes
 		if turn%2 == 0 {
 			disturbed = []*changesNode{s.nodes[rng.IntN(len(s.nodes))]}
--- a/cmd/internal/soak/versions.go
+++ b/cmd/internal/soak/versions.go
@@ -18,14 +18,15 @@
 
 // VersionsSettings are the settings of the scenario of several software versions.
 type VersionsSettings struct {
-	Callers int      `default:"40" help:"Number of callers."`
-	Beside  []string `default:"kills,swaps,release,resets" enum:"none,kills,swaps,release,resets" help:"Beside crashes of targets: nodes are killed, one and then all at once, in turn; connections of callers break; targets come back as another version; a release replaces the first version."`
+	Warmup  time.Duration `default:"14s" help:"Time between the start of the nodes and that of the callers and faults."`
+	Callers int           `default:"40" help:"Number of callers."`
+	Beside  []string      `default:"kills,swaps,release,resets" enum:"none,kills,swaps,release,resets" help:"Beside crashes of targets: nodes are killed, one and then all at once, in turn; connections of callers break; targets come back as another version; a release replaces the first version."`
 }
 
 const (
 	versionsEvents        = 60
 	versionsEventInterval = 40 * time.Millisecond
-	versionsTimeout       = 10 * time.Second
+	versionsTimeout       = 6 * time.Second
 	prefillEngines        = 4
 	decodeEngines         = 10
 	// A target crashes at intervals between these and is back after crashedTime.
@@ -38,7 +39,7 @@
 	// maxRegisterDelay is the longest time for which the store has the registration of the life
 	// before of a target that is back.
 	maxRegisterDelay = 1500 * time.Millisecond
-	firstKill        = 4 * time.Second
+	firstKill        = 3 * time.Second
 	killInterval     = 8 * time.Second
 	killedTime       = 400 * time.Millisecond
 	// releaseStep is the time between the replacements of two targets in a release.
@@ -108,6 +109,7 @@
 	for _, t := range dep.targets {
 		s.lives[t.ID] = []engineLife{{version: t.Version(), began: time.Now()}}
 	}
+	sleep(context.Background(), settings.Warmup)
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	var calls, faults sync.WaitGroup
@@ -238,10 +240,11 @@
 	}
 }
 
-// killNodes kills one node and then all of them at once, in turn, and starts them again.
+// killNodes kills one node and then all of them at once, in turn, and starts them again. It begins
+// with all of them for odd seeds.
 func (s *versionsRun) killNodes(end time.Time, rng *rand.Rand) {
 	sleep(context.Background(), firstKill)
-	for turn := 0; time.Now().Before(end); turn++ {
+	for turn := int(s.seed % 2); time.Now().Before(end); turn++ {
 		killed := s.nodes
 		if turn%2 == 0 {
 			killed = []*changesNode{s.nodes[rng.IntN(len(s.nodes))]}
--- a/cmd/internal/soak/versions_callers.go
+++ b/cmd/internal/soak/versions_callers.go
@@ -29,6 +29,7 @@
 	resumeAfter int
 	resetAfter  int // the number of events after which the connection breaks, 0 for never
 	status      int
+	reason      string // of a refusal
 	// events are the versions that wrote the events received.
 	events      []string
 	sent, ended time.Time
@@ -109,6 +110,7 @@
 		return
 	}
 	defer resp.Body.Close()
+	t.reason = resp.Header.Get("X-Refusal-Reason")
 	if t.status = resp.StatusCode; t.status != http.StatusOK {
 		_, _ = io.Copy(io.Discard, resp.Body)
 		return
--- a/cmd/internal/soak/versions_oracle.go
+++ b/cmd/internal/soak/versions_oracle.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -30,8 +31,21 @@
 	takenUp, wentOn, allTakenUp, allWentOn int
 	// caches are KV caches that decode engines fetched, and cachesAcross those of another version.
 	caches, cachesAcross int
-	statuses             map[int]int // of take-ups
-	errs                 []error
+	// results are the statuses of new streams and of take-ups, with the reasons of refusals.
+	results, takeUpResults map[string]int
+	errs                   []error
+}
+
+func newVersionsFigures() *versionsFigures {
+	return &versionsFigures{results: map[string]int{}, takeUpResults: map[string]int{}}
+}
+
+// result returns the status of a request and the reason of a refusal, "none" without a response.
+func (t *streamTry) result() string {
+	if t.status == 0 {
+		return "none"
+	}
+	return strings.TrimSuffix(fmt.Sprintf("%d-%s", t.status, t.reason), "-")
 }
 
 // mixing tells whether a stream holds events of two versions, within one answer or over tries.
@@ -64,7 +78,7 @@
 func (s *versionsRun) judge() *versionsFigures {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	f := &versionsFigures{statuses: map[int]int{}}
+	f := newVersionsFigures()
 	decodeLives := map[string][]engineLife{}
 	for _, t := range s.deployment.targets {
 		if t.Phase() == "decode" {
@@ -98,6 +112,7 @@
 			f.errs = append(f.errs, fmt.Errorf("ORDER: request %s at %s: %s", s.tries[i].id, s.tries[i].node.name, w))
 		}
 	}
+	f.results[s.tries[0].result()]++
 	first := s.begun()
 	if s.tries[0].inTouch() && s.tries[0].status != 0 {
 		f.sent++
@@ -119,7 +134,7 @@
 	judged, wentOn := false, false
 	for i := range tries {
 		t := &tries[i]
-		f.statuses[t.status]++
+		f.takeUpResults[t.result()]++
 		wentOn = t.status == http.StatusOK && len(t.events) > 0
 		end := t.ended
 		if wentOn {
@@ -159,7 +174,7 @@
 }
 
 func (s *versionsRun) summary(f *versionsFigures) string {
-	return fmt.Sprintf("timer-delay=%s streams=%d sent=%d begun=%d mixed-in-answer=%d mixed-over-tries=%d taken-up=%d went-on=%d all-taken-up=%d all-went-on=%d take-up-statuses=%v caches=%d caches-across=%d crashes=%d swaps=%d kills=%d",
+	return fmt.Sprintf("timer-delay=%s streams=%d sent=%d begun=%d mixed-in-answer=%d mixed-over-tries=%d taken-up=%d went-on=%d all-taken-up=%d all-went-on=%d new=%v resumed=%v caches=%d caches-across=%d crashes=%d swaps=%d kills=%d",
 		s.delay.max().Round(time.Millisecond), len(s.streams), f.sent, f.begun, f.mixedInAnswer, f.mixedOverTries, f.takenUp, f.wentOn,
-		f.allTakenUp, f.allWentOn, f.statuses, f.caches, f.cachesAcross, s.crashes, s.swaps, s.kills)
+		f.allTakenUp, f.allWentOn, f.results, f.takeUpResults, f.caches, f.cachesAcross, s.crashes, s.swaps, s.kills)
 }
