node: count the versions of targets before a node is ready

Its table of plans got the registered versions from a loop with an interval of 0.5 s, whose first pass comes before the registrations are read. They are passed on with the first list now, before the node counts as ready.

--- a/server/node/node.go
+++ b/server/node/node.go
@@ -391,7 +391,7 @@
 		readState: func() loadshare.ReadState { return n.exchanger.ReadState(feedConfig, clock.Now()) },
 	}, minReadBackoff, maxReadBackoff)
 	go followFeed(ctx, n.newSharedFeed(feedRegistrations, n.settings.RegistrationInterval, 0), n.store.Registrations(), &registrationHandler{
-		outageLogger: source("registrations"), directory: n.directory, onLoaded: func() { n.registrationsLoaded.Store(true) },
+		outageLogger: source("registrations"), directory: n.directory, onLoaded: n.recordRegistrationsLoaded,
 	}, minReadBackoff, maxReadBackoff)
 	go registerMember(serving, n.store, n.self(), n.members.isListed, n.log)
 	go followFeed(ctx, n.newSharedFeed(feedMembers, memberReadInterval, 0), platform.Keyed(n.store, membersTopic, DecodeMember), n.members,
@@ -408,6 +408,13 @@
 	}
 }
 
+// recordRegistrationsLoaded is called when the registrations are listed. Without the
+// versions in its table a ready node would refuse streams.
+func (n *Node) recordRegistrationsLoaded() {
+	registerVersions(n.versions, n.directory)
+	n.registrationsLoaded.Store(true)
+}
+
 // startVersions starts the goroutines that follow and write the plans of the software versions. They
 // run until ctx ends, the one that writes until serving ends.
 func (n *Node) startVersions(ctx, serving context.Context, h *versionHandler) {
--- a/server/node/versions.go
+++ b/server/node/versions.go
@@ -175,7 +175,7 @@
 // records, until the context ends.
 func (p *versionPlanner) update(ctx context.Context) {
 	for {
-		p.register()
+		registerVersions(p.table, p.directory)
 		p.table.Confirm(p.confirmed(p.now()))
 		if !daemon.Sleep(ctx, versionsInterval) {
 			return
@@ -183,13 +183,13 @@
 	}
 }
 
-// register counts the targets that can begin streams.
-func (p *versionPlanner) register() {
+// registerVersions passes the numbers of targets that can begin streams to the table.
+func registerVersions(table *versions.Table, d *directory.Directory) {
 	targets := map[types.ServiceID]map[types.SoftwareVersion]int{}
-	for _, id := range p.table.Services() {
+	for _, id := range table.Services() {
 		targets[id] = nil
 	}
-	p.directory.Load().All(func(t *directory.Target) {
+	d.Load().All(func(t *directory.Target) {
 		if t.Leaving() || t.Role == types.RolePrefill {
 			return
 		}
@@ -199,7 +199,7 @@
 		targets[t.Service][t.Version]++
 	})
 	for id, counts := range targets {
-		p.table.Register(id, counts)
+		table.Register(id, counts)
 	}
 }
 
--- a/server/node/versions_test.go
+++ b/server/node/versions_test.go
@@ -147,3 +147,14 @@
 		return len(services) > 0 && w.node.versions.Record(services[0]) != nil && len(w.store.Records("keyed."+versionsTopic)) > 0
 	})
 }
+
+// Guards against a node that is ready and refuses streams because it has not counted the versions yet.
+func TestReadyNodeKnowsTheVersions(t *testing.T) {
+	n := &Node{directory: directory.New(), versions: newVersionTable(time.Second, clocktest.Virtual)}
+	h := &registrationHandler{outageLogger: outageLogger{log: daemon.NewLogger(io.Discard, "error", "node")}, directory: n.directory, onLoaded: n.recordRegistrationsLoaded}
+	entry := directory.Entry{ID: "1", Service: "chat", Version: "v1"}
+	h.HandleListing(feed.Listing[directory.Entry]{Items: []feed.Item[directory.Entry]{{Key: "1", Value: &entry}}}, 0)
+	assert.Assert(t, n.registrationsLoaded.Load())
+	v, ok := n.versions.Assign("chat", "r")
+	assert.Assert(t, ok && v == "v1")
+}
