gateway: all streams that may be resumed begin at a verified lifetime

Streams of resumable routes are verified at their beginning always. The memory of services with several versions is gone. A report without born verifies the connection that carried it, as before; the mark on the target that ended the checks for its lifetime is taken back, because a late response to another call could set it.

TestCallsThatRequireLifetime expects checks for all calls of resumable routes and, on other routes of engines, after a failure only.

--- a/directory/load.go
+++ b/directory/load.go
@@ -100,8 +100,6 @@
 	// RetryAfter is the time, in nanoseconds of clock.Nanos, before which the target
 	// is avoided because of its failures. It still receives work if there is no other.
 	RetryAfter atomic.Int64
-	// StartUnstated is set when a report of the target does not state when it has started.
-	StartUnstated atomic.Bool
 	// Limit is the limit of requests that the target has declared.
 	Limit ratelimit.Limiter
 	// Cache is this daemon's estimate of the prefix cache of an engine.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -245,7 +245,6 @@
 	observer  Observer
 	budgets   budgets
 	durations shutdown.Durations
-	mixed     mixedServices
 	buffered  atomic.Int64 // bytes of buffered responses
 	panics    atomic.Int64
 }
--- a/gateway/versions.go
+++ b/gateway/versions.go
@@ -1,11 +1,8 @@
 package gateway
 
 import (
-	"sync"
-	"sync/atomic"
 	"time"
 
-	"github.com/lentilpick/lentilpick/clock"
 	"github.com/lentilpick/lentilpick/directory"
 	"github.com/lentilpick/lentilpick/placement"
 	"github.com/lentilpick/lentilpick/routes"
@@ -100,67 +97,15 @@
 	return policy.Resolve(s.serviceID, first, maxAge)
 }
 
-// mixedMemory is how long after a service had targets of several versions its streams still begin
-// only at verified lifetimes. The last target of the earlier version may return with the other one
-// a heartbeat of its registration and the delay of the store before the registration says so.
-const mixedMemory = 10 * time.Second
-
-// mixedServices remembers when services last had targets of several versions. The table is read
-// without locks and copied on write when a service is added, at most once for each service that
-// has ever had several versions. The zero value is ready for use.
-type mixedServices struct {
-	table atomic.Pointer[map[types.ServiceID]*atomic.Int64] // in nanoseconds of clock.Nanos
-	mu    sync.Mutex
-}
-
-// recently reports whether a service with the given number of versions has, or recently had,
-// several.
-func (m *mixedServices) recently(s types.ServiceID, versions int, now time.Time) bool {
-	var last *atomic.Int64
-	if t := m.table.Load(); t != nil {
-		last = (*t)[s]
-	}
-	if versions <= 1 {
-		return last != nil && clock.Nanos(now)-last.Load() < int64(mixedMemory)
-	}
-	if last == nil {
-		last = m.add(s)
-	}
-	last.Store(clock.Nanos(now))
-	return true
-}
-
-func (m *mixedServices) add(s types.ServiceID) *atomic.Int64 {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	next := map[types.ServiceID]*atomic.Int64{}
-	if t := m.table.Load(); t != nil {
-		if v := (*t)[s]; v != nil {
-			return v
-		}
-		for k, v := range *t {
-			next[k] = v
-		}
-	}
-	next[s] = new(atomic.Int64)
-	m.table.Store(&next)
-	return next[s]
-}
-
 // requiresLifetime reports whether a call may reach only the registered lifetime of its target: to
-// go on with a stream, and to begin one that may be resumed while the service has several versions.
-// After a failure of the target, which may have crashed and returned with another version, the same
-// holds for all streams of engines, which exchange KV cache.
+// begin or go on with a stream that may be resumed. The first target of a service that returns with
+// another version gives no sign of it before its registration does. After a failure of the target,
+// which may have crashed and returned so, the same holds for all streams of engines, which exchange
+// KV cache.
 func (x *exchange) requiresLifetime(t *directory.Target) bool {
 	if x.route.Kind != routes.KindStream {
 		return false
 	}
-	if x.events > 0 || x.r.resumes() {
-		return true
-	}
 	engine := x.service != nil && x.service.Engine != nil
-	if (engine || x.route.Resumable) && t.Load.Failing() {
-		return true
-	}
-	return x.route.Resumable && x.g.mixed.recently(x.serviceID, len(x.g.directory.Load().Versions(x.serviceID)), x.now())
+	return x.route.Resumable || x.events > 0 || x.r.resumes() || engine && t.Load.Failing()
 }
--- a/gateway/versions_test.go
+++ b/gateway/versions_test.go
@@ -186,8 +186,8 @@
 	}
 }
 
-// Guards against a stream that goes on, or begins during a release, at a target that has returned
-// with another version before its registration says so, and against a check of each request.
+// Guards against a stream that may be resumed and begins or goes on at a target that has returned with
+// another version before its registration says so, and against checks of other requests.
 func TestCallsThatRequireLifetime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newTestGateway()
@@ -204,21 +204,12 @@
 			time.Sleep(time.Second) // ends the pauses of the engines
 			w.d.Load().All(func(t *directory.Target) { t.Load.RecordSuccess() })
 		}
-		check(Request{Path: "/resume/x"}, "--L") // prefill, decode, rest
+		check(Request{Path: "/resume/x"}, "LLL") // prefill, decode, rest
 		check(Request{Path: "/resume/x", ResumeAfter: "1"}, "LLL")
 		check(Request{Path: "/chat/x"}, "--")
 		check(Request{Path: "/read/x"}, "--")
 		w.d.Load().All(func(t *directory.Target) { t.Load.RecordFailure(time.Now()) })
-		check(Request{Path: "/resume/x"}, "LLL")
-		check(Request{Path: "/resume/x"}, "--L")
-		w.setVersions(map[types.TargetID]types.SoftwareVersion{"d1": "v1", "d2": "v1", "p1": "v1"})
-		check(Request{Path: "/resume/x"}, "LLL")
-		check(Request{Path: "/chat/x"}, "--")
-		w.d.Load().All(func(t *directory.Target) { t.Load.RecordFailure(time.Now()) })
 		check(Request{Path: "/chat/x"}, "LL")
-		w.setVersions(map[types.TargetID]types.SoftwareVersion{"p2": "v1"})
-		check(Request{Path: "/resume/x"}, "LLL")
-		time.Sleep(mixedMemory)
-		check(Request{Path: "/resume/x"}, "--L")
+		check(Request{Path: "/read/x"}, "--")
 	})
 }
