workspaces, platform, gateway: a faulty field keeps the keys beside it; keys on public routes name their workspace

Callers with sound keys got 401 if the entry of their workspace had a priority such as 2.0 or "2", or one key of another type: the decoder left out the whole entry. Fields are decoded one by one now, and a faulty one is reported like an unusable key.

On a public route a caller with a valid key ran without the name of its workspace, which the rule on names does not except. It is named there now; an unknown key changes nothing on such a route.

--- a/gateway/identity.go
+++ b/gateway/identity.go
@@ -17,26 +17,16 @@
 
 // identify determines the caller of a request from its credential and the configuration in force at
 // its arrival, and gives the route the priority of the caller's workspace. It returns false and a
-// reason for a request that needs a valid credential and has none.
+// reason for a request that needs a valid credential and has none. A public route needs none, but a
+// caller with a valid one is known there as well.
 func (x *exchange) identify() (reason types.RefusalReason, ok bool) {
 	if x.table.Workspaces == nil {
 		x.caller = Caller{ForwardCredential: true}
 		return 0, true
 	}
-	if x.route.Public {
-		return 0, true
-	}
-	switch x.r.Credential.Form() {
-	case workspaces.FormMissing:
-		return types.RefusedCredentialMissing, false
-	case workspaces.FormMalformed:
-		return types.RefusedCredentialMalformed, false
-	case workspaces.FormRepeated:
-		return types.RefusedCredentialRepeated, false
-	}
 	w := x.table.Workspaces.Find(x.r.Credential)
 	if w == nil {
-		return types.RefusedCredentialUnknown, false
+		return credentialRefusal(x.r.Credential.Form()), x.route.Public
 	}
 	x.caller = Caller{Workspace: w.Name()}
 	if p, ok := w.Priority(); ok {
@@ -44,3 +34,17 @@
 	}
 	return 0, true
 }
+
+// credentialRefusal returns the reason for which a credential of the given form, which belongs to no
+// workspace, is refused.
+func credentialRefusal(f workspaces.Form) types.RefusalReason {
+	switch f {
+	case workspaces.FormMissing:
+		return types.RefusedCredentialMissing
+	case workspaces.FormMalformed:
+		return types.RefusedCredentialMalformed
+	case workspaces.FormRepeated:
+		return types.RefusedCredentialRepeated
+	}
+	return types.RefusedCredentialUnknown
+}
--- a/workspaces/workspaces.go
+++ b/workspaces/workspaces.go
@@ -54,6 +54,13 @@
 	return w
 }
 
+// WithProblem returns a copy of the workspace with one more error to report.
+func (w *Workspace) WithProblem(err error) *Workspace {
+	c := *w
+	c.problems = append(slices.Clone(w.problems), err)
+	return &c
+}
+
 // Invalid returns an entry that is left out for the given reason.
 func Invalid(reason error) *Workspace {
 	return &Workspace{invalid: true, problems: []error{reason}}
