--- a/versions/table.go
+++ b/versions/table.go
@@ -158,7 +158,7 @@
 // absentSince reports whether the version had no targets at some time since then. Its streams may
 // have begun by a next plan that this daemon does not have yet.
 func (s *service) absentSince(v types.SoftwareVersion, then clock.Instant) bool {
-	if len(s.registered) == 0 {
+	if s.registered == nil {
 		return false
 	}
 	at, returned := s.returned[v]
@@ -246,7 +246,7 @@
 // Register sets the targets of each version of a service that can begin streams.
 func (t *Table) Register(id types.ServiceID, targets map[types.SoftwareVersion]int) {
 	s := (*t.snapshot.Load())[id]
-	if s == nil && len(targets) == 0 || s != nil && maps.Equal(s.registered, targets) {
+	if s == nil && len(targets) == 0 || s != nil && s.registered != nil && maps.Equal(s.registered, targets) {
 		return
 	}
 	t.update(id, func(s *service) {
@@ -265,7 +265,8 @@
 				s.unplanned[v] = true
 			}
 		}
-		s.registered = maps.Clone(targets)
+		s.registered = map[types.SoftwareVersion]int{} // not nil: a service may lose all of its targets
+		maps.Copy(s.registered, targets)
 	})
 }
 
