versions, node: plans are retained for as long as streams last

Callers' streams were refused with stream_version_unknown for seconds after all nodes had restarted, up to a minute after a release: a node counts the earlier plans of the record from its own start, and records kept them for 60 s whatever the time-outs of the routes.

They are retained for the longest time-out of the resumable routes of all configurations that the node has seen.

--- a/server/node/node.go
+++ b/server/node/node.go
@@ -31,6 +31,7 @@
 	"github.com/lentilpick/lentilpick/mirror"
 	"github.com/lentilpick/lentilpick/placement"
 	"github.com/lentilpick/lentilpick/platform"
+	"github.com/lentilpick/lentilpick/routes"
 	"github.com/lentilpick/lentilpick/shutdown"
 	"github.com/lentilpick/lentilpick/transport"
 	"github.com/lentilpick/lentilpick/types"
@@ -100,6 +101,9 @@
 
 	// versions holds the software versions at which streams begin.
 	versions *versions.Table
+	// streamAge is the longest time-out of a route whose streams may be resumed, of all configurations
+	// so far. It is used by recordConfigurationInForce, in the goroutine that follows them.
+	streamAge time.Duration
 
 	configLoaded, registrationsLoaded, versionsLoaded atomic.Bool
 	// shutdown is the state of the planned stop, and stopped what became of the requests that
@@ -387,7 +391,7 @@
 	go n.crashes.recordBlocks(ctx, n.store)
 	go n.crashes.restoreBlocks(ctx, platform.Keyed(n.store, blocksTopic, decodeBlock))
 	go followFeed(ctx, n.newSharedFeed(feedConfig, 0, n.settings.ConfigurationWait), n.store.Configurations(), &configHandler{
-		outageLogger: source("configuration"), gateway: n.gateway, onLoaded: func() { n.configLoaded.Store(true) },
+		outageLogger: source("configuration"), gateway: n.gateway, onLoaded: n.recordConfigurationInForce,
 		readState: func() loadshare.ReadState { return n.exchanger.ReadState(feedConfig, clock.Now()) },
 	}, minReadBackoff, maxReadBackoff)
 	go followFeed(ctx, n.newSharedFeed(feedRegistrations, n.settings.RegistrationInterval, 0), n.store.Registrations(), &registrationHandler{
@@ -408,6 +412,18 @@
 	}
 }
 
+// recordConfigurationInForce is called for each configuration. The age of streams does not fall with
+// their time-outs, because those that have begun may last as long as before.
+func (n *Node) recordConfigurationInForce() {
+	n.gateway.Table().Routes(func(r *routes.Route) {
+		if r.Kind == routes.KindStream && r.Resumable {
+			n.streamAge = max(n.streamAge, min(r.Timeout, maxStreamAge))
+		}
+	})
+	n.versions.SetMaxAge(n.streamAge)
+	n.configLoaded.Store(true)
+}
+
 // recordRegistrationsLoaded is called when the registrations are listed. Without the
 // versions in its table a ready node would refuse streams.
 func (n *Node) recordRegistrationsLoaded() {
@@ -421,8 +437,10 @@
 	topic := func() *platform.Topic[versions.Record] { return platform.Keyed(n.store, versionsTopic, decodeVersions) }
 	p := &versionPlanner{
 		log: n.log, counters: n.counters, table: n.versions, directory: n.directory, store: n.store, source: topic(), now: clock.Now, rank: n.rank,
-		confirmed: n.versionsConfirmed(h), due: map[types.ServiceID]dueProposal{},
-		mayWrite: func() bool { return n.registrationsLoaded.Load() && n.versionsLoaded.Load() && !h.failing.Load() },
+		confirmed: n.versionsConfirmed(h), registered: n.registrationsLoaded.Load, due: map[types.ServiceID]dueProposal{},
+		mayWrite: func() bool {
+			return n.configLoaded.Load() && n.registrationsLoaded.Load() && n.versionsLoaded.Load() && !h.failing.Load()
+		},
 	}
 	f := n.newSharedFeed(feedVersions, 0, versionsWait)
 	f.pacer.onRead = func(r feed.ReadResult) { n.versions.Confirm(r.AsOf) }
--- a/server/node/versions.go
+++ b/server/node/versions.go
@@ -26,8 +26,8 @@
 	// reads (see maxReadGap) with a failed call to the store and one versionsInterval: by then a
 	// node knows whether the store fails.
 	versionsPropagation = 4 * time.Second
-	// maxStreamAge is versions.Settings.MaxAge. The limits of callers are some seconds, and they
-	// take a stream up a few times.
+	// maxStreamAge bounds versions.Settings.MaxAge, which is the longest time-out of the routes whose
+	// streams may be resumed.
 	maxStreamAge = time.Minute
 	// versionsInterval is the time between two checks of the plans.
 	versionsInterval = 500 * time.Millisecond
@@ -159,6 +159,8 @@
 	rank      func() int
 	// confirmed returns a time as of which the table has the newest records.
 	confirmed func(now clock.Instant) clock.Instant
+	// registered reports whether the registrations are loaded.
+	registered func() bool
 	// mayWrite reports whether this node knows the records and the targets, and the store answers.
 	mayWrite func() bool
 	due      map[types.ServiceID]dueProposal // used by plan only
@@ -175,7 +177,9 @@
 // records, until the context ends.
 func (p *versionPlanner) update(ctx context.Context) {
 	for {
-		registerVersions(p.table, p.directory)
+		if p.registered() {
+			registerVersions(p.table, p.directory)
+		}
 		p.table.Confirm(p.confirmed(p.now()))
 		if !daemon.Sleep(ctx, versionsInterval) {
 			return
--- a/versions/table.go
+++ b/versions/table.go
@@ -16,7 +16,8 @@
 type Settings struct {
 	// Propagation is the longest time from the write of a record until every daemon has it.
 	Propagation time.Duration
-	// MaxAge is the longest time from the begin of a stream to a request that continues it.
+	// MaxAge is the longest time from the begin of a stream to a request that continues it, until
+	// SetMaxAge is called.
 	MaxAge time.Duration
 	// ViewAge is the longest time until every daemon has registered a change of the targets. With 0
 	// streams of a version without targets wait for the next plan to be in force.
@@ -32,6 +33,7 @@
 	snapshot atomic.Pointer[map[types.ServiceID]*service]
 	// confirmed is the clock.Instant as of which the plans are known to be the newest ones.
 	confirmed atomic.Int64
+	maxAge    atomic.Int64 // time.Duration
 
 	mu sync.Mutex // serialises writers
 }
@@ -69,9 +71,17 @@
 	t := &Table{settings: s}
 	t.snapshot.Store(&map[types.ServiceID]*service{})
 	t.confirmed.Store(never)
+	t.SetMaxAge(s.MaxAge)
 	return t
 }
 
+// SetMaxAge replaces Settings.MaxAge. Plans are retained for that long, and a daemon that has just
+// started cannot tell their age, so that a longer time than streams last makes it refuse to resume
+// them.
+func (t *Table) SetMaxAge(d time.Duration) { t.maxAge.Store(int64(d)) }
+
+func (t *Table) longestAge() time.Duration { return time.Duration(t.maxAge.Load()) }
+
 // Confirm records that no newer record than those in the table existed at the given time.
 func (t *Table) Confirm(at clock.Instant) {
 	for {
@@ -132,7 +142,7 @@
 // differ, or if this daemon may lack one of them.
 func (t *Table) Resolve(id types.ServiceID, first types.RequestID, maxAge time.Duration) (types.SoftwareVersion, bool) {
 	s := (*t.snapshot.Load())[id]
-	if s == nil || s.record == nil || maxAge > t.settings.MaxAge || t.several(s) && t.outdated() {
+	if s == nil || s.record == nil || maxAge > t.longestAge() || t.several(s) && t.outdated() {
 		return "", false
 	}
 	version, ok := s.record.Current.resolve(first)
@@ -240,7 +250,7 @@
 
 // over reports whether no stream that began by the plan can be continued any more.
 func (t *Table) over(p pastPlan, now clock.Instant) bool {
-	return now.Sub(p.replaced) > t.settings.Propagation+t.settings.MaxAge
+	return now.Sub(p.replaced) > t.settings.Propagation+t.longestAge()
 }
 
 // Register sets the targets of each version of a service that can begin streams.
