node: roles are planned for each software version

KV cache is used within one version since the fix of the streams, and the plan of roles counted all engines of a service: the earlier version was left with prefill engines only, the new one with decode engines only, so that every prompt was read at half speed beside the streams.

The share of prefill engines is applied to the engines of each version. A version with one role only changes as many engines as it needs at once; an engine that is alone in its version generates.

TestEachSoftwareVersionHasBothRoles failed before: one order for two versions without decode engines was missing, and that of the single engine.

--- a/server/node/roleplan.go
+++ b/server/node/roleplan.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -28,10 +29,14 @@
 	}
 	var out []planning.ShareChange
 	table.Services(func(s *routes.Service) {
-		if s.Engine != nil {
-			engines := k.engines(s, now)
-			changes := planning.PlanPrefillShare(engines, k.share(s, engines, now))
-			out = append(out, changes[:min(len(changes), k.maxChanges(s, len(engines), now))]...)
+		if s.Engine == nil {
+			return
+		}
+		versions := k.engines(s, now)
+		share := k.share(s, slices.Concat(versions...), now)
+		for _, engines := range versions {
+			changes := planVersion(engines, share, len(versions) > 1)
+			out = append(out, changes[:min(len(changes), k.maxChanges(s, engines, now))]...)
 		}
 	})
 	return out
@@ -41,18 +46,38 @@
 // while callers are served: each of them is out of service for seconds.
 const maxChanging = 0.1
 
-// maxChanges returns the number of engines of a service that may begin to change their roles now.
-func (k *roleController) maxChanges(s *routes.Service, engines int, now time.Time) int {
+// planVersion returns the role changes of the engines of one software version. KV cache of another
+// version is of no use, so that each version needs engines of both roles. An engine that is alone in
+// its version has to generate, and serves combined requests.
+func planVersion(engines []planning.Engine, share float64, several bool) []planning.ShareChange {
+	if several && len(engines) == 1 && engines[0].Role == types.RolePrefill {
+		return []planning.ShareChange{{Engine: engines[0].ID, Role: types.RoleDecode}}
+	}
+	return planning.PlanPrefillShare(engines, share)
+}
+
+// maxChanges returns the number of engines of one version of a service that may begin to change their
+// roles now. Those of a version that has one role only may do so at once: without the other role they
+// are of little use.
+func (k *roleController) maxChanges(s *routes.Service, engines []planning.Engine, now time.Time) int {
 	if r := k.services[s.Name]; r == nil || !r.balancer.HasDemand() {
-		return engines
+		return len(engines)
 	}
-	changing := 0
-	for _, t := range k.directory.Load().Service(s.Name) {
-		if o, ok := k.ordered[t.ID]; ok && now.Before(o.until) && t.Role != o.role {
+	changing, prefill := 0, 0
+	snapshot := k.directory.Load()
+	for _, e := range engines {
+		if e.Role == types.RolePrefill {
+			prefill++
+		}
+		t := snapshot.Target(e.ID)
+		if o, ok := k.ordered[e.ID]; ok && now.Before(o.until) && t != nil && t.Role != o.role {
 			changing++
 		}
 	}
-	return max(max(int(maxChanging*float64(engines)), 1)-changing, 0)
+	if prefill == 0 || prefill == len(engines) {
+		return len(engines)
+	}
+	return max(max(int(maxChanging*float64(len(engines))), 1)-changing, 0)
 }
 
 // share returns the planned share of prefill engines of a service.
@@ -123,19 +148,24 @@
 // defaultStreamSlowdown is the slowdown of an engine with each further stream until it is learned.
 const defaultStreamSlowdown = float64(iterationTimePerStream) / float64(iterationTime)
 
-// engines returns the engines of a service that accept requests, with their current roles or those
-// that they were ordered to take. It omits engines with the mixed role.
-func (k *roleController) engines(s *routes.Service, now time.Time) []planning.Engine {
-	var out []planning.Engine
-	for _, t := range k.directory.Load().Service(s.Name) {
-		if t.Leaving() || t.Role == types.RoleMixed {
-			continue
+// engines returns the engines of a service that accept requests, by software version, with their
+// current roles or those that they were ordered to take. It omits engines with the mixed role.
+func (k *roleController) engines(s *routes.Service, now time.Time) (versions [][]planning.Engine) {
+	for _, v := range k.directory.Load().Versions(s.Name) {
+		var out []planning.Engine
+		for _, t := range v.Targets {
+			if t.Leaving() || t.Role == types.RoleMixed {
+				continue
+			}
+			role := t.Role
+			if o, ok := k.ordered[t.ID]; ok && now.Before(o.until) {
+				role = o.role
+			}
+			out = append(out, planning.Engine{ID: t.ID, Group: planning.Group{DataCentre: t.DataCentre}, Role: role})
 		}
-		role := t.Role
-		if o, ok := k.ordered[t.ID]; ok && now.Before(o.until) {
-			role = o.role
+		if len(out) > 0 {
+			versions = append(versions, out)
 		}
-		out = append(out, planning.Engine{ID: t.ID, Group: planning.Group{DataCentre: t.DataCentre}, Role: role})
 	}
-	return out
+	return versions
 }
