--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -123,9 +123,9 @@
 	return placement.Candidates(x.g.directory.Load(), x.serviceID, q, f)
 }
 
-// pickTarget returns the best choice of the version to which the request is bound. If there are no others, targets that are avoided
-// because of failures are used as well: such a target may have recovered, whereas a
-// refusal is certain to fail the request.
+// pickTarget returns the best choice, of the version to which the request is bound. If there are no
+// others, targets that are avoided because of failures are used as well: such a target may have
+// recovered, whereas a refusal is certain to fail the request.
 func (x *exchange) pickTarget(f placement.Filter, s placement.Scorer) placement.Choice {
 	f = x.binding.restrict(f)
 	q := x.placementRequest()
--- a/server/node/roleplan.go
+++ b/server/node/roleplan.go
@@ -36,7 +36,7 @@
 		share := k.share(s, slices.Concat(versions...), now)
 		for _, engines := range versions {
 			changes := planVersion(engines, share, len(versions) > 1)
-			out = append(out, changes[:min(len(changes), k.maxChanges(s, engines, now))]...)
+			out = append(out, changes[:min(len(changes), k.maxChanges(s, engines, len(versions) > 1, now))]...)
 		}
 	})
 	return out
@@ -57,9 +57,9 @@
 }
 
 // maxChanges returns the number of engines of one version of a service that may begin to change their
-// roles now. Those of a version that has one role only may do so at once: without the other role they
-// are of little use.
-func (k *roleController) maxChanges(s *routes.Service, engines []planning.Engine, now time.Time) int {
+// roles now. Beside other versions, those of a version that has one role only may do so at once:
+// without the other role they are of little use.
+func (k *roleController) maxChanges(s *routes.Service, engines []planning.Engine, several bool, now time.Time) int {
 	if r := k.services[s.Name]; r == nil || !r.balancer.HasDemand() {
 		return len(engines)
 	}
@@ -74,7 +74,7 @@
 			changing++
 		}
 	}
-	if prefill == 0 || prefill == len(engines) {
+	if several && (prefill == 0 || prefill == len(engines)) {
 		return len(engines)
 	}
 	return max(max(int(maxChanging*float64(len(engines))), 1)-changing, 0)
