soak: the ports of a node differ

The node's log says that 127.77.234.3:36427 is in use, and its settings have this address twice, for callers and for readiness checks.

All ports of a node are held until the last one is drawn. TestFreePortsDiffer asserts that 400 drawn so differ.

--- a/cmd/internal/soak/deployment.go
+++ b/cmd/internal/soak/deployment.go
@@ -146,13 +146,18 @@
 
 func (d *deployment) dataCentre(i int) string { return fmt.Sprintf("dc%d", i%d.dataCentres+1) }
 
-func freePort() (int, error) {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		return 0, err
+// freePorts returns different ports that are free. It holds all of them until it has the last one,
+// because a port that is released can be drawn again.
+func freePorts(n int) (ports []int, err error) {
+	for range n {
+		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		defer l.Close()
+		ports = append(ports, l.Addr().(*net.TCPAddr).Port)
 	}
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).Port, nil
+	return ports, nil
 }
 
 // seedCount is the number of nodes that the settings of each node list as its seeds, the
@@ -174,11 +179,9 @@
 		return err
 	}
 	n := &node{name: fmt.Sprintf("node-%d", i+1), ip: ip, storeLink: l}
-	var ports [3]int
-	for k := range ports {
-		if ports[k], err = freePort(); err != nil {
-			return err
-		}
+	ports, err := freePorts(2) // for callers and for readiness checks
+	if err != nil {
+		return err
 	}
 	n.callerAddress, n.readyAddress = net.JoinHostPort(ip, strconv.Itoa(ports[0])), net.JoinHostPort(ip, strconv.Itoa(ports[1]))
 	n.settingsPath = filepath.Join(d.outDir, n.name+".toml")
--- a/cmd/internal/soak/soak_test.go
+++ b/cmd/internal/soak/soak_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"slices"
 	"testing"
 	"time"
 
@@ -84,3 +85,11 @@
 	assert.NilError(t, err)
 	assert.Equal(t, string(buf), "b")
 }
+
+// Guards against a node that cannot start because two of its addresses have the same port.
+func TestFreePortsDiffer(t *testing.T) {
+	ports, err := freePorts(400)
+	assert.NilError(t, err)
+	slices.Sort(ports)
+	assert.Equal(t, len(slices.Compact(ports)), 400)
+}
