--- a/gateway/event.go
+++ b/gateway/event.go
@@ -11,7 +11,9 @@
 
 // Kinds of events.
 const (
-	KindSend    Kind = "send"
+	KindSend Kind = "send"
+	// KindForward is a request that is sent to another daemon.
+	KindForward Kind = "forward"
 	KindRetry   Kind = "retry"
 	KindNoRetry Kind = "no_retry"
 	KindOutcome Kind = "outcome"
@@ -30,7 +32,9 @@
 	// the stream is bound. It is empty if it is unknown or the stream is not bound.
 	Version types.SoftwareVersion
 	Target  types.TargetID
-	Stage   Stage
+	// Peer is the daemon to which the request is sent, for KindForward and a retry after it.
+	Peer  types.VMID
+	Stage Stage
 	// Predicted is the predicted time from sending to the first result, for KindSend.
 	Predicted      time.Duration
 	UncachedTokens int
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -35,6 +35,8 @@
 	binding versionBinding
 
 	callerAttempt types.Attempt
+	peersTried    bool // the request was sent, or was to be sent, through another daemon
+	unreachable   int  // targets to which no connection could be opened
 	excluded      []types.TargetID
 	attempts      int  // requests that may have reached a target, except prefills
 	runs          int  // attempts that may have run
@@ -214,6 +216,7 @@
 	case errors.Is(err, ErrWrongRole):
 		t.Load.RetryAfter.Store(clock.Nanos(now.Add(wrongRolePause)))
 	case errors.Is(err, ErrNotSent):
+		x.unreachable++
 		t.Load.RecordUnreachable(now)
 	default:
 		t.Load.RecordFailure(now)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -77,6 +77,8 @@
 	Bytes int
 	// Hash is a hash of ID.
 	Hash uint64
+	// Forwarded is the state of a request that another daemon forwards, or nil.
+	Forwarded *Forwarded
 	// Message is the request in the representation of the front end. Only a target client
 	// of the same protocol interprets it.
 	Message any
@@ -228,6 +230,8 @@
 	// may begin at any, and a request that resumes a stream is served only if all targets of
 	// the service have one version.
 	Versions VersionPolicy
+	// Peers serve requests while this daemon does not reach the targets. With nil none do.
+	Peers Peers
 	// Shutdown decides which requests may begin while the process stops. With nil it never
 	// stops.
 	Shutdown *shutdown.State
@@ -328,7 +332,7 @@
 	if x.route == nil {
 		return x.end(x.callerAttempt.Refuse(types.RefusedUnknownRoute))
 	}
-	if reason, ok := x.identify(); !ok {
+	if reason, ok := x.accept(); !ok {
 		return x.end(x.callerAttempt.Refuse(reason))
 	}
 	x.serviceID = x.route.PickService(r.serviceHash())
@@ -346,6 +350,16 @@
 	defer cancel()
 	x.callerCtx, x.ctx = ctx, deadlineCtx
 	x.budget = g.budgets.get(x.serviceID)
-	x.budget.Earn()
+	if r.Forwarded == nil {
+		x.budget.Earn()
+	}
 	return x.end(x.serve())
 }
+
+// accept identifies the caller of a request, or takes over what another daemon has found out about it.
+func (x *exchange) accept() (reason types.RefusalReason, ok bool) {
+	if f := x.r.Forwarded; f != nil {
+		return x.acceptForwarded(f)
+	}
+	return x.identify()
+}
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -24,6 +24,12 @@
 // servePlain serves a request whose response is passed on when it is complete.
 func (x *exchange) servePlain() types.Outcome {
 	for {
+		if x.mustForward() {
+			var end *outcomeError
+			if errors.As(x.forwardPlain(), &end) {
+				return end.outcome
+			}
+		}
 		c := x.pickTarget(placement.Available{}, placement.PlainScorer{Costs: x.g.settings.Costs, ServiceTime: plainServiceTime})
 		if c.Target == nil {
 			return x.noTarget()
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -55,10 +55,7 @@
 		return o
 	}
 	for {
-		err := s.checkCrashes()
-		if err == nil {
-			err = s.sendOnce()
-		}
+		err := s.attempt()
 		if err == nil {
 			return types.Answered{}
 		}
@@ -80,6 +77,20 @@
 	}
 }
 
+// attempt makes one attempt, through another daemon if this one does not reach the targets.
+func (s *stream) attempt() error {
+	if err := s.checkCrashes(); err != nil {
+		return err
+	}
+	if s.mustForward() {
+		s.release()
+		if err := s.forwardToPeer(); !errors.Is(err, errNoPeer) {
+			return err
+		}
+	}
+	return s.sendOnce()
+}
+
 // outcomeError ends a request with an outcome instead of a retry.
 type outcomeError struct{ outcome types.Outcome }
 
@@ -152,7 +163,7 @@
 
 // offer records the request as demand, once, whether it is served or refused afterwards.
 func (s *stream) offer(p placement.Choice) {
-	if s.offered {
+	if s.offered || s.r.Forwarded != nil && s.r.Forwarded.Offered {
 		return
 	}
 	s.offered = true
@@ -409,7 +420,8 @@
 
 // copyEvents passes complete events to the caller until the end of the stream. The head
 // of the response is passed with the first event, so that a stream without events can
-// still be retried on another target. onFirst is called before the first event. The
+// still be retried on another target. t is nil for a stream of another daemon, which checks its
+// target. onFirst is called before the first event. The
 // error wraps ErrStalled if the target sends bytes but completes no event within the
 // progress timeout, or nothing while the stream can be resumed. Otherwise a silent target
 // keeps the stream until its deadline: the caller decides how long to wait.
@@ -422,22 +434,28 @@
 		if n > 0 {
 			if events := b.complete(); len(events) > 0 {
 				at := s.now()
-				t.Load.RecordActivity(at)
+				if t != nil {
+					t.Load.RecordActivity(at)
+				}
 				if s.events == 0 {
 					s.timeToFirst = s.now().Sub(s.r.Arrived)
 				}
 				if s.events == 0 || !s.started {
 					onFirst()
 				}
-				// The caller gets the rest of the stream from the same version only.
-				s.binding = versionBinding{t.Version, true}
+				if t != nil {
+					// The caller gets the rest of the stream from the same version only.
+					s.binding = versionBinding{t.Version, true}
+				}
 				if writeErr := s.forward(resp, events); writeErr != nil {
 					return writeErr
 				}
 				s.events++
 				s.runEvents += countEvents(events)
 				s.lastEvent = lastID(events, s.lastEvent)
-				s.pace.record(s.lastEvent, at, t)
+				if t != nil {
+					s.pace.record(s.lastEvent, at, t)
+				}
 				s.progress.Extend(at.Sub(s.r.Arrived))
 				b.drop(len(events))
 				incompleteSince = time.Time{}
--- a/gateway/versions.go
+++ b/gateway/versions.go
@@ -60,6 +60,9 @@
 // two versions write does not fit together, so that a request whose version cannot be determined
 // is refused before anything is sent.
 func (s *stream) bindVersion() types.Outcome {
+	if s.r.Forwarded != nil {
+		return nil // bound by the daemon that received the request
+	}
 	policy := s.g.settings.Versions
 	switch {
 	case s.r.resumes():
--- a/types/outcome.go
+++ b/types/outcome.go
@@ -1,6 +1,9 @@
 package types
 
-import "sync/atomic"
+import (
+	"slices"
+	"sync/atomic"
+)
 
 // RefusalReason is the reason why a request was refused or failed. Each reason
 // has its own counter in the metrics.
@@ -54,6 +57,12 @@
 	// RefusedStreamVersion means that the software version that began the stream, which the
 	// request resumes, cannot be determined.
 	RefusedStreamVersion
+	// RefusedPeerCredential, RefusedPeerConfiguration and RefusedPeerTargets refuse a request that
+	// another daemon forwards: that daemon is not authenticated, its configuration is newer than
+	// that of this one, or this one does not reach the targets either.
+	RefusedPeerCredential
+	RefusedPeerConfiguration
+	RefusedPeerTargets
 	// RefusalReasonCount is the number of reasons, not a reason itself.
 	RefusalReasonCount
 )
@@ -68,6 +77,7 @@
 	"answer_too_long", "targets_paused", "internal_error", "prompt_crashes_targets",
 	"targets_rate_limited", "credential_missing", "credential_malformed", "credential_repeated",
 	"credential_unknown", "version_unknown", "stream_version_unknown",
+	"peer_credential", "peer_configuration", "peer_targets_lost",
 }
 
 // Unauthenticated reports whether the request was refused because of its credential.
@@ -75,6 +85,12 @@
 	return r >= RefusedCredentialMissing && r <= RefusedCredentialUnknown
 }
 
+// ParseRefusalReason returns the reason with the given name, and false if there is none.
+func ParseRefusalReason(name string) (RefusalReason, bool) {
+	i := slices.Index(refusalNames[:], name)
+	return RefusalReason(max(i, 0)), i >= 0
+}
+
 // String returns the name used in responses, logs and metrics.
 func (r RefusalReason) String() string {
 	if r >= RefusalReasonCount {
@@ -98,13 +114,17 @@
 	// RetryTargetPaused means that the chosen target requested a pause, or declared that it
 	// is leaving, before the request was sent.
 	RetryTargetPaused
+	// RetryPeerUnreachable and RetryPeerRefused mean that the request was not sent to another
+	// daemon, and that the other daemon was not able to serve it.
+	RetryPeerUnreachable
+	RetryPeerRefused
 	// RetryReasonCount is the number of reasons, not a reason itself.
 	RetryReasonCount
 )
 
 var retryNames = [RetryReasonCount]string{
 	"unreachable", "target_failed", "target_silent", "truncated", "target_refused",
-	"answer_failed", "too_long", "target_paused",
+	"answer_failed", "too_long", "target_paused", "peer_unreachable", "peer_refused",
 }
 
 // String returns the name used in logs and metrics.
