--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -74,9 +74,9 @@
 	return "daemon failed to serve the request: " + e.Reason.String()
 }
 
-// concernsPeer reports whether another daemon may serve the request: the reason is the state of the
+// ConcernsPeer reports whether another daemon may serve the request: the reason is the state of the
 // daemon that refused it.
-func (e *PeerRefusal) concernsPeer() bool {
+func (e *PeerRefusal) ConcernsPeer() bool {
 	if !e.NotRun {
 		return false
 	}
@@ -162,7 +162,7 @@
 	case errors.Is(err, ErrNotSent):
 		return types.RetryPeerUnreachable, true
 	case errors.As(err, &refusal):
-		return types.RetryPeerRefused, refusal.concernsPeer()
+		return types.RetryPeerRefused, refusal.ConcernsPeer()
 	}
 	return 0, false
 }
--- a/server/node/counters.go
+++ b/server/node/counters.go
@@ -49,6 +49,11 @@
 	versionRecords *daemon.ReasonCounter
 	// stopping counts the requests that ended during a planned stop.
 	stopping *daemon.ReasonCounter
+	// forwarded counts the requests that were sent to other nodes. peerAnswered, peerRefused and
+	// peerUnknown count the ends of requests that other nodes forwarded to this one, which count as
+	// outcomes at those nodes.
+	forwarded, peerAnswered  metric.Int64Counter
+	peerRefused, peerUnknown *daemon.ReasonCounter
 }
 
 // firstEventBuckets are the bucket bounds of the time to the first event or the complete response,
@@ -93,6 +98,18 @@
 	if c.retried, err = m.NewReasonCounter("lentilpick_retries", "Requests that were retried.", retries); err != nil {
 		return nil, err
 	}
+	if c.forwarded, err = m.Meter.Int64Counter("lentilpick_forwarded", metric.WithDescription("Requests that were sent to other nodes.")); err != nil {
+		return nil, err
+	}
+	if c.peerAnswered, err = m.Meter.Int64Counter("lentilpick_peer_answered", metric.WithDescription("Requests of other nodes that were answered.")); err != nil {
+		return nil, err
+	}
+	if c.peerRefused, err = m.NewReasonCounter("lentilpick_peer_refused", "Requests of other nodes that were refused and did not run on a target.", refusals); err != nil {
+		return nil, err
+	}
+	if c.peerUnknown, err = m.NewReasonCounter("lentilpick_peer_unknown", "Requests of other nodes that failed and may have run on a target.", refusals); err != nil {
+		return nil, err
+	}
 	if c.answered, err = m.Meter.Int64Counter("lentilpick_answered", metric.WithDescription("Requests that were answered.")); err != nil {
 		return nil, err
 	}
@@ -194,9 +211,15 @@
 	switch e.Kind {
 	case gateway.KindSend:
 		c.sent.Add(ctx, 1, c.byStage[e.Stage])
+	case gateway.KindForward:
+		c.forwarded.Add(ctx, 1)
 	case gateway.KindRetry:
 		c.retried.Add(int(e.RetryReason))
 	case gateway.KindOutcome:
+		if e.Request.Forwarded != nil {
+			c.countForPeer(e.Outcome)
+			return
+		}
 		switch o := e.Outcome.(type) {
 		case types.NotRun:
 			c.refused.Add(int(o.Reason()))
@@ -211,3 +234,15 @@
 		}
 	}
 }
+
+// countForPeer counts the end of a request that another node forwarded.
+func (c *counters) countForPeer(o types.Outcome) {
+	switch o := o.(type) {
+	case types.NotRun:
+		c.peerRefused.Add(int(o.Reason()))
+	case types.Unknown:
+		c.peerUnknown.Add(int(o.Reason()))
+	default:
+		c.peerAnswered.Add(context.Background(), 1)
+	}
+}
--- a/server/node/observer.go
+++ b/server/node/observer.go
@@ -38,6 +38,8 @@
 	fieldVersion = "version"
 	// fieldResumes holds the ID of the first request of a stream that a caller resumes.
 	fieldResumes = "resumes"
+	// fieldFrom is the node that forwards a request to this one.
+	fieldFrom = "from"
 )
 
 var stageNames = [...]string{"whole", "prefill", "decode"}
@@ -105,6 +107,12 @@
 	if e.Request.ResumeOf != "" {
 		f[fieldResumes] = e.Request.ResumeOf
 	}
+	if e.Peer != "" {
+		f[fieldPeer] = e.Peer
+	}
+	if e.Request.Forwarded != nil {
+		f[fieldFrom] = e.Request.Forwarded.From
+	}
 	switch e.Kind {
 	case gateway.KindSend:
 		f[daemon.FieldTarget], f[fieldStage] = e.Target, stageNames[e.Stage]
