--- a/loadshare/message.go
+++ b/loadshare/message.go
@@ -51,6 +51,9 @@
 	flagFull
 	// flagBundle marks a bundle of messages.
 	flagBundle
+	// flagCarries marks a message of a daemon that accepts requests of other daemons. Daemons
+	// of earlier versions ignore it and do not set it.
+	flagCarries
 )
 
 // message is a decoded datagram: the claims and updates of one daemon on the feeds and its
@@ -59,8 +62,8 @@
 	sender uint64 // hash of the daemon's name
 	start  uint64 // random identifier of the run of the daemon's process
 	seq    uint64
-	// relay and full are flagRelay and flagFull.
-	relay, full bool
+	// relay, full and carries are flagRelay, flagFull and flagCarries.
+	relay, full, carries bool
 	// hasClaims reports whether sent and claims are set.
 	hasClaims bool
 	sent      clock.Instant // on the sender's clock, in whole milliseconds
@@ -131,6 +134,9 @@
 	if m.full {
 		f |= flagFull
 	}
+	if m.carries {
+		f |= flagCarries
+	}
 	return f
 }
 
@@ -177,7 +183,7 @@
 	flags := b[flagsAt]
 	*m = message{
 		sender: binary.BigEndian.Uint64(b[3:]), start: binary.BigEndian.Uint64(b[11:]),
-		relay: flags&flagRelay != 0, full: flags&flagFull != 0, hasClaims: flags&flagClaims != 0,
+		relay: flags&flagRelay != 0, full: flags&flagFull != 0, carries: flags&flagCarries != 0, hasClaims: flags&flagClaims != 0,
 		leaving: m.leaving[:0], limits: m.limits[:0], demand: m.demand[:0], loads: m.loads[:0],
 	}
 	r := fieldReader{b: b[headerSize:]}
--- a/loadshare/peerstate.go
+++ b/loadshare/peerstate.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/lentilpick/lentilpick/clock"
@@ -17,6 +18,10 @@
 	// active holds the targets with work in progress in applied.
 	active map[uint64]struct{}
 	demand map[uint64]demand.Work // by service hash
+	// carries reports whether the daemon accepts requests of others.
+	carries bool
+	// requests is the sum of the requests in progress in applied.
+	requests atomic.Int64
 }
 
 // appliedWork is the work of a peer that was added to load. A target that restarts gets a new
@@ -56,6 +61,7 @@
 // set replaces the work of the daemon on a target.
 func (p *peerState) set(load *directory.Load, target uint64, w directory.Work) {
 	old := p.applied[target]
+	p.requests.Add(w.Requests - old.work.Requests)
 	if old.load != load {
 		old = appliedWork{load: load}
 	}
@@ -79,6 +85,17 @@
 	}
 }
 
+// endRemoved ends the work on targets that are no longer registered, of which no message reports
+// the end.
+func (p *peerState) endRemoved(s *directory.Snapshot) {
+	for target := range p.active {
+		a := p.applied[target]
+		if t := s.ByHash(target); t == nil || t.Load != a.load {
+			p.set(a.load, target, a.work.Totals())
+		}
+	}
+}
+
 // retract removes the unfinished work of the daemon from the targets.
 func (p *peerState) retract() {
 	if p == nil {
--- a/loadshare/share.go
+++ b/loadshare/share.go
@@ -72,6 +72,7 @@
 	crashes            CrashEvidence
 	hubs               *hubSelector
 	relay              *relay
+	carriers           atomic.Pointer[[]Carrier]
 
 	mu         sync.Mutex // guards the fields below; not taken on the path of a request
 	peerStates map[uint64]*peerState
@@ -85,6 +86,10 @@
 	// peerDemand is the work that callers have offered to other daemons, by service hash,
 	// since this daemon started. It only grows.
 	peerDemand map[uint64]demand.Work
+	// carrying reports whether this daemon accepts requests of others. carriersHandler receives
+	// the list of those that do.
+	carrying        func() bool
+	carriersHandler func([]Carrier)
 }
 
 // outbox is what has to be published with the next message. Maps are keyed by target hash.
@@ -102,6 +107,8 @@
 	// nextLeaving is the position in the list of all leaving targets from which the next
 	// full state repeats some.
 	nextLeaving int
+	// carries is flagCarries of the last message.
+	carries bool
 }
 
 func newOutbox() outbox {
@@ -138,6 +145,7 @@
 		now: now, wake: make(chan struct{}, 1), changed: make(chan uint64, changesQueueLength), used: make(chan usedParts, partsQueueLength),
 		hubs: newHubSelector(), peerStates: map[uint64]*peerState{}, transits: map[uint64]*transit{}, outbox: newOutbox(), assemblies: assemblies{},
 		demand: work, crashes: noCrashEvidence{}, peerDemand: map[uint64]demand.Work{},
+		carrying: func() bool { return false }, carriersHandler: func([]Carrier) {},
 	}
 	e.relay = newRelay(e)
 	e.datagramRate.Store(DefaultDatagramRate)
@@ -145,6 +153,7 @@
 		e.feeds[i] = newProgress()
 	}
 	e.peers.Store(newPeerList(Peer{Name: types.VMID(name)}, nil))
+	e.carriers.Store(&[]Carrier{})
 	return e
 }
 
@@ -159,6 +168,9 @@
 	l.leaving = e.live(slices.DeleteFunc(e.peers.Load().all(), func(p Peer) bool { return l.contains(p.hash()) }))
 	e.peers.Store(l)
 	e.hubs.forget(&l.local)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.updateCarriers()
 }
 
 // live returns those of the daemons from which messages have arrived recently.
@@ -393,7 +405,8 @@
 	for h := range o.parts {
 		o.changed[h] = struct{}{}
 	}
-	if len(o.changed) == 0 && len(o.updates) == 0 && len(o.leaving) == 0 && len(o.limits) == 0 && !e.crashes.Pending() && !full {
+	carries := e.carrying()
+	if len(o.changed) == 0 && len(o.updates) == 0 && len(o.leaving) == 0 && len(o.limits) == 0 && !e.crashes.Pending() && o.carries == carries && !full {
 		return nil
 	}
 	var loads []targetLoad
@@ -414,6 +427,7 @@
 	}
 	clear(o.changed)
 	clear(o.parts)
+	o.carries = carries
 	return e.encode(full, loads)
 }
 
@@ -474,7 +488,7 @@
 	}
 	header := func() []byte {
 		e.seq++
-		m := message{sender: e.self, start: e.start, seq: e.seq, sent: now, claims: claims}
+		m := message{sender: e.self, start: e.start, seq: e.seq, carries: e.outbox.carries, sent: now, claims: claims}
 		m.updates, updates = takeUpdates(updates)
 		if len(m.updates) == 0 { // both may not fit into one message
 			m.crashes, crashes = crashes, crashguard.Update{}
@@ -603,7 +617,9 @@
 	defer e.mu.Unlock()
 	p := e.peerStates[m.sender]
 	if p == nil || p.start != m.start {
-		p.retract()
+		if p.retract(); p != nil && p.carries {
+			defer e.updateCarriers()
+		}
 		p = &peerState{start: m.start, applied: map[uint64]appliedWork{}, active: map[uint64]struct{}{}, demand: map[uint64]demand.Work{}}
 		e.peerStates[m.sender] = p
 	}
@@ -636,6 +652,13 @@
 	if m.full {
 		p.endUnlisted(m.loads)
 	}
+	if m.hasClaims {
+		p.endRemoved(snapshot)
+	}
+	if p.carries != m.carries {
+		p.carries = m.carries
+		defer e.updateCarriers()
+	}
 	for i := range m.loads {
 		if t := snapshot.ByHash(m.loads[i].target); t != nil {
 			parts := p.apply(t.Load, &m.loads[i], now)
@@ -682,12 +705,17 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	timeout := e.peers.Load().peerTimeout()
+	removed := false
 	for id, p := range e.peerStates {
 		if now.Sub(p.lastReceived) > timeout {
 			p.retract()
 			delete(e.peerStates, id)
+			removed = removed || p.carries
 		}
 	}
+	if removed {
+		e.updateCarriers()
+	}
 	e.assemblies.expire(now)
 	e.expireTransits(e.now())
 }
--- a/tools/mutations/faults.go
+++ b/tools/mutations/faults.go
@@ -203,4 +203,12 @@
 	{"versions: resumption at any lifetime", versions, "x.route.Resumable || x.events > 0 || x.r.resumes() || ", "", "gateway TestCallsThatRequireLifetime"},
 	{"versions: beginnings at any lifetime after a failure", versions, " || engine && t.Load.Failing()", " || engine && false", "gateway TestCallsThatRequireLifetime"},
 	{"versions: beginnings at any lifetime", versions, "return x.route.Resumable || x.events > 0", "return x.events > 0", "gateway TestStreamAtFirstTargetOfAnotherVersion"},
+	{"carriers: flag is not sent", "loadshare/message.go", "		f |= flagCarries\n", "		f |= 0\n", "loadshare TestCarriersAreKnownThroughHubs"},
+	{"carriers: change waits for the full state", share, "o.carries == carries && !full {", "!full {", "loadshare TestCarryingIsSentWithoutLoad"},
+	{"carriers: message for each notification", share, "	o.carries = carries\n", "", "loadshare TestCarryingIsSentWithoutLoad"},
+	{"carriers: silent daemons stay", share, "removed = removed || p.carries", "_ = removed", "loadshare TestCarriersEnd"},
+	{"carriers: daemons that are not members stay", share, "	defer e.mu.Unlock()\n	e.updateCarriers()\n", "	defer e.mu.Unlock()\n", "loadshare TestCarriersEnd"},
+	{"carriers: earlier run stays in the list", share, "p != nil && p.carries {", "p != nil && p.carries && m.sender == 0 {", "loadshare TestRestartedCarrierEnds"},
+	{"carriers: requests on removed targets remain", share, "		p.endRemoved(snapshot)\n", "", "loadshare TestRequestsOfCarriers"},
+	{"carriers: requests of an earlier lifetime remain", "loadshare/peerstate.go", "	p.requests.Add(w.Requests - old.work.Requests)\n	if old.load != load {\n		old = appliedWork{load: load}\n	}\n", "	if old.load != load {\n		old = appliedWork{load: load}\n	}\n	p.requests.Add(w.Requests - old.work.Requests)\n", "loadshare TestRequestsOfCarriers"},
 }
