--- a/tools/mutations/faults.go
+++ b/tools/mutations/faults.go
@@ -19,6 +19,8 @@
 	stops     = "shutdown/shutdown.go"
 	durations = "shutdown/durations.go"
 	versions  = "gateway/versions.go"
+	choice    = "carriers/carriers.go"
+	attempts  = "carriers/attempt.go"
 
 	authorityTest     = "proof TestStatefulAuthority"
 	configurationTest = "proof TestStatefulConfiguration"
@@ -211,4 +213,19 @@
 	{"carriers: earlier run stays in the list", share, "p != nil && p.carries {", "p != nil && p.carries && m.sender == 0 {", "loadshare TestRestartedCarrierEnds"},
 	{"carriers: requests on removed targets remain", share, "		p.endRemoved(snapshot)\n", "", "loadshare TestRequestsOfCarriers"},
 	{"carriers: requests of an earlier lifetime remain", "loadshare/peerstate.go", "	p.requests.Add(w.Requests - old.work.Requests)\n	if old.load != load {\n		old = appliedWork{load: load}\n	}\n", "	if old.load != load {\n		old = appliedWork{load: load}\n	}\n	p.requests.Add(w.Requests - old.work.Requests)\n", "loadshare TestRequestsOfCarriers"},
+	{"choice of carriers: failing ones are not avoided", attempts, "return p != nil && now < p.until", "return p != nil && now < 0", "carriers TestAvoidanceGrowsAndEnds"},
+	{"choice of carriers: failures together count each", attempts, "		a.state.suspicion.CompareAndSwap(a.suspicion, newSuspicion(failures, now))", "		if p := a.state.suspicion.Load(); p != nil {\n			failures = p.failures + 1\n		}\n		a.state.suspicion.Store(newSuspicion(failures, now))", "carriers TestAvoidanceGrowsAndEnds"},
+	{"choice of carriers: failing one is tried by all", attempts, "probe := newSuspicion(seen.failures, now)", "probe := &suspicion{failures: seen.failures}", "carriers TestAvoidanceGrowsAndEnds"},
+	{"choice of carriers: abandoned attempt clears", attempts, "	case Carried:\n", "	case Carried, Abandoned:\n", "carriers TestAvoidanceGrowsAndEnds"},
+	{"choice of carriers: earlier attempt clears", attempts, "	if a.suspicion != nil {\n		a.state.suspicion.CompareAndSwap(a.suspicion, nil)\n	}\n", "	a.state.suspicion.Store(nil)\n", "carriers TestAvoidanceGrowsAndEnds"},
+	{"choice of carriers: refusing ones attract requests", attempts, "func (s *state) avoided(now clock.Instant) bool {\n	p := s.suspicion.Load()\n", "func (s *state) avoided(now clock.Instant) bool {\n	p := s.suspicion.Swap(nil)\n", "carriers TestRefusingCarriersGetFewRequests"},
+	{"choice of carriers: bound is checked before only", attempts, "if n.inFlight.Add(1) > n.maxInFlight {", "if n.inFlight.Add(1) > n.maxInFlight+2 {", "carriers TestRequestsInFlightAreBounded"},
+	{"choice of carriers: requests are forgotten", choice, "if v.byName[name] == nil && s.inFlight.Load() > 0 {", "if v.byName[name] == nil && s.inFlight.Load() < 0 {", "carriers TestRequestsInFlightAreBounded"},
+	{"choice of carriers: bound does not follow the size", choice, "float64(c.settings.MaxInFlight)/n.weight", "float64(c.settings.MaxInFlight)", "carriers TestRequestsInFlightAreBounded"},
+	{"choice of carriers: tried ones again", choice, "|| slices.Contains(tried, p.Name)", "|| len(tried) > 99 && slices.Contains(tried, p.Name)", "carriers TestPickProperties"},
+	{"choice of carriers: full ones", choice, "n.inFlight.Load() < n.maxInFlight && !n.avoided(now)", "!n.avoided(now)", "carriers TestPickProperties"},
+	{"choice of carriers: another data centre at equal cost", choice, "remoteCost+c.settings.RemoteCost < cost", "remoteCost < cost", "carriers TestCostOfCarriers"},
+	{"choice of carriers: size does not count", choice, "+n.inFlight.Load()+1) * n.weight", "+n.inFlight.Load()+1)", "carriers TestCostOfCarriers"},
+	{"choice of carriers: own requests do not count", choice, "+n.inFlight.Load()+1) * n.weight", "+1) * n.weight", "carriers TestCostOfCarriers"},
+	{"choice of carriers: same sample for all", choice, "	hash = mix(hash)\n", "	hash = mix(0)\n", "carriers TestLoadOfCarriersIsSpread"},
 }
