--- a/tools/mutations/faults.go
+++ b/tools/mutations/faults.go
@@ -18,6 +18,7 @@
 	crashes   = "crashguard/guard.go"
 	stops     = "shutdown/shutdown.go"
 	durations = "shutdown/durations.go"
+	link      = "reach/reach.go"
 	versions  = "gateway/versions.go"
 
 	authorityTest     = "proof TestStatefulAuthority"
@@ -203,4 +204,15 @@
 	{"versions: resumption at any lifetime", versions, "x.route.Resumable || x.events > 0 || x.r.resumes() || ", "", "gateway TestCallsThatRequireLifetime"},
 	{"versions: beginnings at any lifetime after a failure", versions, " || engine && t.Load.Failing()", " || engine && false", "gateway TestCallsThatRequireLifetime"},
 	{"versions: beginnings at any lifetime", versions, "return x.route.Resumable || x.events > 0", "return x.events > 0", "gateway TestStreamAtFirstTargetOfAnotherVersion"},
+	{"reach: connections of requests do not count", link, "case t.ConnectedSince(r.began):", "case false:", "reach TestRequestThatConnectsPreventsLoss"},
+	{"reach: the only target is the link", link, "\tminKnown = 2", "\tminKnown = 1", "reach TestFailedTargetsAreNoLoss"},
+	{"reach: late rounds count", link, "late && t.repeated < maxRepeated", "late && false", "reach TestSuspensionIsNoLoss"},
+	{"reach: late rounds never count", link, "late && t.repeated < maxRepeated", "late", "reach TestLateMachineDecides"},
+	{"reach: targets are not excused", link, "\tt.excused[target] = now.Add(excuseTime)\n", "\t_ = target\n", "reach TestWorkingLinkIsNotProbed"},
+	{"reach: first success ends a loss", link, "len(t.connected) >= t.needed", "len(t.connected) >= 1", "reach TestLossEndsWithTwoTargets"},
+	{"reach: relapses end at once", link, "min(max(2*t.hold, minHold), maxHold)", "0", "reach TestUnsteadyLinkStaysLost"},
+	{"reach: loss is forgotten with its first success", link, "\tif failed >= r.Probes {\n\t\tclear(t.connected)", "\tif failed >= 0 {\n\t\tclear(t.connected)", "reach TestLossEndsWithTwoTargets"},
+	{"reach: no confirmation of a success", link, "len(t.connected) > 0 && !r.confirm", "false", "reach TestLossEndsWithTwoTargets"},
+	{"reach: rounds of one data centre", "reach/pick.go", "cost := services[c.Service] + dataCentres[c.DataCentre]", "cost := services[c.Service]", "reach TestPickSpreads"},
+	{"reach: failing targets are preferred", "reach/pick.go", "cost += 2 * len(candidates)", "cost -= 2 * len(candidates)", "reach TestPickSpreads"},
 }
