--- a/tools/mutations/faults.go
+++ b/tools/mutations/faults.go
@@ -215,4 +215,11 @@
 	{"reach: no confirmation of a success", link, "len(t.connected) > 0 && !r.confirm", "false", "reach TestLossEndsWithTwoTargets"},
 	{"reach: rounds of one data centre", "reach/pick.go", "cost := services[c.Service] + dataCentres[c.DataCentre]", "cost := services[c.Service]", "reach TestPickSpreads"},
 	{"reach: failing targets are preferred", "reach/pick.go", "cost += 2 * len(candidates)", "cost -= 2 * len(candidates)", "reach TestPickSpreads"},
+	{"reach: unacknowledged requests are no evidence", "transport/conn.go", "		if c.ackSilent() {\n", "		if false {\n", "transport TestRequestWithoutAcknowledgmentIsSuspicious"},
+	{"reach: slow responses are evidence", "transport/conn.go", "		if c.ackSilent() {\n", "		if true {\n", "transport TestRequestWithoutAcknowledgmentIsSuspicious"},
+	{"reach: the check ends the request", "transport/conn.go", "if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {", "if n > 0 || errors.Is(err, os.ErrDeadlineExceeded) {", "transport TestRequestWithoutAcknowledgmentIsSuspicious"},
+	{"reach: resets are no evidence", "transport/conn.go", "{syscall.ECONNRESET, syscall.ETIMEDOUT,", "{syscall.ETIMEDOUT,", "transport TestRequestWithoutAcknowledgmentIsSuspicious"},
+	{"reach: dials in progress are no evidence", "platform/link.go", "	timer := time.AfterFunc(slowDial, suspect)\n", "	timer := time.AfterFunc(time.Hour, suspect)\n", "platform TestDialsAreEvidenceOfTheLink"},
+	{"reach: every failed dial is evidence", "platform/link.go", "	case failedOnPath(err):\n", "	default:\n", "platform TestDialsAreEvidenceOfTheLink"},
+	{"reach: new connections do not count", "platform/link.go", "		link.RecordConnected(hash, clock.Now())\n", "", "platform TestConnectionsAreEvidenceOfTheLink"},
 }
--- a/transport/conn.go
+++ b/transport/conn.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"math"
 	"net"
+	"os"
 	"syscall"
 	"time"
 
@@ -43,6 +44,11 @@
 	// minUploadBytes is the size of a request from which on a reset is waited for. Targets read
 	// smaller requests with their head.
 	minUploadBytes = 16 << 10
+	// ackCheckDelay is the time without a response after which the connection is checked for data
+	// that is not acknowledged, and maxAckSilence the time since the last acknowledgment, in
+	// milliseconds, that is suspicious then: several round trips between regions.
+	ackCheckDelay = 150 * time.Millisecond
+	maxAckSilence = 100
 )
 
 // Conn is a connection to a target that carries one request at a time. It times
@@ -63,12 +69,17 @@
 	early           bool      // the response began before the target had the whole request
 	readRemaining   int64     // bytes until the read limit
 	lifetime        int64     // of the peer, 0 if it was not verified
+	checkAck        bool      // acknowledgments are checked by the next read
+	suspect         func()    // of OnSuspicion, or nil
 
-	sleep func(time.Duration) // time.Sleep, except in tests
+	// sleep is time.Sleep, and ackSilent is isAckSilent, except in tests.
+	sleep     func(time.Duration)
+	ackSilent func() bool
 }
 
 func newConn(c net.Conn) *Conn {
 	cn := &Conn{Conn: c, opened: time.Now(), sleep: time.Sleep}
+	cn.ackSilent = cn.isAckSilent
 	cn.r = bufio.NewReaderSize(cn, readBufBytes)
 	cn.w = bufio.NewWriterSize(cn, writeBufBytes)
 	return cn
@@ -80,14 +91,52 @@
 	if c.readRemaining <= 0 {
 		return 0, ErrTooLarge
 	}
-	if err := c.SetReadDeadline(c.nextIODeadline()); err != nil {
-		return 0, err
-	}
-	n, err := c.Conn.Read(b[:min(int64(len(b)), c.readRemaining)])
+	n, err := c.readBefore(b[:min(int64(len(b)), c.readRemaining)], c.nextIODeadline())
 	c.readRemaining -= int64(n)
+	c.checkBroken(err)
 	return n, err
 }
 
+// readBefore reads until the deadline. The first read of a response is interrupted once to check
+// whether the peer acknowledges the request.
+func (c *Conn) readBefore(b []byte, deadline time.Time) (int, error) {
+	if check := time.Now().Add(ackCheckDelay); c.checkAck && check.Before(deadline) {
+		c.checkAck = false
+		if err := c.SetReadDeadline(check); err != nil {
+			return 0, err
+		}
+		n, err := c.Conn.Read(b)
+		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return n, err
+		}
+		if c.ackSilent() {
+			c.suspect()
+		}
+	}
+	c.checkAck = false
+	if err := c.SetReadDeadline(deadline); err != nil {
+		return 0, err
+	}
+	return c.Conn.Read(b)
+}
+
+// OnSuspicion sets a function that is called when the connection breaks, or the peer does not
+// acknowledge a request. Neither a close nor a missing response is suspicious. The function must not
+// block.
+func (c *Conn) OnSuspicion(f func()) { c.suspect = f }
+
+func (c *Conn) checkBroken(err error) {
+	if err == nil || c.suspect == nil {
+		return
+	}
+	for _, e := range []error{syscall.ECONNRESET, syscall.ETIMEDOUT, syscall.EPIPE, syscall.EHOSTUNREACH, syscall.ENETUNREACH} {
+		if errors.Is(err, e) {
+			c.suspect()
+			return
+		}
+	}
+}
+
 // Write implements net.Conn with the progress timeout as deadline.
 func (c *Conn) Write(b []byte) (int, error) {
 	if err := c.SetWriteDeadline(c.nextIODeadline()); err != nil {
@@ -99,6 +148,7 @@
 		written += n
 		c.sent, c.written = c.sent || n > 0, c.written+int64(n)
 		if err != nil || written == len(b) {
+			c.checkBroken(err)
 			return written, err
 		}
 		c.early = c.early || c.hasInput()
@@ -144,7 +194,7 @@
 // Sent, Early and the read limit.
 func (c *Conn) Begin(progressTimeout time.Duration, deadline time.Time) {
 	c.progressTimeout, c.requestDeadline, c.sent, c.readRemaining = progressTimeout, deadline, false, maxHeadBytes
-	c.early, c.written = false, 0
+	c.early, c.written, c.checkAck = false, 0, c.suspect != nil
 }
 
 // WriteAll writes the parts of a request and flushes the buffer. The error wraps
@@ -249,6 +299,21 @@
 	return n
 }
 
+// isAckSilent reports whether written data waits for an acknowledgment and none has arrived for
+// maxAckSilence. A peer that is slow to read acknowledges what it receives.
+func (c *Conn) isAckSilent() bool {
+	if c.unacknowledged() == 0 {
+		return false
+	}
+	silent := false
+	c.control(func(fd int) {
+		if info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			silent = info.Last_ack_recv >= maxAckSilence
+		}
+	})
+	return silent
+}
+
 // hasInput reports whether the peer has sent data or closed the connection.
 func (c *Conn) hasInput() bool {
 	input := c.r.Buffered() > 0
--- a/transport/pool.go
+++ b/transport/pool.go
@@ -163,6 +163,13 @@
 	}
 }
 
+// CloseAllIdle closes the idle connections to all targets.
+func (p *Pool) CloseAllIdle() {
+	for address := range *p.hosts.Load() {
+		p.CloseIdle(address)
+	}
+}
+
 // take removes and returns the most recently used idle connection, or returns nil.
 func (h *host) take() *Conn {
 	h.mu.Lock()
--- /dev/null
+++ b/transport/suspicion_test.go
@@ -0,0 +1,75 @@
+package transport
+
+import (
+	"errors"
+	"net"
+	"os"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// scriptedConn returns one error a read, and records the read deadlines.
+type scriptedConn struct {
+	net.Conn
+	errs      []error
+	deadlines []time.Time
+}
+
+func (c *scriptedConn) SetReadDeadline(t time.Time) error {
+	c.deadlines = append(c.deadlines, t)
+	return nil
+}
+
+func (c *scriptedConn) Read([]byte) (int, error) {
+	err := c.errs[0]
+	c.errs = c.errs[1:]
+	return 0, err
+}
+
+// Guards against a lost link that is noticed only when a request times out, against a request that
+// the check ends or prolongs, and against suspicion of a slow target.
+func TestRequestWithoutAcknowledgmentIsSuspicious(t *testing.T) {
+	timeout := os.ErrDeadlineExceeded
+	for name, c := range map[string]struct {
+		errs    []error
+		silent  bool
+		suspect int
+	}{
+		"not acknowledged": {[]error{timeout, timeout}, true, 1},
+		"acknowledged":     {[]error{timeout, timeout}, false, 0},
+		"reset":            {[]error{syscall.ECONNRESET}, true, 1},
+		"reset later":      {[]error{timeout, syscall.ECONNRESET}, false, 1},
+		"given up":         {[]error{timeout, syscall.ETIMEDOUT}, false, 1},
+		"closed":           {[]error{net.ErrClosed}, true, 0},
+	} {
+		raw := &scriptedConn{errs: c.errs}
+		conn, suspected := newConn(raw), 0
+		conn.ackSilent = func() bool { return c.silent }
+		conn.OnSuspicion(func() { suspected++ })
+		conn.Begin(time.Second, time.Now().Add(time.Minute))
+		var resp fasthttp.Response
+		last := c.errs[len(c.errs)-1]
+		if err := conn.ReadHead(&resp, false); !errors.Is(err, last) || suspected != c.suspect || len(raw.errs) > 0 {
+			t.Errorf("%s: error %v, suspected %d times, %d reads left", name, err, suspected, len(raw.errs))
+		}
+		if n := len(raw.deadlines); n == 2 && !raw.deadlines[1].After(raw.deadlines[0].Add(time.Second/2)) {
+			t.Errorf("%s: deadlines %v", name, raw.deadlines)
+		}
+	}
+}
+
+// Guards against a check that waits beyond the deadline of a request.
+func TestShortRequestIsNotChecked(t *testing.T) {
+	raw := &scriptedConn{errs: []error{os.ErrDeadlineExceeded}}
+	conn := newConn(raw)
+	conn.OnSuspicion(func() { t.Error("suspected") })
+	deadline := time.Now().Add(ackCheckDelay / 2)
+	conn.Begin(time.Second, deadline)
+	var resp fasthttp.Response
+	if err := conn.ReadHead(&resp, false); !errors.Is(err, os.ErrDeadlineExceeded) || !raw.deadlines[0].Equal(deadline) {
+		t.Fatalf("error %v, deadlines %v", err, raw.deadlines)
+	}
+}
