--- a/tools/mutations/faults.go
+++ b/tools/mutations/faults.go
@@ -18,6 +18,7 @@
 	crashes   = "crashguard/guard.go"
 	stops     = "shutdown/shutdown.go"
 	durations = "shutdown/durations.go"
+	link      = "reach/reach.go"
 	versions  = "gateway/versions.go"
 	choice    = "carriers/carriers.go"
 	attempts  = "carriers/attempt.go"
@@ -228,4 +229,22 @@
 	{"choice of carriers: size does not count", choice, "+n.inFlight.Load()+1) * n.weight", "+n.inFlight.Load()+1)", "carriers TestCostOfCarriers"},
 	{"choice of carriers: own requests do not count", choice, "+n.inFlight.Load()+1) * n.weight", "+1) * n.weight", "carriers TestCostOfCarriers"},
 	{"choice of carriers: same sample for all", choice, "	hash = mix(hash)\n", "	hash = mix(0)\n", "carriers TestLoadOfCarriersIsSpread"},
+	{"reach: connections of requests do not count", link, "case t.ConnectedSince(r.began):", "case false:", "reach TestRequestThatConnectsPreventsLoss"},
+	{"reach: the only target is the link", link, "\tminKnown = 2", "\tminKnown = 1", "reach TestFailedTargetsAreNoLoss"},
+	{"reach: late rounds count", link, "late && t.repeated < maxRepeated", "late && false", "reach TestSuspensionIsNoLoss"},
+	{"reach: late rounds never count", link, "late && t.repeated < maxRepeated", "late", "reach TestLateMachineDecides"},
+	{"reach: targets are not excused", link, "\tt.excused[target] = now.Add(excuseTime)\n", "\t_ = target\n", "reach TestWorkingLinkIsNotProbed"},
+	{"reach: first success ends a loss", link, "len(t.connected) >= t.needed", "len(t.connected) >= 1", "reach TestLossEndsWithTwoTargets"},
+	{"reach: relapses end at once", link, "min(max(2*t.hold, minHold), maxHold)", "0", "reach TestUnsteadyLinkStaysLost"},
+	{"reach: loss is forgotten with its first success", link, "\tif failed >= r.Probes {\n\t\tclear(t.connected)", "\tif failed >= 0 {\n\t\tclear(t.connected)", "reach TestLossEndsWithTwoTargets"},
+	{"reach: no confirmation of a success", link, "len(t.connected) > 0 && !r.confirm", "false", "reach TestLossEndsWithTwoTargets"},
+	{"reach: rounds of one data centre", "reach/pick.go", "cost := services[c.Service] + dataCentres[c.DataCentre]", "cost := services[c.Service]", "reach TestPickSpreads"},
+	{"reach: failing targets are preferred", "reach/pick.go", "cost += 2 * len(candidates)", "cost -= 2 * len(candidates)", "reach TestPickSpreads"},
+	{"reach: unacknowledged requests are no evidence", "transport/conn.go", "		if c.ackSilent() {\n", "		if false {\n", "transport TestRequestWithoutAcknowledgmentIsSuspicious"},
+	{"reach: slow responses are evidence", "transport/conn.go", "		if c.ackSilent() {\n", "		if true {\n", "transport TestRequestWithoutAcknowledgmentIsSuspicious"},
+	{"reach: the check ends the request", "transport/conn.go", "if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {", "if n > 0 || errors.Is(err, os.ErrDeadlineExceeded) {", "transport TestRequestWithoutAcknowledgmentIsSuspicious"},
+	{"reach: resets are no evidence", "transport/conn.go", "{syscall.ECONNRESET, syscall.ETIMEDOUT,", "{syscall.ETIMEDOUT,", "transport TestRequestWithoutAcknowledgmentIsSuspicious"},
+	{"reach: dials in progress are no evidence", "platform/link.go", "	timer := time.AfterFunc(slowDial, suspect)\n", "	timer := time.AfterFunc(time.Hour, suspect)\n", "platform TestDialsAreEvidenceOfTheLink"},
+	{"reach: every failed dial is evidence", "platform/link.go", "	case failedOnPath(err):\n", "	default:\n", "platform TestDialsAreEvidenceOfTheLink"},
+	{"reach: new connections do not count", "platform/link.go", "		link.RecordConnected(hash, clock.Now())\n", "", "platform TestConnectionsAreEvidenceOfTheLink"},
 }
