--- a/server/node/members.go
+++ b/server/node/members.go
@@ -27,6 +27,9 @@
 	Address netip.AddrPort `json:"address"`
 	// Cores is the processor capacity of the node's VM, in cores. 0 means unknown.
 	Cores float64 `json:"cores,omitempty"`
+	// Key is the public key of the node's process (peerauth.Identity). A record of an earlier version
+	// has none: its node neither passes requests to others nor carries those of others.
+	Key string `json:"key,omitempty"`
 }
 
 func (m Member) peer() loadshare.Peer {
@@ -44,11 +47,12 @@
 type memberHandler struct {
 	outageLogger
 	self     types.VMID
+	selfKey  string         // public key of this process
 	onChange func([]Member) // receives the other nodes, sorted by address
 
 	mu    sync.Mutex
 	byKey map[string]Member
-	// listsSelf reports whether the newest known list has a record of this node.
+	// listsSelf reports whether the newest known list has a record of this process.
 	listsSelf bool
 }
 
@@ -80,7 +84,7 @@
 		case i.Err != nil:
 			m.log.WithError(i.Err).WithField(fieldKey, i.Key).Error("member record could not be decoded; skipped")
 		case i.Key == string(m.self):
-			m.listsSelf = i.Value != nil
+			m.listsSelf = i.Value != nil && i.Value.Key == m.selfKey
 		case i.Value == nil:
 			delete(m.byKey, i.Key)
 		case i.Value.VM != m.self:
@@ -96,7 +100,7 @@
 	m.onChange(list)
 }
 
-// isListed reports whether the newest known list has a record of this node.
+// isListed reports whether the newest known list has a record of this process.
 func (m *memberHandler) isListed() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -123,7 +127,7 @@
 )
 
 // registerMember keeps the record of this node in the store until the context ends. The store may
-// carry out the removal by an earlier process of this node late, so the record is written again when
+// carry out the calls of an earlier process of this node late, so the record is written again when
 // listed, which reports whether the list has it, has been false for some time.
 func registerMember(ctx context.Context, s memberStore, self Member, listed func() bool, log *logrus.Entry) {
 	value, err := json.Marshal(self)
--- a/tools/mutations/faults.go
+++ b/tools/mutations/faults.go
@@ -21,6 +21,7 @@
 	versions  = "gateway/versions.go"
 	choice    = "carriers/carriers.go"
 	attempts  = "carriers/attempt.go"
+	identity  = "peerauth/identity.go"
 
 	authorityTest     = "proof TestStatefulAuthority"
 	configurationTest = "proof TestStatefulConfiguration"
@@ -228,4 +229,22 @@
 	{"choice of carriers: size does not count", choice, "+n.inFlight.Load()+1) * n.weight", "+n.inFlight.Load()+1)", "carriers TestCostOfCarriers"},
 	{"choice of carriers: own requests do not count", choice, "+n.inFlight.Load()+1) * n.weight", "+1) * n.weight", "carriers TestCostOfCarriers"},
 	{"choice of carriers: same sample for all", choice, "	hash = mix(hash)\n", "	hash = mix(0)\n", "carriers TestLoadOfCarriersIsSpread"},
+	{"peer messages: both directions have one key", identity, "if to, err = deriveKey(secret, i.name, name, own, peer)", "if to, err = deriveKey(secret, name, i.name, peer, own)", "peerauth TestOnlyTheMessageItselfIsAccepted"},
+	{"peer messages: token is compared by its beginning", "peerauth/peers.go", "if !hmac.Equal(mac, appendMAC(nil, known.from, number, from, p.identity.name, fields)) {", "if !hmac.Equal(mac[:8], appendMAC(nil, known.from, number, from, p.identity.name, fields)[:8]) {", "peerauth TestOnlyTheMessageItselfIsAccepted"},
+	{"peer messages: bounds of fields are not covered", "peerauth/peers.go", "b = append(binary.AppendUvarint(b, uint64(len(f))), f...)", "b = append(b, f...)", "peerauth TestOnlyTheMessageItselfIsAccepted"},
+	{"peer messages: number is not covered", "peerauth/peers.go", "[]byte(label), number, ", "[]byte(label), ", "peerauth TestOnlyTheMessageItselfIsAccepted"},
+	{"peer messages: accepted again", "peerauth/peers.go", "if number <= highest {", "if number < highest {", "peerauth TestOnlyTheMessageItselfIsAccepted"},
+	{"peer messages: own name", "peerauth/peers.go", "if name == p.identity.name {\n		return nil, ErrSelf", "if name == \"\" {\n		return nil, ErrSelf", "peerauth TestOnlyTheMessageItselfIsAccepted"},
+	{"peer messages: accepted again after later ones", "peerauth/peers.go", "if number <= highest {", "if number == highest {", "peerauth TestWindowOfNumbers"},
+	{"peer messages: refused after a later one", "peerauth/peers.go", "&w[number%windowSize]", "&w[number%2]", "peerauth TestWindowOfNumbers"},
+	{"peer messages: key of an earlier process", "peerauth/peers.go", "if known != nil && known.public == public {", "if known != nil {", "peerauth TestRestartReplacesTheKey"},
+	{"peer messages: window ends with the record", "peerauth/peers.go", "	p.removed[name] = known\n", "", "peerauth TestNumbersOutliveRemovals"},
+	{"peer messages: removed nodes are kept without bound", "peerauth/peers.go", "if len(p.removed) < maxRemoved {", "if len(p.removed) < 99*maxRemoved {", "peerauth TestNumbersOutliveRemovals"},
+	{"peer messages: numbers begin anew", "peerauth/peers.go", "	known.sent.Store(p.entries * numbersPerEntry)\n", "", "peerauth TestNumbersOutliveRemovals"},
+	{"peer messages: invalid key drops the others", "peerauth/peers.go", "			errs = append(errs, fmt.Errorf(\"node %q: %w\", name, err))\n			continue\n", "			return fmt.Errorf(\"node %q: %w\", name, err)\n", "peerauth TestInvalidKeysAreLeftOut"},
+	{"peer messages: several forms of a key", identity, " || base64.StdEncoding.EncodeToString(b) != s {", " {", "peerauth TestInvalidKeysAreLeftOut"},
+	{"peer messages: keys are printed", "peerauth/peers.go", "func (*peer) Format(s fmt.State, _ rune) { _, _ = io.WriteString(s, \"peer\") }", "func (*peer) format(s fmt.State) { _, _ = io.WriteString(s, \"peer\") }", "peerauth TestKeysAreNotPrinted"},
+	{"peer messages: private key is printed", identity, "func (i Identity) Format(s fmt.State, _ rune) {", "func (i Identity) format(s fmt.State) {", "peerauth TestKeysAreNotPrinted"},
+	{"members: record with another key stays", "server/node/members.go", "i.Value != nil && i.Value.Key == m.selfKey", "i.Value != nil", "server/node TestRecordWithAnotherKeyIsReplaced"},
+	{"members: key of earlier records", "server/node/members.go", "`json:\"key,omitempty\"`", "`json:\"key\"`", "server/node TestMemberRecordsOfOtherVersions"},
 }
