--- /dev/null
+++ b/directory/forget.go
@@ -0,0 +1,14 @@
+package directory
+
+import "time"
+
+// ForgetFailures removes what failures and silence have taught about the target, because its
+// daemon could not reach it. A suspension by an order stays.
+func (l *Load) ForgetFailures(now time.Time) {
+	l.consecutiveFailures.Store(0)
+	l.failureShare.Store(0)
+	l.RecordActivity(now)
+	if !l.suspected.Load() {
+		l.RetryAfter.Store(0)
+	}
+}
--- a/server/node/node.go
+++ b/server/node/node.go
@@ -92,6 +92,7 @@
 	gateway   *gateway.Gateway
 	front     *platform.Front
 	targets   *platform.Targets
+	link      *targetLink
 	crashes   *crashDetector
 	members   *memberHandler
 	peers     atomic.Pointer[[]Member] // nil until the member list is loaded
@@ -147,6 +148,11 @@
 	o.shutdown, o.stopped = &n.shutdown, &n.stopped
 	n.targets = platform.NewTargets(newTargetSignals(log, c, n.directory, n.exchanger.NotifyLeaving, n.exchanger.NotifyLimit))
 	n.crashes.reachable = n.targets.Reachable
+	if n.link, err = newTargetLink(log, n.metrics, n.directory); err != nil {
+		return nil, err
+	}
+	n.link.probe, n.link.closeIdle = n.targets.Probe, n.targets.CloseIdle
+	n.targets.ObserveLink(n.link)
 	n.gateway = gateway.New(n.gatewaySettings(), n.directory, n.targets, n.exchanger, o)
 	n.front, err = platform.NewFront(n.gateway, log, n.badInput(c))
 	if err != nil {
@@ -386,6 +392,7 @@
 func (n *Node) startBackground(ctx, serving context.Context) {
 	source := func(name string) outageLogger { return outageLogger{log: n.log.WithField(fieldSource, name)} }
 	go n.exchanger.Run(ctx)
+	go n.link.run(ctx)
 	go n.watchTargets(ctx)
 	go n.crashes.run(ctx)
 	go n.crashes.recordBlocks(ctx, n.store)
--- /dev/null
+++ b/server/node/reach_test.go
@@ -0,0 +1,116 @@
+package node
+
+import (
+	"context"
+	"io"
+	"net"
+	"os"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lentilpick/lentilpick/clock"
+	"github.com/lentilpick/lentilpick/daemon"
+	"github.com/lentilpick/lentilpick/directory"
+	"github.com/lentilpick/lentilpick/types"
+)
+
+// linkEnv is the link of a node to six targets of two services in two data centres.
+type linkEnv struct {
+	*targetLink
+	// reaches reports whether a target accepts connections, and refused how it does not.
+	reaches    func(*directory.Target) bool
+	refused    bool
+	closedIdle atomic.Int64
+}
+
+func newLinkEnv(t *testing.T) *linkEnv {
+	m, err := daemon.NewMetrics("test")
+	assert.NilError(t, err)
+	d := directory.New()
+	for i := range 6 {
+		d.Put(directory.Entry{ID: types.TargetID(rune('a' + i)), Service: types.ServiceID("llm" + string(rune('0'+i%2))), DataCentre: types.DataCentreID("dc" + string(rune('0'+i/3)))})
+	}
+	e := &linkEnv{reaches: func(*directory.Target) bool { return true }}
+	e.targetLink, err = newTargetLink(daemon.NewLogger(io.Discard, "error", "node"), m, d)
+	assert.NilError(t, err)
+	e.now = func() clock.Instant { return clock.Instant(clock.Nanos(time.Now())) }
+	e.closeIdle = func() { e.closedIdle.Add(1) }
+	e.probe = func(t *directory.Target, timeout time.Duration) error {
+		switch {
+		case e.reaches(t):
+			time.Sleep(20 * time.Millisecond)
+			e.RecordConnected(t.Hash, e.now())
+			return nil
+		case e.refused:
+			e.RecordUnreachable(t.Hash, e.now())
+			return &net.OpError{Err: syscall.ECONNREFUSED}
+		}
+		time.Sleep(timeout)
+		e.RecordUnreachable(t.Hash, e.now())
+		return &net.OpError{Err: os.ErrDeadlineExceeded}
+	}
+	return e
+}
+
+// runLink runs a test in virtual time beside the prober.
+func runLink(t *testing.T, f func(e *linkEnv)) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newLinkEnv(t)
+		ctx, cancel := context.WithCancel(context.Background())
+		go e.run(ctx)
+		f(e)
+		cancel()
+		synctest.Wait()
+		e.pool.Release()
+		time.Sleep(10 * time.Second) // the workers of the pool end
+	})
+}
+
+func unreachable(*directory.Target) bool { return false }
+
+// Guards against a node that finds out about the loss of its link by the time-outs of requests, keeps
+// idle connections that may be dead, or avoids targets for failures of its link.
+func TestLostLinkIsFoundByProbes(t *testing.T) {
+	for _, refused := range []bool{false, true} {
+		runLink(t, func(e *linkEnv) {
+			target := e.directory.Load().Target("a")
+			e.reaches, e.refused = unreachable, refused
+			e.RecordSuspicion(target.Hash, e.now())
+			time.Sleep(300 * time.Millisecond)
+			assert.Assert(t, e.Lost())
+			assert.Equal(t, e.closedIdle.Load() == 1, !refused)
+			target.Load.RecordUnreachable(time.Now())
+			target.Load.PauseUntil(time.Now().Add(time.Minute))
+			ordered := e.directory.Load().Target("b")
+			ordered.Load.SuspendUntil(time.Now().Add(time.Minute))
+			time.Sleep(10 * time.Second)
+			assert.Assert(t, e.Lost())
+			e.reaches = func(*directory.Target) bool { return true }
+			time.Sleep(1300 * time.Millisecond)
+			assert.Assert(t, !e.Lost())
+			assert.Assert(t, target.Usable(time.Now()) && !target.Load.Failing())
+			assert.Assert(t, !ordered.Usable(time.Now()), "an order takes the target out of use")
+		})
+	}
+}
+
+// Guards against a failed target that is taken for a lost link, and against probes without a reason.
+func TestFailedTargetIsNoLostLink(t *testing.T) {
+	runLink(t, func(e *linkEnv) {
+		probes := atomic.Int64{}
+		probe := e.probe
+		e.probe = func(t *directory.Target, d time.Duration) error { probes.Add(1); return probe(t, d) }
+		time.Sleep(time.Minute)
+		assert.Equal(t, probes.Load(), int64(0))
+		dead := e.directory.Load().Target("a")
+		e.reaches = func(t *directory.Target) bool { return t.ID != dead.ID }
+		e.RecordUnreachable(dead.Hash, e.now())
+		time.Sleep(time.Second)
+		assert.Assert(t, !e.Lost() && !e.InDoubt() && probes.Load() > 0)
+	})
+}
--- a/tools/mutations/faults.go
+++ b/tools/mutations/faults.go
@@ -222,4 +222,8 @@
 	{"reach: dials in progress are no evidence", "platform/link.go", "	timer := time.AfterFunc(slowDial, suspect)\n", "	timer := time.AfterFunc(time.Hour, suspect)\n", "platform TestDialsAreEvidenceOfTheLink"},
 	{"reach: every failed dial is evidence", "platform/link.go", "	case failedOnPath(err):\n", "	default:\n", "platform TestDialsAreEvidenceOfTheLink"},
 	{"reach: new connections do not count", "platform/link.go", "		link.RecordConnected(hash, clock.Now())\n", "", "platform TestConnectionsAreEvidenceOfTheLink"},
+	{"reach: failures of the link stay with the targets", "server/node/reach.go", "{ t.Load.ForgetFailures(now) }", "{ _ = now }", "server/node TestLostLinkIsFoundByProbes"},
+	{"reach: idle connections survive a cut", "server/node/reach.go", "		if l.timedOut {\n", "		if false {\n", "server/node TestLostLinkIsFoundByProbes"},
+	{"reach: idle connections are closed although they live", "server/node/reach.go", "		if l.timedOut {\n", "		if true {\n", "server/node TestLostLinkIsFoundByProbes"},
+	{"reach: orders are forgotten with the failures", "directory/forget.go", "	if !l.suspected.Load() {\n", "	if true {\n", "server/node TestLostLinkIsFoundByProbes"},
 }
