--- a/directory/load.go
+++ b/directory/load.go
@@ -161,8 +161,7 @@
 // of this daemon for longer than limit. If so, it takes the target out of use for the
 // duration pause.
 func (l *Load) CheckActivity(now time.Time, limit, pause time.Duration) bool {
-	unresponsive := l.Local.requests.Load() > 0 && clock.Nanos(now)-l.lastActivity.Load() > int64(limit)
-	unresponsive = unresponsive || clock.Nanos(now) < l.suspendedUntil.Load()
+	unresponsive := l.Stalled(now, limit) || clock.Nanos(now) < l.suspendedUntil.Load()
 	l.suspected.Store(unresponsive)
 	if unresponsive {
 		l.PauseUntil(now.Add(pause))
@@ -170,6 +169,12 @@
 	return unresponsive
 }
 
+// Stalled reports whether the target has made no progress on work of this daemon for longer than
+// limit.
+func (l *Load) Stalled(now time.Time, limit time.Duration) bool {
+	return l.Local.requests.Load() > 0 && clock.Nanos(now)-l.lastActivity.Load() > int64(limit)
+}
+
 // SuspendUntil records that the target has an order during which it accepts no work,
 // such as a change of role. The suspension ends at the given time or by EndSuspension.
 func (l *Load) SuspendUntil(until time.Time) {
--- a/server/node/feeds_test.go
+++ b/server/node/feeds_test.go
@@ -33,7 +33,7 @@
 		log := daemon.NewLogger(io.Discard, "error", "node")
 		d := directory.New()
 		f := &registrationHandler{outageLogger: outageLogger{log: log}, directory: d, onLoaded: func() {}}
-		w := progressWatcher{log: log, directory: d, notify: func(*directory.Target) {}}
+		w := progressWatcher{log: log, directory: d, link: &fakeLink{}, notify: func(*directory.Target) {}}
 		a, b := directory.Entry{ID: "a", Service: "s"}, directory.Entry{ID: "b", Service: "s"}
 		f.HandleListing(feed.Listing[directory.Entry]{Items: []feed.Item[directory.Entry]{{Key: "a", Value: &a}, {Key: "b", Value: &b}}}, 0)
 		f.HandleFailure(errors.New("down"), time.Second)
--- a/server/node/reach_test.go
+++ b/server/node/reach_test.go
@@ -114,3 +114,45 @@
 		assert.Assert(t, !e.Lost() && !e.InDoubt() && probes.Load() > 0)
 	})
 }
+
+// fakeLink is a link in a given state.
+type fakeLink struct {
+	lost, inDoubt bool
+	suspicions    int
+}
+
+func (l *fakeLink) Lost() bool    { return l.lost }
+func (l *fakeLink) InDoubt() bool { return l.inDoubt }
+
+func (l *fakeLink) RecordSuspicion(uint64, clock.Instant) { l.suspicions++ }
+
+// Guards against a node without a link to the targets that tells the other nodes that sound targets
+// are stalled, which pauses them on all nodes.
+func TestLostLinkStallsNoTargets(t *testing.T) {
+	d := directory.New()
+	d.Put(directory.Entry{ID: "silent", Service: "desk"})
+	d.Put(directory.Entry{ID: "ordered", Service: "llm"})
+	silent, ordered := d.Load().Target("silent"), d.Load().Target("ordered")
+	now := time.Now()
+	silent.Load.BeginWork(directory.Work{Requests: 1}, now)
+	ordered.Load.SuspendUntil(now.Add(time.Minute))
+	var notified []types.TargetID
+	link := &fakeLink{inDoubt: true}
+	w := progressWatcher{
+		log: daemon.NewLogger(io.Discard, "error", "node"), directory: d, link: link,
+		notify: func(t *directory.Target) { notified = append(notified, t.ID) },
+	}
+	w.check(now.Add(plainProgressTimeout))
+	assert.Equal(t, link.suspicions, 0)
+	now = now.Add(plainProgressTimeout + time.Millisecond)
+	w.check(now)
+	assert.DeepEqual(t, notified, []types.TargetID{"ordered", "ordered"})
+	assert.Assert(t, !silent.Load.Suspected() && !silent.Usable(now) && link.suspicions == 1)
+	link.inDoubt = false
+	w.check(now)
+	assert.Assert(t, silent.Load.Suspected() && len(notified) == 4)
+	// A target that stalled before the doubt is no longer told either.
+	link.inDoubt = true
+	w.check(now)
+	assert.Assert(t, !silent.Load.Suspected() && ordered.Load.Suspected())
+}
--- a/server/node/watch.go
+++ b/server/node/watch.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/lentilpick/lentilpick/clock"
 	"github.com/lentilpick/lentilpick/daemon"
 	"github.com/lentilpick/lentilpick/directory"
 	"github.com/lentilpick/lentilpick/types"
@@ -29,16 +31,25 @@
 // watchTargets takes targets out of use while they make no progress on requests of this node, and
 // removes targets that have not registered again after an outage of the store.
 func (n *Node) watchTargets(ctx context.Context) {
-	w := progressWatcher{log: n.log, directory: n.directory, notify: n.exchanger.NotifyLoadChange}
+	w := progressWatcher{log: n.log, directory: n.directory, link: n.link, notify: n.exchanger.NotifyLoadChange}
 	for daemon.Sleep(ctx, watchInterval) {
 		w.check(time.Now())
 	}
 }
 
-// progressWatcher checks all targets for progress.
+// linkState tells targets that have failed from a lost link to all of them.
+type linkState interface {
+	// InDoubt reports whether the link is lost or may be lost.
+	InDoubt() bool
+	RecordSuspicion(target uint64, now clock.Instant)
+}
+
+// progressWatcher checks all targets for progress. While the link of this node to the targets is in
+// doubt, a silent target is paused on this node only.
 type progressWatcher struct {
 	log       *logrus.Entry
 	directory *directory.Directory
+	link      linkState
 	// notify publishes the changed load of a target to the other nodes.
 	notify func(*directory.Target)
 }
@@ -48,8 +59,17 @@
 	// of the grace period is checked here.
 	logChanges(w.log, w.directory.Expire(now))
 	w.directory.Load().All(func(t *directory.Target) {
-		suspected := t.Load.Suspected()
-		if !t.Load.CheckActivity(now, progressTimeout(t), suspicionTime) {
+		suspected, limit := t.Load.Suspected(), progressTimeout(t)
+		if t.Load.Stalled(now, limit) {
+			if !suspected {
+				w.link.RecordSuspicion(t.Hash, clock.Now())
+			}
+			if w.link.InDoubt() {
+				t.Load.PauseUntil(now.Add(suspicionTime))
+				limit = math.MaxInt64 // only suspensions count
+			}
+		}
+		if !t.Load.CheckActivity(now, limit, suspicionTime) {
 			return
 		}
 		w.notify(t)
--- a/tools/mutations/faults.go
+++ b/tools/mutations/faults.go
@@ -226,4 +226,7 @@
 	{"reach: idle connections survive a cut", "server/node/reach.go", "		if l.timedOut {\n", "		if false {\n", "server/node TestLostLinkIsFoundByProbes"},
 	{"reach: idle connections are closed although they live", "server/node/reach.go", "		if l.timedOut {\n", "		if true {\n", "server/node TestLostLinkIsFoundByProbes"},
 	{"reach: orders are forgotten with the failures", "directory/forget.go", "	if !l.suspected.Load() {\n", "	if true {\n", "server/node TestLostLinkIsFoundByProbes"},
+	{"reach: targets stall for a link in doubt", "server/node/watch.go", "			if w.link.InDoubt() {\n", "			if false {\n", "server/node TestLostLinkStallsNoTargets"},
+	{"reach: silent targets are no evidence", "server/node/watch.go", "				w.link.RecordSuspicion(t.Hash, clock.Now())\n", "				_ = clock.Now()\n", "server/node TestLostLinkStallsNoTargets"},
+	{"reach: doubt ends suspensions", "server/node/watch.go", "limit = math.MaxInt64 // only suspensions count", "limit = math.MaxInt64; return", "server/node TestLostLinkStallsNoTargets"},
 }
