--- a/server/node/crashes.go
+++ b/server/node/crashes.go
@@ -26,9 +26,10 @@
 	brokenReachable         // the target accepts connections
 	brokenInProgress        // the response had too many events for a suspect
 	brokenNotChecked        // too many checks were in progress
+	brokenLink              // the link of this node to the targets may be lost
 )
 
-var brokenNames = []string{brokenCrashed: "crashed", brokenReachable: "reachable", brokenInProgress: "in_progress", brokenNotChecked: "not_checked"}
+var brokenNames = []string{brokenCrashed: "crashed", brokenReachable: "reachable", brokenInProgress: "in_progress", brokenNotChecked: "not_checked", brokenLink: "link"}
 
 // crashDetector tells crashed engines from broken connections and feeds the crashes to a guard,
 // which it evaluates and whose decisions it logs. It implements gateway.CrashGuard.
@@ -39,6 +40,8 @@
 	checks   *reachabilityChecks
 	// reachable reports whether a target accepts connections.
 	reachable func(*directory.Target) bool
+	// linkExplains reports whether the link of this node may be why a target is not reachable.
+	linkExplains func(*directory.Target) bool
 	// notify publishes new evidence to the other nodes.
 	notify func()
 	// blocks receives the changes of blocks that have to be recorded in the store.
@@ -52,8 +55,16 @@
 	d := &crashDetector{log: log, counters: c, guard: crashguard.New(), notify: notify,
 		blocks: make(chan blockChange, blockQueueLength), recorded: map[uint64]struct{}{}, limit: lineLimit{rate: signalLogRate}}
 	var err error
-	d.checks, err = newReachabilityChecks(func(t *directory.Target) bool {
-		return d.guard.KnownCrash(t.Lifetime()) || !d.reachable(t)
+	d.checks, err = newReachabilityChecks(func(t *directory.Target) checkResult {
+		switch {
+		case d.guard.KnownCrash(t.Lifetime()):
+			return checkCrashed
+		case d.reachable(t):
+			return checkReachable
+		case d.linkExplains(t):
+			return checkUnknown
+		}
+		return checkCrashed
 	})
 	return d, err
 }
@@ -76,12 +87,13 @@
 		return
 	}
 	at := clock.Now()
-	d.check(t, func(crashed bool) {
-		if !crashed {
+	d.check(t, func(r checkResult) {
+		switch r {
+		case checkReachable:
 			d.counters.broken.Add(brokenReachable)
-			return
+		case checkCrashed:
+			d.recordCrash(t, parts, events, at)
 		}
-		d.recordCrash(t, parts, events, at)
 	})
 }
 
@@ -93,19 +105,27 @@
 		return
 	}
 	at := clock.Now()
-	d.check(t, func(crashed bool) {
-		if !crashed {
+	d.check(t, func(r checkResult) {
+		switch r {
+		case checkReachable:
 			d.guard.RecordAnswer(parts, at)
-			return
+		case checkCrashed:
+			d.recordCrash(t, parts, events, at)
 		}
-		d.recordCrash(t, parts, events, at)
 	})
 }
 
 // check calls record in the background once it is known whether a target has crashed. It does not
-// if too many checks are in progress.
-func (d *crashDetector) check(t *directory.Target, record func(crashed bool)) {
-	if !d.checks.submit(t, record) {
+// if too many checks are in progress. A result that the link of this node may explain is counted and
+// proves nothing.
+func (d *crashDetector) check(t *directory.Target, record func(checkResult)) {
+	submitted := d.checks.submit(t, func(r checkResult) {
+		if r == checkUnknown {
+			d.counters.broken.Add(brokenLink)
+		}
+		record(r)
+	})
+	if !submitted {
 		d.counters.broken.Add(brokenNotChecked)
 	}
 }
--- a/server/node/crashes_test.go
+++ b/server/node/crashes_test.go
@@ -108,6 +108,7 @@
 	d, err := newCrashDetector(daemon.NewLogger(io.Discard, "error", "node"), c, func() {})
 	assert.NilError(t, err)
 	d.reachable = func(*directory.Target) bool { return reachable() }
+	d.linkExplains = func(*directory.Target) bool { return false }
 	return d
 }
 
--- a/server/node/node.go
+++ b/server/node/node.go
@@ -153,6 +153,7 @@
 	}
 	n.link.probe, n.link.closeIdle = n.targets.Probe, n.targets.CloseIdle
 	n.targets.ObserveLink(n.link)
+	n.crashes.linkExplains = n.link.explains
 	n.gateway = gateway.New(n.gatewaySettings(), n.directory, n.targets, n.exchanger, o)
 	n.front, err = platform.NewFront(n.gateway, log, n.badInput(c))
 	if err != nil {
--- a/server/node/reach.go
+++ b/server/node/reach.go
@@ -31,6 +31,8 @@
 	fieldTargets = "targets"
 	// maxProbes bounds the probes in progress.
 	maxProbes = 8
+	// maxReferences is the number of targets that are compared with one that cannot be reached.
+	maxReferences = 3
 )
 
 // targetLink probes targets to find out whether this node has lost its link to them.
@@ -103,6 +105,27 @@
 	}
 }
 
+// explains reports whether a target that cannot be reached may be sound: the link is lost, or no
+// other target of its data centre can be reached either, or none at all if it is alone there. It
+// opens up to maxReferences connections, one after the other. Without another target it returns
+// false.
+func (l *targetLink) explains(t *directory.Target) bool {
+	if l.Lost() {
+		return true
+	}
+	targets, candidates := l.candidates(func(o *directory.Target) bool { return o.Hash != t.Hash && o.DataCentre == t.DataCentre })
+	if len(targets) == 0 {
+		targets, candidates = l.candidates(func(o *directory.Target) bool { return o.Hash != t.Hash })
+	}
+	for _, i := range reach.Pick(candidates, maxReferences, rand.Uint64()) {
+		if l.probe(targets[i], reach.ProbeTimeout) == nil {
+			l.probes.Add(probeConnected)
+			return false
+		}
+	}
+	return len(targets) > 0
+}
+
 // candidates returns the targets that accept returns true for and that are not leaving. A nil accept
 // accepts all.
 func (l *targetLink) candidates(accept func(*directory.Target) bool) (targets []*directory.Target, candidates []reach.Candidate) {
--- a/server/node/reach_test.go
+++ b/server/node/reach_test.go
@@ -156,3 +156,44 @@
 	w.check(now)
 	assert.Assert(t, !silent.Load.Suspected() && ordered.Load.Suspected())
 }
+
+// Guards against a lost link, or a data centre of targets that this node has lost, that counts as a
+// crash of an engine, and against crashes that no longer count.
+func TestCutIsNoCrash(t *testing.T) {
+	for name, c := range map[string]struct {
+		reaches func(*directory.Target) bool
+		want    bool
+	}{
+		"crashed":     {func(t *directory.Target) bool { return t.ID != "a" }, false},
+		"link":        {unreachable, true},
+		"data centre": {func(t *directory.Target) bool { return t.DataCentre == "dc1" }, true},
+	} {
+		runLink(t, func(e *linkEnv) {
+			e.reaches = c.reaches
+			assert.Equal(t, e.explains(e.directory.Load().Target("a")), c.want, name)
+		})
+	}
+	runLink(t, func(e *linkEnv) {
+		e.reaches = unreachable
+		for _, id := range []types.TargetID{"b", "c", "d", "e", "f"} {
+			e.directory.Remove(id, time.Now(), 0)
+		}
+		assert.Assert(t, !e.explains(e.directory.Load().Target("a")), "the only target")
+	})
+}
+
+// Guards against a cut that is told to all nodes as evidence against a prompt part, and one that
+// counts as an answer.
+func TestCutProvesNothingAboutAPrompt(t *testing.T) {
+	for _, explained := range []bool{true, false} {
+		d := newTestDetector(t, func() bool { return false })
+		d.linkExplains = func(*directory.Target) bool { return explained }
+		for i := range uint64(3) {
+			engine := &directory.Target{Hash: 7 + i}
+			d.RecordBroken(engine, []directory.Part{{ID: 0xbad}}, 0)
+			d.RecordUnmarkedEnd(engine, []directory.Part{{ID: 0xbad}}, 1)
+		}
+		assert.Equal(t, len(evaluateChecks(t, d)) == 0, explained)
+		assert.Equal(t, d.guard.KnownCrash(directory.Lifetime{Target: 7}), !explained)
+	}
+}
--- a/server/node/reachability.go
+++ b/server/node/reachability.go
@@ -17,31 +17,40 @@
 	maxCheckWaiters = 256
 )
 
+// checkResult is what the check of a target proves about it.
+type checkResult int
+
+const (
+	checkUnknown   checkResult = iota // this node may have lost its link to the target
+	checkReachable                    // it accepts connections
+	checkCrashed
+)
+
 // reachabilityChecks finds out in the background whether targets have crashed. Of the responses
 // that a crash ends together, the first starts the check of their target, and the others wait for
 // its result.
 type reachabilityChecks struct {
 	pool *ants.Pool
-	// crashed reports whether a target has crashed. It may block.
-	crashed func(*directory.Target) bool
+	// check finds out whether a target has crashed. It may block.
+	check func(*directory.Target) checkResult
 
 	mu sync.Mutex
 	// waiters are called with the result of the next check. A key exists while its target is
 	// checked.
-	waiters map[directory.Lifetime][]func(crashed bool)
+	waiters map[directory.Lifetime][]func(checkResult)
 }
 
-func newReachabilityChecks(crashed func(*directory.Target) bool) (*reachabilityChecks, error) {
+func newReachabilityChecks(check func(*directory.Target) checkResult) (*reachabilityChecks, error) {
 	pool, err := ants.NewPool(maxReachabilityChecks, ants.WithNonblocking(true), ants.WithDisablePurge(true))
 	if err != nil {
 		return nil, err
 	}
-	return &reachabilityChecks{pool: pool, crashed: crashed, waiters: map[directory.Lifetime][]func(bool){}}, nil
+	return &reachabilityChecks{pool: pool, check: check, waiters: map[directory.Lifetime][]func(checkResult){}}, nil
 }
 
 // submit calls record with the result of a check that begins after the call. It returns false, and
 // never calls record, if too many checks or responses are waiting.
-func (c *reachabilityChecks) submit(t *directory.Target, record func(crashed bool)) bool {
+func (c *reachabilityChecks) submit(t *directory.Target, record func(checkResult)) bool {
 	l := t.Lifetime()
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -56,15 +65,15 @@
 // run checks a target until no response waits for a check.
 func (c *reachabilityChecks) run(t *directory.Target, l directory.Lifetime) {
 	for waiters := c.take(l); len(waiters) > 0; waiters = c.take(l) {
-		crashed := c.crashed(t)
+		result := c.check(t)
 		for _, record := range waiters {
-			record(crashed)
+			record(result)
 		}
 	}
 }
 
 // take returns the waiters for the next check, or ends the checks of the target if there are none.
-func (c *reachabilityChecks) take(l directory.Lifetime) []func(crashed bool) {
+func (c *reachabilityChecks) take(l directory.Lifetime) []func(checkResult) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	waiters := c.waiters[l]
--- a/tools/mutations/faults.go
+++ b/tools/mutations/faults.go
@@ -229,4 +229,7 @@
 	{"reach: targets stall for a link in doubt", "server/node/watch.go", "			if w.link.InDoubt() {\n", "			if false {\n", "server/node TestLostLinkStallsNoTargets"},
 	{"reach: silent targets are no evidence", "server/node/watch.go", "				w.link.RecordSuspicion(t.Hash, clock.Now())\n", "				_ = clock.Now()\n", "server/node TestLostLinkStallsNoTargets"},
 	{"reach: doubt ends suspensions", "server/node/watch.go", "limit = math.MaxInt64 // only suspensions count", "limit = math.MaxInt64; return", "server/node TestLostLinkStallsNoTargets"},
+	{"reach: a cut is a crash", "server/node/crashes.go", "		case d.linkExplains(t):\n", "		case false:\n", "server/node TestCutProvesNothingAboutAPrompt"},
+	{"reach: other data centres prove a crash", "server/node/reach.go", "o.Hash != t.Hash && o.DataCentre == t.DataCentre", "o.Hash != t.Hash", "server/node TestCutIsNoCrash"},
+	{"reach: no crash without another target", "server/node/reach.go", "	return len(targets) > 0\n", "	return true\n", "server/node TestCutIsNoCrash"},
 }
