--- a/server/node/node.go
+++ b/server/node/node.go
@@ -414,7 +414,7 @@
 		k := &roleController{
 			log: n.log, gateway: n.gateway, directory: n.directory, targets: n.targets, self: n.machine.VM,
 			lease:      newLeaseClaimer(n.store, holder, n.machine.MinHolderGap, n.machine.ChecksFencing),
-			fixedShare: float64(n.settings.PrefillShare) / 1000, bootstrap: n.machine.Bootstrap, demand: n.exchanger.Demand, rank: n.rank, notifySuspended: n.exchanger.NotifyLoadChange,
+			fixedShare: float64(n.settings.PrefillShare) / 1000, bootstrap: n.machine.Bootstrap, demand: n.exchanger.Demand, rank: n.rank, linkLost: n.link.Lost, notifySuspended: n.exchanger.NotifyLoadChange,
 		}
 		go k.run(serving)
 	}
--- a/server/node/roles.go
+++ b/server/node/roles.go
@@ -56,6 +56,8 @@
 	demand func(types.ServiceID) demand.Work
 	// rank returns the rank of this node; the node of rank 0 sends orders first.
 	rank func() int
+	// linkLost reports whether this node has lost its link to the engines.
+	linkLost func() bool
 	// notifySuspended publishes to the other nodes that an engine takes no requests until its role
 	// has changed.
 	notifySuspended func(*directory.Target)
@@ -80,10 +82,11 @@
 	}
 }
 
-// step sends the planned orders once the roles have deviated from the plan for long enough.
+// step sends the planned orders once the roles have deviated from the plan for long enough. A node
+// without a link to the engines waits as if they matched, so that the next one sends the orders.
 func (k *roleController) step(ctx context.Context, now time.Time) {
 	changes := k.plan(now)
-	if len(changes) == 0 {
+	if len(changes) == 0 || k.linkLost() {
 		k.deviatesSince, k.backoff = time.Time{}, 0
 		return
 	}
@@ -100,8 +103,11 @@
 	}
 }
 
-// sendOrders claims the lease and sends an order for each change. It stops when the grant expires
-// or ctx ends. An order that was sent by then is recorded and published.
+// errLinkLost reports that this node has lost its link to the engines.
+var errLinkLost = errors.New("link to the engines lost")
+
+// sendOrders claims the lease and sends an order for each change. It stops when the grant expires,
+// the link to the engines is lost or ctx ends. An order that was sent by then is recorded and published.
 func (k *roleController) sendOrders(ctx context.Context, changes []planning.ShareChange) error {
 	if err := ctx.Err(); err != nil {
 		return err
@@ -111,7 +117,12 @@
 		return err
 	}
 	k.log.WithField(daemon.FieldFencingNumber, g.fence).Info("lease taken")
-	check := func() error { return errors.Join(ctx.Err(), g.check()) }
+	check := func() error {
+		if k.linkLost() {
+			return errLinkLost
+		}
+		return errors.Join(ctx.Err(), g.check())
+	}
 	var failed error
 	for _, c := range changes {
 		if err := ctx.Err(); err != nil {
@@ -130,7 +141,7 @@
 			k.recordOrder(t, c.Role)
 		}
 		failed = errors.Join(failed, err)
-		if errors.Is(err, errGrantExpired) {
+		if errors.Is(err, errGrantExpired) || errors.Is(err, errLinkLost) {
 			break
 		}
 	}
--- a/server/node/roles_test.go
+++ b/server/node/roles_test.go
@@ -156,7 +156,7 @@
 	g.SetTable(routes.NewTable(1, routes.Limits{}, nil, []routes.Service{{Name: "llm", Engine: &routes.Engine{RoleChangeTime: 3 * time.Second}}, {Name: "desk"}}))
 	return &roleController{
 		log: daemon.NewLogger(io.Discard, "error", "node"), gateway: g, directory: d, targets: o, fixedShare: 0.5, self: "vm",
-		lease: newTestClaimer(&fakeLog{}, "vm"), rank: func() int { return rank }, notifySuspended: func(*directory.Target) {}, ordered: map[types.TargetID]orderedRole{},
+		lease: newTestClaimer(&fakeLog{}, "vm"), rank: func() int { return rank }, linkLost: func() bool { return false }, notifySuspended: func(*directory.Target) {}, ordered: map[types.TargetID]orderedRole{},
 	}
 }
 
@@ -239,6 +239,42 @@
 	})
 }
 
+// Guards against a node without a link to the engines that takes the lease, or goes on under it, so
+// that nobody can send orders.
+func TestLostLinkLeavesOrdersToTheNextNode(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx := context.Background()
+		l := &fakeLog{}
+		lost := true
+		failing := &fakeRoleSetter{respond: func() (authority.Outcome, error) {
+			lost = true
+			return authority.OutcomeNotSent, errors.New("no connection")
+		}}
+		k := newTestRoleController(failing, 0)
+		k.linkLost = func() bool { return lost }
+		k.lease = newTestClaimer(l, "vm")
+		run := func(d time.Duration, nodes ...*roleController) {
+			for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(roleInterval) {
+				for _, k := range nodes {
+					k.step(ctx, time.Now())
+				}
+			}
+		}
+		run(20*time.Second, k)
+		assert.Equal(t, len(l.records), 0, "claim without a link")
+		lost = false
+		run(2*roleSettleTime, k)
+		assert.Equal(t, len(failing.orders), 1, "orders after the link was lost")
+		claims := len(l.records)
+		o := &fakeRoleSetter{respond: func() (authority.Outcome, error) { return authority.OutcomeAccepted, nil }}
+		next := newTestRoleController(o, 1)
+		next.self, next.lease = "next", newTestClaimer(l, "next")
+		run(leasePeriods*leasePeriod+roleSettleTime+roleTakeoverStep+maxRoleBackoff, k, next)
+		assert.Equal(t, len(o.orders), 2)
+		assert.Assert(t, len(l.records) > claims && len(failing.orders) == 1)
+	})
+}
+
 // Guards against orders of a node that has just started, whose only plan is the roles of the engines
 // that it saw first.
 func TestStartedNodeKeepsRolesOfReturningEngines(t *testing.T) {
--- a/tools/mutations/faults.go
+++ b/tools/mutations/faults.go
@@ -232,4 +232,6 @@
 	{"reach: a cut is a crash", "server/node/crashes.go", "		case d.linkExplains(t):\n", "		case false:\n", "server/node TestCutProvesNothingAboutAPrompt"},
 	{"reach: other data centres prove a crash", "server/node/reach.go", "o.Hash != t.Hash && o.DataCentre == t.DataCentre", "o.Hash != t.Hash", "server/node TestCutIsNoCrash"},
 	{"reach: no crash without another target", "server/node/reach.go", "	return len(targets) > 0\n", "	return true\n", "server/node TestCutIsNoCrash"},
+	{"reach: claim without a link", "server/node/roles.go", "len(changes) == 0 || k.linkLost()", "len(changes) == 0", "server/node TestLostLinkLeavesOrdersToTheNextNode"},
+	{"reach: orders go on without a link", "server/node/roles.go", "		if k.linkLost() {\n", "		if false {\n", "server/node TestLostLinkLeavesOrdersToTheNextNode"},
 }
