--- a/tools/mutations/faults.go
+++ b/tools/mutations/faults.go
@@ -234,4 +234,5 @@
 	{"reach: no crash without another target", "server/node/reach.go", "	return len(targets) > 0\n", "	return true\n", "server/node TestCutIsNoCrash"},
 	{"reach: claim without a link", "server/node/roles.go", "len(changes) == 0 || k.linkLost()", "len(changes) == 0", "server/node TestLostLinkLeavesOrdersToTheNextNode"},
 	{"reach: orders go on without a link", "server/node/roles.go", "		if k.linkLost() {\n", "		if false {\n", "server/node TestLostLinkLeavesOrdersToTheNextNode"},
+	{"reach: broken idle connection fails its target", "platform/lifetime.go", "	if x.reused && (", "	if !x.reused && (", "platform TestBrokenIdleConnectionDoesNotFailTheTarget"},
 }
