--- a/server/node/node.go
+++ b/server/node/node.go
@@ -29,6 +29,7 @@
 	"github.com/lentilpick/lentilpick/gateway"
 	"github.com/lentilpick/lentilpick/loadshare"
 	"github.com/lentilpick/lentilpick/mirror"
+	"github.com/lentilpick/lentilpick/peerauth"
 	"github.com/lentilpick/lentilpick/placement"
 	"github.com/lentilpick/lentilpick/platform"
 	"github.com/lentilpick/lentilpick/routes"
@@ -95,7 +96,12 @@
 	link      *targetLink
 	crashes   *crashDetector
 	members   *memberHandler
-	peers     atomic.Pointer[[]Member] // nil until the member list is loaded
+	forwarder *forwarder
+	// identity authenticates this process to the other nodes, and authenticator them to this one.
+	identity      *peerauth.Identity
+	authenticator *peerauth.Peers
+	peerKeys      map[types.VMID]peerKey   // used by setPeers only
+	peers         atomic.Pointer[[]Member] // nil until the member list is loaded
 	// mirrors holds the newest records of each feed, for nodes that start during an outage of
 	// the store.
 	mirrors [len(wireFeeds)]mirror.Feed
@@ -148,18 +154,18 @@
 	o.shutdown, o.stopped = &n.shutdown, &n.stopped
 	n.targets = platform.NewTargets(newTargetSignals(log, c, n.directory, n.exchanger.NotifyLeaving, n.exchanger.NotifyLimit))
 	n.crashes.reachable = n.targets.Reachable
-	if n.link, err = newTargetLink(log, n.metrics, n.directory); err != nil {
+	if err := n.observeLink(); err != nil {
+		return nil, err
+	}
+	if err := n.joinPeers(); err != nil {
 		return nil, err
 	}
-	n.link.probe, n.link.closeIdle = n.targets.Probe, n.targets.CloseIdle
-	n.targets.ObserveLink(n.link)
-	n.crashes.linkExplains = n.link.explains
 	n.gateway = gateway.New(n.gatewaySettings(), n.directory, n.targets, n.exchanger, o)
 	n.front, err = platform.NewFront(n.gateway, log, n.badInput(c))
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrStart, err)
 	}
-	n.members = &memberHandler{outageLogger: outageLogger{log: log.WithField(fieldSource, "members")}, self: m.VM, onChange: n.setPeers}
+	n.members = &memberHandler{outageLogger: outageLogger{log: log.WithField(fieldSource, "members")}, self: m.VM, selfKey: n.identity.PublicKey(), onChange: n.setPeers}
 	n.setRetryLimits(minSavedRetries)
 	return n, n.registerGauges(o)
 }
@@ -196,7 +202,7 @@
 		Speed: placement.EngineSpeed{
 			PrefillTokensPerMs: float64(n.settings.PrefillTokensPerMs), PairsPerToken: float64(n.settings.PairsPerToken), PrefillSetup: prefillSetupTime, IterationTime: iterationTime, IterationTimePerStream: iterationTimePerStream,
 		},
-		TransferCostPerToken: transferCostPerToken, FetchCostPerToken: fetchCostPerToken, MaxBufferedBytes: n.machine.MemoryBytes / bufferDivisor, Demand: &n.demand, Crashes: n.crashes, Versions: n.versions, Shutdown: &n.shutdown, Now: time.Now,
+		TransferCostPerToken: transferCostPerToken, FetchCostPerToken: fetchCostPerToken, MaxBufferedBytes: n.machine.MemoryBytes / bufferDivisor, Demand: &n.demand, Crashes: n.crashes, Versions: n.versions, Peers: n.forwarder, Shutdown: &n.shutdown, Now: time.Now,
 	}
 }
 
@@ -273,6 +279,7 @@
 			peers = append(peers, m.peer())
 		}
 	}
+	n.setPeerKeys(members)
 	n.exchanger.SetPeers(n.self().peer(), peers)
 	n.setRetryLimits(retryBudgetShare * n.machine.RetryExtra / float64(len(members)+1))
 }
@@ -335,13 +342,17 @@
 	if err != nil {
 		return fmt.Errorf("%w: %w", ErrStart, err)
 	}
+	forwarded, err := config.Listen(ctx, "tcp4", n.internalAddress(n.machine.InternalPort))
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrStart, err)
+	}
 	metrics, err := net.Listen("tcp4", n.internalAddress(n.machine.MetricsPort))
 	if err != nil {
 		return fmt.Errorf("%w: %w", ErrStart, err)
 	}
 	background, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	failed := make(chan error, 4)
+	failed := make(chan error, 5)
 	if n.machine.ControlAddress != "" {
 		peers, err := net.Listen("tcp4", n.machine.ControlAddress)
 		if err != nil {
@@ -355,6 +366,7 @@
 	go func() { failed <- readiness.Serve(ready) }()
 	go func() { failed <- http.Serve(metrics, n.metricsHandler()) }()
 	go func() { failed <- n.front.Serve(callers) }()
+	go func() { failed <- n.front.ServePeers(forwarded, n.authenticator) }()
 	n.startBackground(background, ctx)
 	n.log.WithField(daemon.FieldAddress, n.machine.CallerAddress).Info("started")
 	for {
@@ -364,7 +376,7 @@
 		case <-hup:
 			n.reload()
 		case <-ctx.Done():
-			n.stop(callers)
+			n.stop(callers, forwarded)
 			return errors.Join(ready.Close(), metrics.Close())
 		}
 	}
@@ -459,7 +471,7 @@
 
 func (n *Node) self() Member {
 	return Member{
-		VM: n.machine.VM, DataCentre: n.machine.DataCentre,
+		VM: n.machine.VM, DataCentre: n.machine.DataCentre, Key: n.identity.PublicKey(),
 		Address: netip.AddrPortFrom(n.machine.IP, uint16(n.machine.InternalPort)), Cores: n.machine.Cores,
 	}
 }
--- a/server/node/reach.go
+++ b/server/node/reach.go
@@ -44,17 +44,20 @@
 	probe func(*directory.Target, time.Duration) error
 	// closeIdle closes the idle connections to all targets.
 	closeIdle func()
-	now       func() clock.Instant
-	pool      *ants.Pool
-	probes    *daemon.ReasonCounter
-	losses    metric.Int64Counter
+	// abandonDials ends the dials in progress, and notify publishes a change to the other nodes.
+	abandonDials, notify func()
+
+	now    func() clock.Instant
+	pool   *ants.Pool
+	probes *daemon.ReasonCounter
+	losses metric.Int64Counter
 	// timedOut is set if a probe of the last round has timed out. It is used by run, which causes each
 	// loss.
 	timedOut bool
 }
 
 func newTargetLink(log *logrus.Entry, m *daemon.Metrics, d *directory.Directory) (*targetLink, error) {
-	l := &targetLink{log: log, directory: d, now: clock.Now}
+	l := &targetLink{log: log, directory: d, now: clock.Now, abandonDials: func() {}, notify: func() {}}
 	l.Tracker = reach.New(reach.Settings{Changed: l.changed})
 	var err error
 	if l.probes, err = m.NewReasonCounter("lentilpick_link_probes", "New connections that test the link to the targets, by result.", probeResultNames); err != nil {
@@ -74,6 +77,18 @@
 	})
 }
 
+// observeLink begins to observe the connections to targets.
+func (n *Node) observeLink() (err error) {
+	if n.link, err = newTargetLink(n.log, n.metrics, n.directory); err != nil {
+		return err
+	}
+	n.link.probe, n.link.closeIdle, n.link.abandonDials = n.targets.Probe, n.targets.CloseIdle, n.targets.AbandonDials
+	n.link.notify = n.exchanger.NotifyCarrying
+	n.targets.ObserveLink(n.link)
+	n.crashes.linkExplains = n.link.explains
+	return nil
+}
+
 // run probes targets when the tracker asks for it, until ctx ends.
 func (l *targetLink) run(ctx context.Context) {
 	defer l.pool.Release()
@@ -175,7 +190,10 @@
 
 // changed implements reach.Settings.Changed.
 func (l *targetLink) changed(c reach.Change) {
+	l.notify()
 	if c.Lost {
+		// Their requests go through other nodes now.
+		l.abandonDials()
 		l.losses.Add(context.Background(), 1)
 		l.log.WithFields(logrus.Fields{fieldFailed: c.Failed, fieldTargets: l.directory.Load().Len(), "timed_out": l.timedOut}).Warn("link to the targets lost")
 		if l.timedOut {
--- a/server/node/stop.go
+++ b/server/node/stop.go
@@ -35,11 +35,12 @@
 
 // stop shuts the node down: it fails its readiness checks so that the platform sends no new
 // connections, then closes idle connections, and the others after their responses.
-func (n *Node) stop(callers net.Listener) {
+func (n *Node) stop(listeners ...net.Listener) {
 	began := time.Now()
 	end := began.Add(n.machine.StopGracePeriod - stopMargin)
 	n.shutdown.Begin(shutdown.Schedule{Began: began, AcceptUntil: began.Add(readinessDrainTime), End: end})
 	n.log.WithFields(logrus.Fields{fieldInProgress: n.front.InFlight(), fieldGraceLeft: millis(end.Sub(began))}).Info("stopping")
+	n.exchanger.NotifyCarrying()
 	n.front.DisableKeepAlive()
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
@@ -47,7 +48,9 @@
 	unregistered.Go(func() { unregisterMember(n.store, n.self()) })
 	daemon.Sleep(ctx, readinessDrainTime)
 	n.front.Stop(ctx)
-	_ = callers.Close()
+	for _, l := range listeners {
+		_ = l.Close()
+	}
 	unregistered.Wait()
 	n.log.WithFields(n.stopped.fields()).WithFields(logrus.Fields{
 		fieldInProgress: n.front.InFlight(), fieldGraceLeft: millis(time.Until(end)),
