--- a/server/node/node.go
+++ b/server/node/node.go
@@ -145,7 +145,11 @@
 	n.exchanger.ExchangeCrashes(n.crashes.guard)
 	o := newObserver(log, c, s.SampleEvery, s.LogRate)
 	o.shutdown, o.stopped = &n.shutdown, &n.stopped
-	n.targets = platform.NewTargets(newTargetSignals(log, c, n.directory, n.exchanger.NotifyLeaving, n.exchanger.NotifyLimit))
+	var options []platform.TargetsOption
+	if s.BindTargets {
+		options = append(options, platform.FromAddress(m.IP))
+	}
+	n.targets = platform.NewTargets(newTargetSignals(log, c, n.directory, n.exchanger.NotifyLeaving, n.exchanger.NotifyLimit), options...)
 	n.crashes.reachable = n.targets.Reachable
 	n.gateway = gateway.New(n.gatewaySettings(), n.directory, n.targets, n.exchanger, o)
 	n.front, err = platform.NewFront(n.gateway, log, n.badInput(c))
--- a/server/node/settings.go
+++ b/server/node/settings.go
@@ -40,6 +40,9 @@
 	// RemoteByteCost is the cost of sending one byte to another data centre, as an equivalent delay
 	// of the first token.
 	RemoteByteCost time.Duration `toml:"remote_byte"`
+	// BindTargets opens connections to targets from the address that the platform gives the VM. On a
+	// VM with several addresses the routing table chooses one otherwise.
+	BindTargets bool `toml:"bind_targets"`
 	// Profiling serves profiles of the process beside its metrics.
 	Profiling bool `toml:"profiling"`
 	// GCPercent is the heap growth, in percent, that triggers a garbage collection.
--- a/transport/pool.go
+++ b/transport/pool.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -25,6 +26,8 @@
 	// UserTimeout, if not 0, bounds the time that written data may stay
 	// unacknowledged by the peer (TCP_USER_TIMEOUT).
 	UserTimeout time.Duration
+	// LocalAddress, if valid, is the address from which connections are opened.
+	LocalAddress netip.Addr
 	// Wrap, if not nil, is applied to each new connection.
 	Wrap func(net.Conn) net.Conn
 }
@@ -41,6 +44,10 @@
 // NewPool returns a pool with no open connections.
 func NewPool(s Settings) *Pool {
 	p := &Pool{settings: s, dialer: net.Dialer{Control: UserTimeoutControl(s.UserTimeout)}}
+	if s.LocalAddress.IsValid() {
+		p.dialer.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(s.LocalAddress, 0))
+		p.dialer.Control = bindWithoutPort(p.dialer.Control)
+	}
 	p.hosts.Store(&map[string]*host{})
 	return p
 }
@@ -63,6 +70,27 @@
 	}
 }
 
+// bindWithoutPort returns a Control function that delays the choice of the local port until the
+// connection is opened, after next, which may be nil. A port that is reserved without a destination
+// can be used by one connection only, which bounds those to all targets together.
+func bindWithoutPort(next func(network, address string, c syscall.RawConn) error) func(network, address string, c syscall.RawConn) error {
+	return func(network, address string, c syscall.RawConn) error {
+		if next != nil {
+			if err := next(network, address, c); err != nil {
+				return err
+			}
+		}
+		var set error
+		err := c.Control(func(fd uintptr) {
+			set = unix.SetsockoptInt(int(fd), unix.IPPROTO_IP, unix.IP_BIND_ADDRESS_NO_PORT, 1)
+		})
+		if err != nil {
+			return err
+		}
+		return set
+	}
+}
+
 // host holds the idle connections to one target and the number of all open ones.
 type host struct {
 	address string
