--- a/Makefile
+++ b/Makefile
@@ -28,7 +28,7 @@
 DURATION ?= 8s
 SCENARIO ?= faults
 STOPS ?=
-soak: build ## Runs nodes under random faults, or another SCENARIO (stops, changes, keys, versions); set SEED, RUNS, DURATION (of each run) and STOPS (flags of the stops).
+soak: build ## Runs nodes under random faults, or another SCENARIO (stops, changes, keys, versions, cuts); set SEED, RUNS, DURATION (of each run) and STOPS (flags of the stops).
 	./$(BIN)/lentilpick-load soak --bin $(BIN) --scenario $(SCENARIO) --seed $(SEED) --runs $(RUNS) --duration $(DURATION) $(STOPS)
 
 faults: build ## Runs the fault scenarios with real processes; writes out/faults.json.
--- a/cmd/internal/soak/deployment.go
+++ b/cmd/internal/soak/deployment.go
@@ -66,6 +66,8 @@
 	// direct registers the targets without links, so that a target that is down refuses
 	// connections.
 	direct bool
+	// linkPerNode puts links in front of the targets that tell nodes apart.
+	linkPerNode bool
 }
 
 // deployment is a set of nodes, targets and a store on loopback addresses.
@@ -74,7 +76,8 @@
 	binDir, outDir string
 	store          *standin.Store
 	targets        []*standin.Target
-	targetLinks    []*link // in front of the targets
+	targetLinks    []*link     // in front of the targets
+	nodeLinks      []*nodeLink // the same with linkPerNode
 	nodes          []*node
 	configVersion  int
 	// plannedShare is the share of prefill engines in the settings of nodes that start.
@@ -109,6 +112,15 @@
 			d.targets = append(d.targets, t)
 			continue
 		}
+		if l.linkPerNode {
+			link, err := newNodeLink(t.Address())
+			if err != nil {
+				return nil, err
+			}
+			t.SetProxyAddress(link.address())
+			d.targets, d.nodeLinks = append(d.targets, t), append(d.nodeLinks, link)
+			continue
+		}
 		link, err := newLink(t.Address())
 		if err != nil {
 			return nil, err
@@ -202,6 +214,9 @@
 func (d *deployment) startNode(n *node) error {
 	settings := filepath.Join(d.outDir, n.name+"-settings.toml")
 	text := fmt.Sprintf("prefill_share = %d\nsample_one = 1\nlog_rate = 10000\n", d.plannedShare.Load())
+	if d.linkPerNode {
+		text += "bind_targets = true\n"
+	}
 	if d.logLevel != "" {
 		text += fmt.Sprintf("log_level = %q\n", d.logLevel)
 	}
@@ -244,6 +259,9 @@
 		n.waitExit(time.Second)
 		_ = n.log.Close()
 	}
+	for _, l := range d.nodeLinks {
+		l.close()
+	}
 	for _, t := range d.targets {
 		t.Close()
 	}
--- a/cmd/internal/soak/soak.go
+++ b/cmd/internal/soak/soak.go
@@ -23,10 +23,11 @@
 	Seed     uint64           `default:"1" help:"First seed."`
 	Runs     int              `default:"1" help:"Number of consecutive seeds to run, one after the other."`
 	Duration time.Duration    `default:"8s" help:"Duration of fault injection in each run."`
-	Scenario string           `default:"faults" enum:"faults,stops,changes,keys,versions" help:"faults: random faults of all kinds; stops: series of planned stops; changes: series of changes of a large configuration; keys: workspaces whose keys change; versions: targets of several software versions that crash under streams."`
+	Scenario string           `default:"faults" enum:"faults,stops,changes,keys,versions,cuts" help:"faults: random faults of all kinds; stops: series of planned stops; changes: series of changes of a large configuration; keys: workspaces whose keys change; versions: targets of several software versions that crash under streams; cuts: nodes lose their links to targets."`
 	Stops    StopsSettings    `embed:"" prefix:"stops-"`
 	Changes  ChangesSettings  `embed:"" prefix:"changes-"`
 	Versions VersionsSettings `embed:"" prefix:"versions-"`
+	Cuts     CutsSettings     `embed:"" prefix:"cuts-"`
 }
 
 // Run implements the command.
@@ -55,6 +56,8 @@
 		return runKeys(c.Bin, out, seed, c.Duration)
 	case "versions":
 		return runVersions(c.Bin, out, seed, c.Duration, c.Versions)
+	case "cuts":
+		return runCuts(c.Bin, out, seed, c.Duration, c.Cuts)
 	}
 	return runFaults(c.Bin, out, seed, c.Duration)
 }
--- a/tools/mutations/faults.go
+++ b/tools/mutations/faults.go
@@ -185,6 +185,8 @@
 	{"callers: shared key identifies its last owner", "workspaces/workspaces.go", "if found != nil && found.name != e.owner.name {", "if false {", "workspaces TestInvalidEntriesAreLeftOut"},
 	{"callers: removed keys stay", "workspaces/workspaces.go", "			if changes[e] < 0 {", "			if false {", "workspaces TestNextIsTheSameAsAnew"},
 	{"callers: digests are compared by their beginning", "workspaces/workspaces.go", "subtle.ConstantTimeCompare(e.digest[:], c.digest[:]) != 1", "subtle.ConstantTimeCompare(e.digest[:8], c.digest[:8]) != 1", "workspaces TestWholeDigestIsCompared"},
+	{"targets: local address is not configured", "platform/targets.go", "s.LocalAddress = a }", "_ = a }", "platform TestConnectionsStartFromTheConfiguredAddress"},
+	{"targets: local address is not used", "transport/pool.go", "p.dialer.LocalAddr = net", "_ = net", "platform TestConnectionsStartFromTheConfiguredAddress"},
 	{"stops: requests that have not arrived get no response", "platform/front.go", "		c.endRead()\n", "", "platform TestStopRefusesRequestsThatHaveNotArrived"},
 	{"versions: rest of a stream from any version", "gateway/stream.go", "s.binding = versionBinding{t.Version, true}", "_ = t.Version", "gateway TestRestOfStreamKeepsVersion"},
 	{"versions: resumption at the version of a new stream", versions, "	case s.r.resumes():\n", "	case false:\n", "gateway TestVersionOverTries"},
