--- a/cmd/internal/soak/deployment.go
+++ b/cmd/internal/soak/deployment.go
@@ -158,11 +158,12 @@
 
 func (d *deployment) dataCentre(i int) string { return fmt.Sprintf("dc%d", i%d.dataCentres+1) }
 
-// freePorts returns different ports that are free. It holds all of them until it has the last one,
+// freePorts returns different ports that are free at an address: connections from it of an earlier
+// run may still hold ports that are free elsewhere. It holds all of them until it has the last one,
 // because a port that is released can be drawn again.
-func freePorts(n int) (ports []int, err error) {
+func freePorts(ip string, n int) (ports []int, err error) {
 	for range n {
-		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		l, err := net.Listen("tcp4", net.JoinHostPort(ip, "0"))
 		if err != nil {
 			return nil, err
 		}
@@ -191,7 +192,7 @@
 		return err
 	}
 	n := &node{name: fmt.Sprintf("node-%d", i+1), ip: ip, storeLink: l}
-	ports, err := freePorts(2) // for callers and for readiness checks
+	ports, err := freePorts(ip, 2) // for callers and for readiness checks
 	if err != nil {
 		return err
 	}
--- a/cmd/internal/soak/soak_test.go
+++ b/cmd/internal/soak/soak_test.go
@@ -88,7 +88,7 @@
 
 // Guards against a node that cannot start because two of its addresses have the same port.
 func TestFreePortsDiffer(t *testing.T) {
-	ports, err := freePorts(400)
+	ports, err := freePorts("127.0.0.1", 400)
 	assert.NilError(t, err)
 	slices.Sort(ports)
 	assert.Equal(t, len(slices.Compact(ports)), 400)
