--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -258,6 +258,9 @@
 	if s.Crashes == nil {
 		s.Crashes = noCrashGuard{}
 	}
+	if s.Peers == nil {
+		s.Peers = noPeers{}
+	}
 	if s.Shutdown == nil {
 		s.Shutdown = &shutdown.State{}
 	}
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -25,6 +25,16 @@
 	Send(ctx context.Context, to types.VMID, c *PeerCall) (Response, error)
 }
 
+// noPeers is a deployment of one daemon.
+type noPeers struct{}
+
+func (noPeers) TargetsLost() bool                                { return false }
+func (noPeers) Choose(*Request, []types.VMID) (types.VMID, bool) { return "", false }
+
+func (noPeers) Send(context.Context, types.VMID, *PeerCall) (Response, error) {
+	return nil, ErrNotSent
+}
+
 // PeerCall is a request that another daemon serves in place of this one.
 type PeerCall struct {
 	Request *Request
@@ -103,8 +113,7 @@
 // mustForward reports whether the request is sent to another daemon before any target. A request is
 // forwarded once at most.
 func (x *exchange) mustForward() bool {
-	p := x.g.settings.Peers
-	return p != nil && x.r.Forwarded == nil && !x.peersTried && (x.unreachable >= maxUnreachable || p.TargetsLost())
+	return x.r.Forwarded == nil && !x.peersTried && (x.unreachable >= maxUnreachable || x.g.settings.Peers.TargetsLost())
 }
 
 // sendThroughPeers sends the request through another daemon. use passes the response on. The error is
@@ -189,7 +198,7 @@
 	if x.table.Version < f.ConfigVersion {
 		return types.RefusedPeerConfiguration, false
 	}
-	if p := x.g.settings.Peers; p != nil && p.TargetsLost() {
+	if x.g.settings.Peers.TargetsLost() {
 		return types.RefusedPeerTargets, false
 	}
 	x.caller = f.Caller
@@ -199,6 +208,15 @@
 	return 0, true
 }
 
+// endForwarded ends a request of another daemon that no target has received, once this daemon has lost
+// its links to the targets: the other daemon sends it to the next one. It returns nil otherwise.
+func (x *exchange) endForwarded() types.Outcome {
+	if x.r.Forwarded == nil || x.callerAttempt.Sent() || x.started || !x.g.settings.Peers.TargetsLost() {
+		return nil
+	}
+	return x.refuse(types.RefusedPeerTargets, 0)
+}
+
 // forwardPlain sends a request of a plain service through another daemon.
 func (x *exchange) forwardPlain() error {
 	return x.sendThroughPeers(Forwarded{}, x.r.ResumeAfter, func(resp Response) error {
--- a/gateway/peers_test.go
+++ b/gateway/peers_test.go
@@ -182,6 +182,25 @@
 	assert.Equal(t, len(p.calls), 0)
 }
 
+// Guards against a forwarded request that waits for the dials of a daemon that loses its links as well,
+// instead of going to the next one, and against a proof that it has not run when it may have.
+func TestForwardedRequestEndsWithTheLinks(t *testing.T) {
+	for err, want := range map[error]string{ErrNotSent: "not_run peer_targets_lost", ErrStalled: "answered"} {
+		for _, path := range []string{"/read/x", "/resume/x"} {
+			w, p := newForwardingGateway(false)
+			ok := w.targets.send
+			w.targets.send = func(ctx context.Context, c *Call) (Response, error) {
+				if p.lost {
+					return ok(ctx, c)
+				}
+				p.lost = true
+				return nil, err
+			}
+			assert.Equal(t, outcomeText(w.serveForwarded(path, Forwarded{}).Outcome), want, path)
+		}
+	}
+}
+
 // Guards against a forwarded request that runs without the workspace and the priority of its caller,
 // at another software version than its stream, or more often than its route allows; and against one
 // that counts twice in the retry budget or in the demand.
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -30,6 +30,9 @@
 				return end.outcome
 			}
 		}
+		if o := x.endForwarded(); o != nil {
+			return o
+		}
 		c := x.pickTarget(placement.Available{}, placement.PlainScorer{Costs: x.g.settings.Costs, ServiceTime: plainServiceTime})
 		if c.Target == nil {
 			return x.noTarget()
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -88,6 +88,9 @@
 			return err
 		}
 	}
+	if o := s.endForwarded(); o != nil {
+		return &outcomeError{o}
+	}
 	return s.sendOnce()
 }
 
