--- a/server/node/watch.go
+++ b/server/node/watch.go
@@ -26,6 +26,9 @@
 	plainProgressTimeout = 400 * time.Millisecond
 	// suspicionTime is how long a stalled target gets no new requests.
 	suspicionTime = 700 * time.Millisecond
+	// minSilentTogether is the number of targets whose silence at the same time may be due to the
+	// link of this node.
+	minSilentTogether = 2
 )
 
 // watchTargets takes targets out of use while they make no progress on requests of this node, and
@@ -58,16 +61,12 @@
 	// A node that gets its updates from others may not read the store for some time, so the end
 	// of the grace period is checked here.
 	logChanges(w.log, w.directory.Expire(now))
+	w.checkLink(now)
 	w.directory.Load().All(func(t *directory.Target) {
 		suspected, limit := t.Load.Suspected(), progressTimeout(t)
-		if t.Load.Stalled(now, limit) {
-			if !suspected {
-				w.link.RecordSuspicion(t.Hash, clock.Now())
-			}
-			if w.link.InDoubt() {
-				t.Load.PauseUntil(now.Add(suspicionTime))
-				limit = math.MaxInt64 // only suspensions count
-			}
+		if w.link.InDoubt() && t.Load.Stalled(now, limit) {
+			t.Load.PauseUntil(now.Add(suspicionTime))
+			limit = math.MaxInt64 // only suspensions count
 		}
 		if !t.Load.CheckActivity(now, limit, suspicionTime) {
 			return
@@ -79,6 +78,23 @@
 	})
 }
 
+// checkLink records a suspicion if several targets become silent together. One that is slow is usual
+// and costs no probes.
+func (w *progressWatcher) checkLink(now time.Time) {
+	var silent []uint64
+	w.directory.Load().All(func(t *directory.Target) {
+		if !t.Load.Suspected() && t.Load.Stalled(now, progressTimeout(t)) {
+			silent = append(silent, t.Hash)
+		}
+	})
+	if len(silent) < minSilentTogether {
+		return
+	}
+	for _, hash := range silent {
+		w.link.RecordSuspicion(hash, clock.Now())
+	}
+}
+
 func progressTimeout(t *directory.Target) time.Duration {
 	switch t.Role {
 	case types.RolePrefill:
