--- a/transport/conn.go
+++ b/transport/conn.go
@@ -342,6 +342,10 @@
 	if !ok || c.r.Buffered() > 0 {
 		return false
 	}
+	// The check is a read and would fail after the deadline of the last response.
+	if err := c.SetReadDeadline(time.Time{}); err != nil {
+		return false
+	}
 	raw, err := s.SyscallConn()
 	if err != nil {
 		return false
--- a/transport/suspicion_test.go
+++ b/transport/suspicion_test.go
@@ -73,3 +73,25 @@
 		t.Fatalf("error %v, deadlines %v", err, raw.deadlines)
 	}
 }
+
+// Guards against an idle connection that is closed because the deadline of its last response has
+// passed, so that the next request opens a new one.
+func TestIdleConnectionOutlivesDeadlineOfItsResponse(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	raw, err := net.Dial("tcp4", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := newConn(raw)
+	defer c.Close()
+	if err := c.SetReadDeadline(time.Now().Add(-time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	if !c.Reusable() {
+		t.Fatal("not reusable")
+	}
+}
