--- a/tools/mutations/faults.go
+++ b/tools/mutations/faults.go
@@ -237,4 +237,5 @@
 	{"reach: orders go on without a link", "server/node/roles.go", "		if k.linkLost() {\n", "		if false {\n", "server/node TestLostLinkLeavesOrdersToTheNextNode"},
 	{"reach: broken idle connection fails its target", "platform/lifetime.go", "	if x.reused && (", "	if !x.reused && (", "platform TestBrokenIdleConnectionDoesNotFailTheTarget"},
 	{"reach: idle connections end with a deadline", "transport/conn.go", "	if err := c.SetReadDeadline(time.Time{}); err != nil {\n", "	if false {\n", "transport TestIdleConnectionOutlivesDeadlineOfItsResponse"},
+	{"reach: lifetimes are not checked after a cut", "directory/forget.go", "min(l.consecutiveFailures.Load(), 1)", "0", "server/node TestLostLinkIsFoundByProbes"},
 }
