--- a/tools/mutations/faults.go
+++ b/tools/mutations/faults.go
@@ -238,4 +238,5 @@
 	{"reach: broken idle connection fails its target", "platform/lifetime.go", "	if x.reused && (", "	if !x.reused && (", "platform TestBrokenIdleConnectionDoesNotFailTheTarget"},
 	{"reach: idle connections end with a deadline", "transport/conn.go", "	if err := c.SetReadDeadline(time.Time{}); err != nil {\n", "	if false {\n", "transport TestIdleConnectionOutlivesDeadlineOfItsResponse"},
 	{"reach: lifetimes are not checked after a cut", "directory/forget.go", "min(l.consecutiveFailures.Load(), 1)", "0", "server/node TestLostLinkIsFoundByProbes"},
+	{"reach: keep-alive probes end long requests", "transport/pool.go", "p.dialer.KeepAlive = -1", "p.dialer.KeepAlive = 0", "transport TestLostProbeDoesNotEndAConnection"},
 }
--- a/transport/pool.go
+++ b/transport/pool.go
@@ -41,6 +41,12 @@
 // NewPool returns a pool with no open connections.
 func NewPool(s Settings) *Pool {
 	p := &Pool{settings: s, dialer: net.Dialer{Control: UserTimeoutControl(s.UserTimeout)}}
+	if s.UserTimeout > 0 {
+		// With TCP_USER_TIMEOUT one lost keep-alive probe ends a connection that has received nothing
+		// for that time, such as one that waits for the response to a long request. Idle connections
+		// end by MaxIdle and requests by their deadlines.
+		p.dialer.KeepAlive = -1
+	}
 	p.hosts.Store(&map[string]*host{})
 	return p
 }
--- a/transport/suspicion_test.go
+++ b/transport/suspicion_test.go
@@ -1,6 +1,7 @@
 package transport
 
 import (
+	"context"
 	"errors"
 	"net"
 	"os"
@@ -9,6 +10,7 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+	"golang.org/x/sys/unix"
 )
 
 // scriptedConn returns one error a read, and records the read deadlines.
@@ -95,3 +97,24 @@
 		t.Fatal("not reusable")
 	}
 }
+
+// Guards against a request that ends because its target was silent for a second, when the only
+// keep-alive probe of its connection was due.
+func TestLostProbeDoesNotEndAConnection(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	p := NewPool(Settings{DialTimeout: 5 * time.Second, MaxConns: 1, UserTimeout: 2 * time.Second})
+	c, err := p.Dial(context.Background(), l.Addr().String(), time.Now().Add(5*time.Second))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.control(func(fd int) {
+		if v, err := unix.GetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_KEEPALIVE); err != nil || v != 0 {
+			t.Errorf("keep-alive probes %d, error %v", v, err)
+		}
+	})
+}
