--- a/transport/conn.go
+++ b/transport/conn.go
@@ -45,10 +45,10 @@
 	// smaller requests with their head.
 	minUploadBytes = 16 << 10
 	// ackCheckDelay is the time without a response after which the connection is checked for data
-	// that is not acknowledged, and maxAckSilence the time since the last acknowledgment, in
-	// milliseconds, that is suspicious then: several round trips between regions.
-	ackCheckDelay = 150 * time.Millisecond
-	maxAckSilence = 100
+	// that is not acknowledged: several round trips between regions. It is suspicious if none of it
+	// is acknowledged within ackCheckInterval either. A slow link or reader acknowledges some.
+	ackCheckDelay    = 100 * time.Millisecond
+	ackCheckInterval = 50 * time.Millisecond
 )
 
 // Conn is a connection to a target that carries one request at a time. It times
@@ -72,14 +72,14 @@
 	checkAck        bool      // acknowledgments are checked by the next read
 	suspect         func()    // of OnSuspicion, or nil
 
-	// sleep is time.Sleep, and ackSilent is isAckSilent, except in tests.
-	sleep     func(time.Duration)
-	ackSilent func() bool
+	// sleep is time.Sleep, and queued is unacknowledged, except in tests.
+	sleep  func(time.Duration)
+	queued func() int
 }
 
 func newConn(c net.Conn) *Conn {
 	cn := &Conn{Conn: c, opened: time.Now(), sleep: time.Sleep}
-	cn.ackSilent = cn.isAckSilent
+	cn.queued = cn.unacknowledged
 	cn.r = bufio.NewReaderSize(cn, readBufBytes)
 	cn.w = bufio.NewWriterSize(cn, writeBufBytes)
 	return cn
@@ -97,21 +97,28 @@
 	return n, err
 }
 
-// readBefore reads until the deadline. The first read of a response is interrupted once to check
-// whether the peer acknowledges the request.
+// readBefore reads until the deadline. The first read of a response is interrupted to check whether
+// the peer acknowledges the request.
 func (c *Conn) readBefore(b []byte, deadline time.Time) (int, error) {
-	if check := time.Now().Add(ackCheckDelay); c.checkAck && check.Before(deadline) {
-		c.checkAck = false
+	for before, delay := 0, ackCheckDelay; c.checkAck; delay = ackCheckInterval {
+		check := time.Now().Add(delay)
+		if !check.Before(deadline) {
+			break
+		}
 		if err := c.SetReadDeadline(check); err != nil {
 			return 0, err
 		}
 		n, err := c.Conn.Read(b)
 		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+			c.checkAck = false
 			return n, err
 		}
-		if c.ackSilent() {
+		queued := c.queued()
+		if before > 0 && queued >= before {
 			c.suspect()
 		}
+		c.checkAck = before == 0 && queued > 0
+		before = queued
 	}
 	c.checkAck = false
 	if err := c.SetReadDeadline(deadline); err != nil {
@@ -299,21 +306,6 @@
 	return n
 }
 
-// isAckSilent reports whether written data waits for an acknowledgment and none has arrived for
-// maxAckSilence. A peer that is slow to read acknowledges what it receives.
-func (c *Conn) isAckSilent() bool {
-	if c.unacknowledged() == 0 {
-		return false
-	}
-	silent := false
-	c.control(func(fd int) {
-		if info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
-			silent = info.Last_ack_recv >= maxAckSilence
-		}
-	})
-	return silent
-}
-
 // hasInput reports whether the peer has sent data or closed the connection.
 func (c *Conn) hasInput() bool {
 	input := c.r.Buffered() > 0
--- a/transport/suspicion_test.go
+++ b/transport/suspicion_test.go
@@ -32,32 +32,38 @@
 }
 
 // Guards against a lost link that is noticed only when a request times out, against a request that
-// the check ends or prolongs, and against suspicion of a slow target.
+// the checks end or prolong, and against suspicion of a slow target or upload.
 func TestRequestWithoutAcknowledgmentIsSuspicious(t *testing.T) {
 	timeout := os.ErrDeadlineExceeded
 	for name, c := range map[string]struct {
 		errs    []error
-		silent  bool
+		queued  []int // of each check
 		suspect int
 	}{
-		"not acknowledged": {[]error{timeout, timeout}, true, 1},
-		"acknowledged":     {[]error{timeout, timeout}, false, 0},
-		"reset":            {[]error{syscall.ECONNRESET}, true, 1},
-		"reset later":      {[]error{timeout, syscall.ECONNRESET}, false, 1},
-		"given up":         {[]error{timeout, syscall.ETIMEDOUT}, false, 1},
-		"closed":           {[]error{net.ErrClosed}, true, 0},
+		"not acknowledged":  {[]error{timeout, timeout, timeout}, []int{80, 80}, 1},
+		"acknowledged":      {[]error{timeout, timeout}, []int{0}, 0},
+		"acknowledged late": {[]error{timeout, timeout, timeout}, []int{80, 0}, 0},
+		"slow upload":       {[]error{timeout, timeout, timeout}, []int{900, 800}, 0},
+		"reset":             {[]error{syscall.ECONNRESET}, nil, 1},
+		"reset later":       {[]error{timeout, syscall.ECONNRESET}, []int{0}, 1},
+		"given up":          {[]error{timeout, timeout, syscall.ETIMEDOUT}, []int{900, 800}, 1},
+		"closed":            {[]error{net.ErrClosed}, nil, 0},
 	} {
 		raw := &scriptedConn{errs: c.errs}
 		conn, suspected := newConn(raw), 0
-		conn.ackSilent = func() bool { return c.silent }
+		conn.queued = func() int {
+			n := c.queued[0]
+			c.queued = c.queued[1:]
+			return n
+		}
 		conn.OnSuspicion(func() { suspected++ })
 		conn.Begin(time.Second, time.Now().Add(time.Minute))
 		var resp fasthttp.Response
 		last := c.errs[len(c.errs)-1]
-		if err := conn.ReadHead(&resp, false); !errors.Is(err, last) || suspected != c.suspect || len(raw.errs) > 0 {
-			t.Errorf("%s: error %v, suspected %d times, %d reads left", name, err, suspected, len(raw.errs))
+		if err := conn.ReadHead(&resp, false); !errors.Is(err, last) || suspected != c.suspect || len(raw.errs)+len(c.queued) > 0 {
+			t.Errorf("%s: error %v, suspected %d times, %d reads and %d checks left", name, err, suspected, len(raw.errs), len(c.queued))
 		}
-		if n := len(raw.deadlines); n == 2 && !raw.deadlines[1].After(raw.deadlines[0].Add(time.Second/2)) {
+		if n := len(raw.deadlines); n > 1 && !raw.deadlines[n-1].After(raw.deadlines[0].Add(time.Second/2)) {
 			t.Errorf("%s: deadlines %v", name, raw.deadlines)
 		}
 	}
