--- a/transport/pool.go
+++ b/transport/pool.go
@@ -48,6 +48,12 @@
 		p.dialer.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(s.LocalAddress, 0))
 		p.dialer.Control = bindWithoutPort(p.dialer.Control)
 	}
+	if s.UserTimeout > 0 {
+		// With TCP_USER_TIMEOUT one lost keep-alive probe ends a connection that has received nothing
+		// for that time, such as one that waits for the response to a long request. Idle connections
+		// end by MaxIdle and requests by their deadlines.
+		p.dialer.KeepAlive = -1
+	}
 	p.hosts.Store(&map[string]*host{})
 	return p
 }
