--- a/cmd/internal/soak/deployment.go
+++ b/cmd/internal/soak/deployment.go
@@ -158,19 +158,13 @@
 
 func (d *deployment) dataCentre(i int) string { return fmt.Sprintf("dc%d", i%d.dataCentres+1) }
 
-// freePorts returns different ports that are free. It holds all of them until it has the last one,
-// because a port that is released can be drawn again.
-func freePorts(n int) (ports []int, err error) {
-	for range n {
-		l, err := net.Listen("tcp4", "127.0.0.1:0")
-		if err != nil {
-			return nil, err
-		}
-		defer l.Close()
-		ports = append(ports, l.Addr().(*net.TCPAddr).Port)
-	}
-	return ports, nil
-}
+// callerPort and readyPort are the ports of each node for callers and for readiness checks, on its own
+// address. They are lower than those from which the kernel opens connections: one that was free when it
+// was drawn can be in use when the node starts.
+const (
+	callerPort = 7400
+	readyPort  = 7401
+)
 
 // seedCount is the number of nodes that the settings of each node list as its seeds, the
 // most that the platform lists.
@@ -191,11 +185,7 @@
 		return err
 	}
 	n := &node{name: fmt.Sprintf("node-%d", i+1), ip: ip, storeLink: l}
-	ports, err := freePorts(2) // for callers and for readiness checks
-	if err != nil {
-		return err
-	}
-	n.callerAddress, n.readyAddress = net.JoinHostPort(ip, strconv.Itoa(ports[0])), net.JoinHostPort(ip, strconv.Itoa(ports[1]))
+	n.callerAddress, n.readyAddress = net.JoinHostPort(ip, strconv.Itoa(callerPort)), net.JoinHostPort(ip, strconv.Itoa(readyPort))
 	n.settingsPath = filepath.Join(d.outDir, n.name+".toml")
 	m := standin.NodeSettings{Name: n.name, IP: ip, Zone: d.dataCentre(i), CallerAddress: n.callerAddress, ReadyAddress: n.readyAddress, StoreAddress: l.address(), ControlAddress: controlAddress(i)}
 	for seed := range seedCount {
--- a/cmd/internal/soak/soak_test.go
+++ b/cmd/internal/soak/soak_test.go
@@ -1,9 +1,10 @@
 package soak
 
 import (
+	"fmt"
 	"io"
 	"net"
-	"slices"
+	"os"
 	"testing"
 	"time"
 
@@ -86,10 +87,16 @@
 	assert.Equal(t, string(buf), "b")
 }
 
-// Guards against a node that cannot start because two of its addresses have the same port.
-func TestFreePortsDiffer(t *testing.T) {
-	ports, err := freePorts(400)
+// Guards against a node that does not start because its two ports are the same, or because a connection
+// that another process opens has taken one of them.
+func TestNodePortsAreNotTakenByConnections(t *testing.T) {
+	b, err := os.ReadFile("/proc/sys/net/ipv4/ip_local_port_range")
 	assert.NilError(t, err)
-	slices.Sort(ports)
-	assert.Equal(t, len(slices.Compact(ports)), 400)
+	var first, last int
+	_, err = fmt.Sscan(string(b), &first, &last)
+	assert.NilError(t, err)
+	assert.Assert(t, callerPort != readyPort)
+	for _, port := range []int{callerPort, readyPort} {
+		assert.Assert(t, port < first || port > last, "%d of %d to %d", port, first, last)
+	}
 }
