--- a/server/node/versionrecords.go
+++ b/server/node/versionrecords.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"time"
 
 	"github.com/lentilpick/lentilpick/types"
 	"github.com/lentilpick/lentilpick/versions"
@@ -16,11 +17,12 @@
 var errVersionRecord = errors.New("invalid record of software versions")
 
 const (
-	// maxShares, maxShare and maxPlans bound what is decoded: the versions of a plan, the targets of a
-	// version and the earlier plans of a record.
-	maxShares = 64
-	maxShare  = 1 << 20
-	maxPlans  = 16
+	// maxShares, maxShare, maxPlans and maxReplaced bound what is decoded: the versions of a plan, the
+	// targets of a version, the earlier plans of a record and their ages.
+	maxShares   = 64
+	maxShare    = 1 << 20
+	maxPlans    = 16
+	maxReplaced = time.Hour
 )
 
 // versionRecord is the record of one service, as versions.Record.
@@ -29,7 +31,14 @@
 	Writer   uint64              `json:"writer"`
 	Current  versionPlanRecord   `json:"current"`
 	Next     *versionPlanRecord  `json:"next,omitempty"`
-	Previous []versionPlanRecord `json:"previous,omitempty"`
+	Previous []earlierPlanRecord `json:"previous,omitempty"`
+}
+
+// earlierPlanRecord is a plan that was replaced, as versions.EarlierPlan. Releases before the field
+// replaced_ms neither write nor read it, and count from their start.
+type earlierPlanRecord struct {
+	versionPlanRecord
+	ReplacedMs int64 `json:"replaced_ms,omitempty"`
 }
 
 // versionPlanRecord is a plan, as versions.Plan. Shares holds the weight of each version.
@@ -45,7 +54,7 @@
 		out.Next = &next
 	}
 	for _, p := range r.Previous {
-		out.Previous = append(out.Previous, encodePlan(p))
+		out.Previous = append(out.Previous, earlierPlanRecord{encodePlan(p.Plan), p.Age.Milliseconds()})
 	}
 	return json.Marshal(out)
 }
@@ -70,7 +79,13 @@
 	if in.Sequence == 0 || len(in.Previous) > maxPlans {
 		return versions.Record{}, fmt.Errorf("service %.60q: sequence %d with %d earlier plans: %w", key, in.Sequence, len(in.Previous), errVersionRecord)
 	}
-	plans := append(in.Previous, in.Current)
+	plans := []versionPlanRecord{in.Current}
+	for _, p := range in.Previous {
+		if p.ReplacedMs < 0 || p.ReplacedMs > maxReplaced.Milliseconds() {
+			return versions.Record{}, fmt.Errorf("service %.60q: plan of generation %d replaced for %d ms: %w", key, p.Generation, p.ReplacedMs, errVersionRecord)
+		}
+		plans = append(plans, p.versionPlanRecord)
+	}
 	if in.Next != nil {
 		plans = append(plans, *in.Next)
 	}
@@ -85,7 +100,8 @@
 		out.Next = &next
 	}
 	for _, p := range in.Previous {
-		out.Previous = append(out.Previous, decodePlan(p))
+		age := time.Duration(p.ReplacedMs) * time.Millisecond
+		out.Previous = append(out.Previous, versions.EarlierPlan{Plan: decodePlan(p.versionPlanRecord), Age: age})
 	}
 	return out, nil
 }
--- a/server/node/versions_test.go
+++ b/server/node/versions_test.go
@@ -30,7 +30,7 @@
 func TestVersionRecords(t *testing.T) {
 	next := versions.NewPlan(3, map[types.SoftwareVersion]int{"v2": 4})
 	r := versions.Record{
-		Sequence: 3, Writer: 1<<64 - 1, Next: &next, Previous: []versions.Plan{{}},
+		Sequence: 3, Writer: 1<<64 - 1, Next: &next, Previous: []versions.EarlierPlan{{Age: 2500 * time.Millisecond}},
 		Current: versions.NewPlan(1, map[types.SoftwareVersion]int{"": 1, "v1": 7}),
 	}
 	b, err := encodeVersions(r)
@@ -40,6 +40,7 @@
 	assert.DeepEqual(t, got, r)
 	for _, bad := range []string{
 		``, `{}`, `{"sequence":-1}`, `{"sequence":1,"current":{"shares":{"v1":0}}}`, `{"sequence":1,"next":{"shares":{"v1":-2}}}`,
+		`{"sequence":1,"previous":[{"replaced_ms":-1}]}`, `{"sequence":1,"previous":[{"replaced_ms":9223372036854775807}]}`,
 		`{"sequence":1,"previous":[` + strings.Repeat(`{},`, maxPlans) + `{}]}`,
 	} {
 		_, err := decodeVersions("chat", []byte(bad))
--- a/versions/plan.go
+++ b/versions/plan.go
@@ -6,6 +6,7 @@
 import (
 	"math"
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -97,7 +98,15 @@
 	// Next is the plan that replaces Current, or nil.
 	Next *Plan
 	// Previous are earlier plans by which running streams may have begun.
-	Previous []Plan
+	Previous []EarlierPlan
+}
+
+// EarlierPlan is a plan that a record has replaced.
+type EarlierPlan struct {
+	Plan
+	// Age is how long the plan had been replaced at least when the record was written, so that a
+	// daemon that starts need not count from its start.
+	Age time.Duration
 }
 
 // Newer reports whether the record replaces the other one.
--- a/versions/propose.go
+++ b/versions/propose.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/lentilpick/lentilpick/types"
 )
@@ -23,13 +24,15 @@
 	ReasonActivated Reason = "activated"
 	// ReasonSettled drops plans by which no stream can have begun that still runs.
 	ReasonSettled Reason = "settled"
+	// ReasonAged states how long earlier plans have been replaced, for daemons that start later.
+	ReasonAged Reason = "aged"
 	// ReasonRestored repeats a record that the store has lost.
 	ReasonRestored Reason = "restored"
 )
 
 // Reasons returns all reasons.
 func Reasons() []Reason {
-	return []Reason{ReasonFirst, ReasonAppeared, ReasonLost, ReasonShares, ReasonActivated, ReasonSettled, ReasonRestored}
+	return []Reason{ReasonFirst, ReasonAppeared, ReasonLost, ReasonShares, ReasonActivated, ReasonSettled, ReasonAged, ReasonRestored}
 }
 
 const (
@@ -39,6 +42,10 @@
 	maxOverload = 1.25
 	// maxPrevious bounds the plans that a record retains. A new plan has to wait beyond it.
 	maxPrevious = 8
+	// ageRecords is into how many parts records divide the time for which an earlier plan is retained.
+	// All daemons may be killed at once, and the store alone then knows how old a plan is. Each record
+	// takes two calls; kills that follow each other faster than one part keep plans from ageing.
+	ageRecords = 4
 )
 
 // Propose returns the record that a service needs now, or false if it needs none. writer is the
@@ -51,13 +58,13 @@
 	case s.record == nil:
 		return proposeFirst(s, writer)
 	case s.unsaved:
-		return *s.record, ReasonRestored, true
+		return withoutAges(*s.record), ReasonRestored, true
 	}
 	now := t.settings.Now()
 	r := Record{Sequence: s.record.Sequence + 1, Writer: writer, Current: s.record.Current}
 	for _, p := range s.past {
 		if !t.over(p, now) {
-			r.Previous = append(r.Previous, p.Plan)
+			r.Previous = append(r.Previous, EarlierPlan{p.Plan, now.Sub(p.replaced)})
 		}
 	}
 	if s.record.Next != nil {
@@ -65,7 +72,7 @@
 			return Record{}, "", false
 		}
 		r.Current = *s.record.Next
-		r.Previous = append(r.Previous, s.record.Current)
+		r.Previous = append(r.Previous, EarlierPlan{Plan: s.record.Current})
 		return r, ReasonActivated, true
 	}
 	if reason := s.imbalance(); reason != "" && len(r.Previous) < maxPrevious {
@@ -76,9 +83,39 @@
 	if len(s.record.Previous) > 0 && len(r.Previous) == 0 {
 		return r, ReasonSettled, true
 	}
+	if t.understates(s.record, r.Previous) {
+		return r, ReasonAged, true
+	}
 	return Record{}, "", false
 }
 
+// understates reports whether an earlier plan has aged by more than one part since the record was
+// written.
+func (t *Table) understates(r *Record, now []EarlierPlan) bool {
+	part := (t.settings.Propagation + t.longestAge()) / ageRecords
+	return slices.ContainsFunc(now, func(p EarlierPlan) bool {
+		return p.Age-r.ageOf(p.Plan) >= part
+	})
+}
+
+// ageOf returns the age of an earlier plan according to the record.
+func (r *Record) ageOf(p Plan) time.Duration {
+	if i := slices.IndexFunc(r.Previous, func(q EarlierPlan) bool { return q.Equal(p) }); i >= 0 {
+		return r.Previous[i].Age
+	}
+	return 0
+}
+
+// withoutAges returns the record as if its earlier plans had just been replaced. Daemons that started
+// while the store lacked the record may have begun streams by them until now.
+func withoutAges(r Record) Record {
+	r.Previous = slices.Clone(r.Previous)
+	for i := range r.Previous {
+		r.Previous[i].Age = 0
+	}
+	return r
+}
+
 // proposeFirst returns the first record. Its plan is in force at once, because a daemon without a
 // record resolves no streams. If streams may have begun at another version before, they cannot be
 // resolved, for which the plan without shares stands.
@@ -90,7 +127,7 @@
 	}
 	r := Record{Sequence: sequence, Writer: writer, Current: p}
 	if len(s.unplanned) > 1 {
-		r.Previous = []Plan{{}}
+		r.Previous = []EarlierPlan{{}}
 	}
 	return r, ReasonFirst, true
 }
--- a/versions/table.go
+++ b/versions/table.go
@@ -57,7 +57,7 @@
 	unsaved bool
 }
 
-// pastPlan is a plan that was replaced, as this daemon learned at the given time.
+// pastPlan is a plan that was replaced at the given time at the latest.
 type pastPlan struct {
 	Plan
 	replaced clock.Instant
@@ -76,8 +76,8 @@
 }
 
 // SetMaxAge replaces Settings.MaxAge. Plans are retained for that long, and a daemon that has just
-// started cannot tell their age, so that a longer time than streams last makes it refuse to resume
-// them.
+// started may know less than their age, so that a longer time than streams last makes it refuse to
+// resume them.
 func (t *Table) SetMaxAge(d time.Duration) { t.maxAge.Store(int64(d)) }
 
 func (t *Table) longestAge() time.Duration { return time.Duration(t.maxAge.Load()) }
@@ -217,14 +217,18 @@
 	return applied
 }
 
-// replacedPlans returns the past plans after a record. A plan keeps the time at which this daemon
-// first learned that it was replaced.
+// replacedPlans returns the past plans after a record. A plan keeps the earliest time by which it is
+// known to have been replaced: when this daemon learned it, or the time that follows from its age.
 func (t *Table) replacedPlans(s *service, r *Record, now clock.Instant) (past []pastPlan) {
 	add := func(p pastPlan) {
-		known := slices.ContainsFunc(past, func(q pastPlan) bool { return q.Equal(p.Plan) })
-		if !known && !r.active(p.Plan) && !t.over(p, now) {
-			past = append(past, p)
+		if r.active(p.Plan) {
+			return
+		}
+		if i := slices.IndexFunc(past, func(q pastPlan) bool { return q.Equal(p.Plan) }); i >= 0 {
+			past[i].replaced = min(past[i].replaced, p.replaced)
+			return
 		}
+		past = append(past, p)
 	}
 	for _, p := range s.past {
 		add(p)
@@ -236,16 +240,9 @@
 		}
 	}
 	for _, p := range r.Previous {
-		if !s.replacedEarlier(p) {
-			add(pastPlan{p, now})
-		}
+		add(pastPlan{p.Plan, now.Add(-p.Age)})
 	}
-	return past
-}
-
-// replacedEarlier reports whether the plan is in past, so that its time is known.
-func (s *service) replacedEarlier(p Plan) bool {
-	return slices.ContainsFunc(s.past, func(q pastPlan) bool { return q.Equal(p) })
+	return slices.DeleteFunc(past, func(p pastPlan) bool { return t.over(p, now) })
 }
 
 // over reports whether no stream that began by the plan can be continued any more.
--- a/versions/takeups_test.go
+++ b/versions/takeups_test.go
@@ -155,6 +155,27 @@
 	}
 }
 
+// Guards against callers whose streams are all refused because all nodes are killed again before plans
+// that were replaced, or the unknown one before the first record, are old enough since their start.
+func TestTakeUpsAmongKillsOfAllNodes(t *testing.T) {
+	for _, before := range []targets{nil, {"v1": 10}} {
+		t.Run(fmt.Sprintf("after %v", before), func(t *testing.T) {
+			r := newTakeUpRun()
+			serving := targets{"v1": 2, "v2": 8}
+			if before != nil {
+				r.run(2*time.Minute, before)
+			}
+			for range 4 {
+				r.run(7*time.Second, serving)
+				r.now = r.now.Add(time.Second)
+				r.restart()
+			}
+			r.run(3*time.Second, serving)
+			r.checkTakeUps(t, r.now)
+		})
+	}
+}
+
 // Guards against a release, without a failure of a node, in which most streams are refused when they
 // are taken up, or many new ones when they begin.
 func TestTakeUpsDuringRelease(t *testing.T) {
--- a/versions/versions_test.go
+++ b/versions/versions_test.go
@@ -200,6 +200,22 @@
 	assert.Assert(t, n.Apply(chat, rival) && !n.Apply(chat, *second))
 }
 
+// Guards against a restored record whose ages count from before the store lost it: a node that started
+// meanwhile may have begun streams by the plan that it replaces.
+func TestRestoredRecordHasNoAges(t *testing.T) {
+	now := clock.Instant(0)
+	n := newTestNode(&now, 0)
+	n.Register(chat, targets{"v1": 4, "v2": 4})
+	first, _, _ := n.Propose(chat, 1)
+	first.Previous = []EarlierPlan{{Age: 2 * time.Second}}
+	n.Apply(chat, first)
+	n.SetStored(nil)
+	restored, reason, _ := n.Propose(chat, 1)
+	assert.Equal(t, reason, ReasonRestored)
+	assert.Equal(t, restored.Previous[0].Age, time.Duration(0))
+	assert.Equal(t, first.Previous[0].Age, 2*time.Second)
+}
+
 type stream struct {
 	id      types.RequestID
 	begun   clock.Instant
