--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -429,6 +429,7 @@
 				if s.events == 0 || !s.started {
 					onFirst()
 				}
+				s.recordBegin(t)
 				// The caller gets the rest of the stream from the same version only.
 				s.binding = versionBinding{t.Version, true}
 				if writeErr := s.forward(resp, events); writeErr != nil {
--- a/gateway/versions.go
+++ b/gateway/versions.go
@@ -19,6 +19,8 @@
 	// of the given ID, which may be empty if the caller does not name it. A stream begins at most
 	// maxAge before it is resumed. It returns false if more than one version may have begun it.
 	Resolve(service types.ServiceID, first types.RequestID, maxAge time.Duration) (types.SoftwareVersion, bool)
+	// RecordBegin records that the version wrote the first event of the stream of a request.
+	RecordBegin(service types.ServiceID, id types.RequestID, version types.SoftwareVersion)
 }
 
 // versionBinding restricts a request to the targets of one software version. The zero value
@@ -78,6 +80,13 @@
 	return nil
 }
 
+// recordBegin is called before events of a target are passed to the caller.
+func (s *stream) recordBegin(t *directory.Target) {
+	if policy := s.g.settings.Versions; policy != nil && s.route.Resumable && s.events == 0 && !s.r.resumes() {
+		policy.RecordBegin(s.serviceID, s.r.ID, t.Version)
+	}
+}
+
 func (s *stream) resolveVersion(policy VersionPolicy) (types.SoftwareVersion, bool) {
 	if policy == nil {
 		versions := s.g.directory.Load().Versions(s.serviceID)
--- a/gateway/versions_test.go
+++ b/gateway/versions_test.go
@@ -19,8 +19,15 @@
 
 // fakePolicy returns the versions of the given request IDs, and records the last age.
 type fakePolicy struct {
-	assigned, resolved versionsByID
-	maxAge             time.Duration
+	assigned, resolved, begun versionsByID
+	maxAge                    time.Duration
+}
+
+func (p *fakePolicy) RecordBegin(_ types.ServiceID, id types.RequestID, v types.SoftwareVersion) {
+	if p.begun == nil {
+		p.begun = versionsByID{}
+	}
+	p.begun[id] = v
 }
 
 func (p *fakePolicy) Assign(_ types.ServiceID, id types.RequestID) (types.SoftwareVersion, bool) {
@@ -133,6 +140,20 @@
 	}
 }
 
+// Guards against a version recorded for a stream whose first event came with another request, or never.
+func TestBeginOfStreamIsRecorded(t *testing.T) {
+	p := &fakePolicy{assigned: versionsByID{"first": "v2", "silent": "v1", "plain": "v1"}, resolved: versionsByID{"first": "v2"}}
+	w := newVersionedGateway(p)
+	end := w.targets.send
+	w.targets.send = func(context.Context, *Call) (Response, error) { return &fakeResponse{status: 200}, nil }
+	_, _ = w.serveRequest(Request{ID: "silent", Path: "/resume/x"})
+	w.targets.send = end
+	_, _ = w.serveRequest(Request{ID: "plain", Path: "/chat/x"})
+	_, _ = w.serveRequest(Request{ID: "first", Path: "/resume/x"})
+	_, _ = w.serveRequest(Request{ID: "next", Path: "/resume/x", ResumeAfter: "1", ResumeOf: "first"})
+	assert.DeepEqual(t, p.begun, versionsByID{"first": "v2"})
+}
+
 // Guards against a guess where the version of a stream cannot be determined, against a refusal that
 // is not true, and against a time within which a stream can have begun that is too short.
 func TestUnknownVersionIsRefused(t *testing.T) {
--- a/versions/table.go
+++ b/versions/table.go
@@ -26,14 +26,15 @@
 	Now func() clock.Instant
 }
 
-// Table holds the plans of all services. Assign, Resolve and Several load an immutable snapshot; the
-// other methods are serialised by a mutex. All methods are safe for concurrent use.
+// Table holds the plans of all services. Assign, Resolve and Several load an immutable snapshot, and
+// RecordBegin stores a pointer; the other methods are serialised by a mutex. All methods are safe for concurrent use.
 type Table struct {
 	settings Settings
 	snapshot atomic.Pointer[map[types.ServiceID]*service]
 	// confirmed is the clock.Instant as of which the plans are known to be the newest ones.
 	confirmed atomic.Int64
 	maxAge    atomic.Int64 // time.Duration
+	begun     begunStreams
 
 	mu sync.Mutex // serialises writers
 }
@@ -139,8 +140,11 @@
 
 // Resolve returns the version that began a stream at most maxAge ago. first is the ID of the request
 // that began it, empty if unknown. It returns false if plans by which the stream may have begun
-// differ, or if this daemon may lack one of them.
+// differ, or if this daemon may lack one of them. A stream that this daemon began needs no plan.
 func (t *Table) Resolve(id types.ServiceID, first types.RequestID, maxAge time.Duration) (types.SoftwareVersion, bool) {
+	if v, ok := t.begun.find(id, first, t.settings.Now(), t.settings.Propagation+t.longestAge()); ok {
+		return v, true
+	}
 	s := (*t.snapshot.Load())[id]
 	if s == nil || s.record == nil || maxAge > t.longestAge() || t.several(s) && t.outdated() {
 		return "", false
--- a/versions/versions_test.go
+++ b/versions/versions_test.go
@@ -200,6 +200,35 @@
 	assert.Assert(t, n.Apply(chat, rival) && !n.Apply(chat, *second))
 }
 
+// Guards against a node that refuses streams which it has begun itself because plans differ, and against
+// one that takes another stream, or one too old, for one of these.
+func TestNodeKnowsTheStreamsThatItBegan(t *testing.T) {
+	now := clock.Instant(0)
+	n := newTestNode(&now, 0)
+	resolve := func(id types.ServiceID, first types.RequestID) types.SoftwareVersion {
+		v, _ := n.Resolve(id, first, time.Second)
+		return v
+	}
+	n.RecordBegin(chat, "a", "v1")
+	n.RecordBegin(chat, "", "v1")
+	assert.Equal(t, resolve(chat, "a"), types.SoftwareVersion("v1"))
+	for _, other := range []struct {
+		service types.ServiceID
+		first   types.RequestID
+	}{{"other", "a"}, {chat, "b"}, {chat, ""}} {
+		assert.Equal(t, resolve(other.service, other.first), types.SoftwareVersion(""))
+	}
+	for i := range 100 * begunSlots { // replaces all
+		n.RecordBegin(chat, requestID(i), "v2")
+	}
+	assert.Equal(t, resolve(chat, "a"), types.SoftwareVersion(""))
+	last := requestID(100*begunSlots - 1)
+	now = now.Add(propagation + maxAge)
+	assert.Equal(t, resolve(chat, last), types.SoftwareVersion("v2"))
+	now++
+	assert.Equal(t, resolve(chat, last), types.SoftwareVersion(""))
+}
+
 // Guards against a restored record whose ages count from before the store lost it: a node that started
 // meanwhile may have begun streams by the plan that it replaces.
 func TestRestoredRecordHasNoAges(t *testing.T) {
