--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -450,6 +450,7 @@
 					// The caller gets the rest of the stream from the same version only.
 					s.binding = versionBinding{t.Version, true}
 				}
+				s.recordBegin()
 				if writeErr := s.forward(resp, events); writeErr != nil {
 					return writeErr
 				}
--- a/gateway/versions.go
+++ b/gateway/versions.go
@@ -19,6 +19,8 @@
 	// of the given ID, which may be empty if the caller does not name it. A stream begins at most
 	// maxAge before it is resumed. It returns false if more than one version may have begun it.
 	Resolve(service types.ServiceID, first types.RequestID, maxAge time.Duration) (types.SoftwareVersion, bool)
+	// RecordBegin records that the version wrote the first event of the stream of a request.
+	RecordBegin(service types.ServiceID, id types.RequestID, version types.SoftwareVersion)
 }
 
 // versionBinding restricts a request to the targets of one software version. The zero value
@@ -81,6 +83,15 @@
 	return nil
 }
 
+// recordBegin is called before events are passed to the caller. A stream that another daemon carries
+// is bound to its version before.
+func (s *stream) recordBegin() {
+	policy := s.g.settings.Versions
+	if policy != nil && s.route.Resumable && s.binding.bound && s.events == 0 && !s.r.resumes() {
+		policy.RecordBegin(s.serviceID, s.r.ID, s.binding.version)
+	}
+}
+
 func (s *stream) resolveVersion(policy VersionPolicy) (types.SoftwareVersion, bool) {
 	if policy == nil {
 		versions := s.g.directory.Load().Versions(s.serviceID)
--- a/versions/table.go
+++ b/versions/table.go
@@ -26,14 +26,15 @@
 	Now func() clock.Instant
 }
 
-// Table holds the plans of all services. Assign, Resolve and Several load an immutable snapshot; the
-// other methods are serialised by a mutex. All methods are safe for concurrent use.
+// Table holds the plans of all services. Assign, Resolve and Several load an immutable snapshot, and
+// RecordBegin stores a pointer; the other methods are serialised by a mutex. All methods are safe for concurrent use.
 type Table struct {
 	settings Settings
 	snapshot atomic.Pointer[map[types.ServiceID]*service]
 	// confirmed is the clock.Instant as of which the plans are known to be the newest ones.
 	confirmed atomic.Int64
 	maxAge    atomic.Int64 // time.Duration
+	begun     begunStreams
 
 	mu sync.Mutex // serialises writers
 }
@@ -57,7 +58,7 @@
 	unsaved bool
 }
 
-// pastPlan is a plan that was replaced, as this daemon learned at the given time.
+// pastPlan is a plan that was replaced at the given time at the latest.
 type pastPlan struct {
 	Plan
 	replaced clock.Instant
@@ -76,8 +77,8 @@
 }
 
 // SetMaxAge replaces Settings.MaxAge. Plans are retained for that long, and a daemon that has just
-// started cannot tell their age, so that a longer time than streams last makes it refuse to resume
-// them.
+// started may know less than their age, so that a longer time than streams last makes it refuse to
+// resume them.
 func (t *Table) SetMaxAge(d time.Duration) { t.maxAge.Store(int64(d)) }
 
 func (t *Table) longestAge() time.Duration { return time.Duration(t.maxAge.Load()) }
@@ -139,8 +140,11 @@
 
 // Resolve returns the version that began a stream at most maxAge ago. first is the ID of the request
 // that began it, empty if unknown. It returns false if plans by which the stream may have begun
-// differ, or if this daemon may lack one of them.
+// differ, or if this daemon may lack one of them. A stream that this daemon began needs no plan.
 func (t *Table) Resolve(id types.ServiceID, first types.RequestID, maxAge time.Duration) (types.SoftwareVersion, bool) {
+	if v, ok := t.begun.find(id, first, t.settings.Now(), t.settings.Propagation+t.longestAge()); ok {
+		return v, true
+	}
 	s := (*t.snapshot.Load())[id]
 	if s == nil || s.record == nil || maxAge > t.longestAge() || t.several(s) && t.outdated() {
 		return "", false
@@ -217,14 +221,18 @@
 	return applied
 }
 
-// replacedPlans returns the past plans after a record. A plan keeps the time at which this daemon
-// first learned that it was replaced.
+// replacedPlans returns the past plans after a record. A plan keeps the earliest time by which it is
+// known to have been replaced: when this daemon learned it, or the time that follows from its age.
 func (t *Table) replacedPlans(s *service, r *Record, now clock.Instant) (past []pastPlan) {
 	add := func(p pastPlan) {
-		known := slices.ContainsFunc(past, func(q pastPlan) bool { return q.Equal(p.Plan) })
-		if !known && !r.active(p.Plan) && !t.over(p, now) {
-			past = append(past, p)
+		if r.active(p.Plan) {
+			return
+		}
+		if i := slices.IndexFunc(past, func(q pastPlan) bool { return q.Equal(p.Plan) }); i >= 0 {
+			past[i].replaced = min(past[i].replaced, p.replaced)
+			return
 		}
+		past = append(past, p)
 	}
 	for _, p := range s.past {
 		add(p)
@@ -236,16 +244,9 @@
 		}
 	}
 	for _, p := range r.Previous {
-		if !s.replacedEarlier(p) {
-			add(pastPlan{p, now})
-		}
+		add(pastPlan{p.Plan, now.Add(-p.Age)})
 	}
-	return past
-}
-
-// replacedEarlier reports whether the plan is in past, so that its time is known.
-func (s *service) replacedEarlier(p Plan) bool {
-	return slices.ContainsFunc(s.past, func(q pastPlan) bool { return q.Equal(p) })
+	return slices.DeleteFunc(past, func(p pastPlan) bool { return t.over(p, now) })
 }
 
 // over reports whether no stream that began by the plan can be continued any more.
