--- a/server/node/reach_test.go
+++ b/server/node/reach_test.go
@@ -23,7 +23,7 @@
 type linkEnv struct {
 	*targetLink
 	// reaches reports whether a target accepts connections, and refused how it does not.
-	reaches    func(*directory.Target) bool
+	reaches    atomic.Value // of type func(*directory.Target) bool
 	refused    bool
 	closedIdle atomic.Int64
 }
@@ -35,14 +35,15 @@
 	for i := range 6 {
 		d.Put(directory.Entry{ID: types.TargetID(rune('a' + i)), Service: types.ServiceID("llm" + string(rune('0'+i%2))), DataCentre: types.DataCentreID("dc" + string(rune('0'+i/3)))})
 	}
-	e := &linkEnv{reaches: func(*directory.Target) bool { return true }}
+	e := &linkEnv{}
+	e.reaches.Store(reachable)
 	e.targetLink, err = newTargetLink(daemon.NewLogger(io.Discard, "error", "node"), m, d)
 	assert.NilError(t, err)
 	e.now = func() clock.Instant { return clock.Instant(clock.Nanos(time.Now())) }
 	e.closeIdle = func() { e.closedIdle.Add(1) }
 	e.probe = func(t *directory.Target, timeout time.Duration) error {
 		switch {
-		case e.reaches(t):
+		case e.reaches.Load().(func(*directory.Target) bool)(t):
 			time.Sleep(20 * time.Millisecond)
 			e.RecordConnected(t.Hash, e.now())
 			return nil
@@ -71,6 +72,7 @@
 	})
 }
 
+func reachable(*directory.Target) bool   { return true }
 func unreachable(*directory.Target) bool { return false }
 
 // Guards against a node that finds out about the loss of its link by the time-outs of requests, keeps
@@ -79,7 +81,8 @@
 	for _, refused := range []bool{false, true} {
 		runLink(t, func(e *linkEnv) {
 			target := e.directory.Load().Target("a")
-			e.reaches, e.refused = unreachable, refused
+			e.refused = refused
+			e.reaches.Store(unreachable)
 			e.RecordSuspicion(target.Hash, e.now())
 			time.Sleep(300 * time.Millisecond)
 			assert.Assert(t, e.Lost())
@@ -90,7 +93,7 @@
 			ordered.Load.SuspendUntil(time.Now().Add(time.Minute))
 			time.Sleep(10 * time.Second)
 			assert.Assert(t, e.Lost())
-			e.reaches = func(*directory.Target) bool { return true }
+			e.reaches.Store(reachable)
 			time.Sleep(1300 * time.Millisecond)
 			assert.Assert(t, !e.Lost())
 			assert.Assert(t, target.Usable(time.Now()) && target.Load.FailureShare() == 0)
@@ -109,7 +112,7 @@
 		time.Sleep(time.Minute)
 		assert.Equal(t, probes.Load(), int64(0))
 		dead := e.directory.Load().Target("a")
-		e.reaches = func(t *directory.Target) bool { return t.ID != dead.ID }
+		e.reaches.Store(func(t *directory.Target) bool { return t.ID != dead.ID })
 		e.RecordUnreachable(dead.Hash, e.now())
 		time.Sleep(time.Second)
 		assert.Assert(t, !e.Lost() && !e.InDoubt() && probes.Load() > 0)
@@ -177,12 +180,12 @@
 		"data centre": {func(t *directory.Target) bool { return t.DataCentre == "dc1" }, true},
 	} {
 		runLink(t, func(e *linkEnv) {
-			e.reaches = c.reaches
+			e.reaches.Store(c.reaches)
 			assert.Equal(t, e.explains(e.directory.Load().Target("a")), c.want, name)
 		})
 	}
 	runLink(t, func(e *linkEnv) {
-		e.reaches = unreachable
+		e.reaches.Store(unreachable)
 		for _, id := range []types.TargetID{"b", "c", "d", "e", "f"} {
 			e.directory.Remove(id, time.Now(), 0)
 		}
--- a/tools/mutations/faults.go
+++ b/tools/mutations/faults.go
@@ -220,7 +220,7 @@
 	{"reach: the check ends the request", "transport/conn.go", "if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {", "if n > 0 || errors.Is(err, os.ErrDeadlineExceeded) {", "transport TestRequestWithoutAcknowledgmentIsSuspicious"},
 	{"reach: resets are no evidence", "transport/conn.go", "{syscall.ECONNRESET, syscall.ETIMEDOUT,", "{syscall.ETIMEDOUT,", "transport TestRequestWithoutAcknowledgmentIsSuspicious"},
 	{"reach: dials in progress are no evidence", "platform/link.go", "	timer := time.AfterFunc(slowDial, suspect)\n", "	timer := time.AfterFunc(time.Hour, suspect)\n", "platform TestDialsAreEvidenceOfTheLink"},
-	{"reach: every failed dial is evidence", "platform/link.go", "	case failedOnPath(err):\n", "	default:\n", "platform TestDialsAreEvidenceOfTheLink"},
+	{"reach: every failed dial is evidence", "platform/link.go", "	case failedOnPath(err):\n		link.", "	default:\n		link.", "platform TestDialsAreEvidenceOfTheLink"},
 	{"reach: new connections do not count", "platform/link.go", "		link.RecordConnected(hash, clock.Now())\n", "", "platform TestConnectionsAreEvidenceOfTheLink"},
 	{"reach: failures of the link stay with the targets", "server/node/reach.go", "{ t.Load.ForgetFailures(now) }", "{ _ = now }", "server/node TestLostLinkIsFoundByProbes"},
 	{"reach: idle connections survive a cut", "server/node/reach.go", "		if l.timedOut {\n", "		if false {\n", "server/node TestLostLinkIsFoundByProbes"},
