--- a/tools/mutations/faults.go
+++ b/tools/mutations/faults.go
@@ -265,7 +265,7 @@
 	{"reach: the check ends the request", "transport/conn.go", "if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {", "if n > 0 || errors.Is(err, os.ErrDeadlineExceeded) {", "transport TestRequestWithoutAcknowledgmentIsSuspicious"},
 	{"reach: resets are no evidence", "transport/conn.go", "{syscall.ECONNRESET, syscall.ETIMEDOUT,", "{syscall.ETIMEDOUT,", "transport TestRequestWithoutAcknowledgmentIsSuspicious"},
 	{"reach: dials in progress are no evidence", "platform/link.go", "	timer := time.AfterFunc(slowDial, suspect)\n", "	timer := time.AfterFunc(time.Hour, suspect)\n", "platform TestDialsAreEvidenceOfTheLink"},
-	{"reach: every failed dial is evidence", "platform/link.go", "	case failedOnPath(err):\n", "	default:\n", "platform TestDialsAreEvidenceOfTheLink"},
+	{"reach: every failed dial is evidence", "platform/link.go", "	case failedOnPath(err):\n		link.", "	default:\n		link.", "platform TestDialsAreEvidenceOfTheLink"},
 	{"reach: new connections do not count", "platform/link.go", "		link.RecordConnected(hash, clock.Now())\n", "", "platform TestConnectionsAreEvidenceOfTheLink"},
 	{"peer messages: both directions have one key", identity, "if to, err = deriveKey(secret, i.name, name, own, peer)", "if to, err = deriveKey(secret, name, i.name, peer, own)", "peerauth TestOnlyTheMessageItselfIsAccepted"},
 	{"peer messages: token is compared by its beginning", "peerauth/peers.go", "if !hmac.Equal(mac, appendMAC(nil, known.from, number, from, p.identity.name, fields)) {", "if !hmac.Equal(mac[:8], appendMAC(nil, known.from, number, from, p.identity.name, fields)[:8]) {", "peerauth TestOnlyTheMessageItselfIsAccepted"},
