--- a/cmd/internal/soak/cuts.go
+++ b/cmd/internal/soak/cuts.go
@@ -22,7 +22,7 @@
 	Think   time.Duration `default:"200ms" help:"Longest time between two requests of a caller."`
 	Length  time.Duration `default:"9s" help:"Duration of each cut."`
 	Pause   time.Duration `default:"5s" help:"Time between the end of a cut and the begin of the next one."`
-	How     []string      `default:"hang,reset,dials,requests,responses" enum:"hang,reset,dials,requests,responses,close" help:"Kinds of cuts, one of which is drawn for each: open connections hang, are reset, live on, or hang in one direction, and new ones get no response; close: all are reset."`
+	How     []string      `default:"hang,reset,dials,requests,responses,close" enum:"hang,reset,dials,requests,responses,close" help:"Kinds of cuts, one of which is drawn for each: open connections hang, are reset, live on, or hang in one direction, and new ones get no response; close: all are reset."`
 	Who     []string      `default:"one,most,all" enum:"one,most,all" help:"Nodes of a data centre that are cut, one of which is drawn for each cut."`
 	Partial int           `default:"20" help:"Percentage of cuts, after the first, that leave some targets reachable."`
 	Beside  []string      `default:"kills,stops,config,store,silence" enum:"none,kills,stops,config,store,silence" help:"Faults beside the cuts: nodes are killed or stopped as planned, the configuration changes, the store is away, sound targets are silent for 1.0 to 1.2 s."`
@@ -81,8 +81,9 @@
 	span
 	how cutHow
 	who string
-	// partial reports that some targets stayed in reach.
+	// partial reports that some targets stayed in reach. lost are the others.
 	partial bool
+	lost    []string
 	nodes   []*cutNode
 }
 
@@ -299,9 +300,9 @@
 	}
 	c.nodes = of
 	c.partial = rng.IntN(100) < s.Partial && i > 0
-	for k := range s.deployment.targets {
+	for k, t := range s.deployment.targets {
 		if !c.partial || rng.Float64() < partialTargetsShare {
-			targets = append(targets, k)
+			targets, c.lost = append(targets, k), append(c.lost, t.ID)
 		}
 	}
 	return c, targets
--- a/cmd/internal/soak/cuts_oracle.go
+++ b/cmd/internal/soak/cuts_oracle.go
@@ -19,7 +19,7 @@
 const (
 	cutKept     cutRule = iota
 	cutRecover          // RECOVER of the platform: nodes with a cut serve far less often than the others
-	cutStrict           // from 1 s after the begin of the cut they serve less than 0.97 as often
+	cutStrict           // from 1 s after the begin of the cut they, or the others during it, serve less than 0.97 as often
 	cutOthers           // nodes without a cut serve less often than before the first cut
 	cutHeal             // after a cut a node does not serve, or does not by itself
 	cutSilence          // a silence of sound targets has an effect after its end
@@ -28,7 +28,7 @@
 	cutWrong            // a response or an event is not that of the request
 	cutVersions         // streams hold events of two versions
 	cutKeys             // a key or another workspace at a target, or a key in a log
-	cutBlamed           // a node without a cut takes a sound target for a broken one
+	cutBlamed           // a node without a cut takes a sound target for a broken one, or any a prompt
 	cutRuleCount
 )
 
@@ -248,6 +248,9 @@
 				f.add(cutStrict, "%s: %s first tries served from %v on, %s at the others", g.cut, g.strictAt, cutsStrictDelay, g.strictOthers)
 			}
 		}
+		if g.beside.below(f.before, 97, 100) {
+			f.add(cutStrict, "%s: %s first tries served at the others, %s before", g.cut, g.beside, f.before)
+		}
 		if breaksRecover(g.beside, f.before) {
 			f.add(cutOthers, "%s: %s first tries served at the others, %s before", g.cut, g.beside, f.before)
 		}
@@ -266,10 +269,12 @@
 	}
 }
 
-// blamingMessages are the log messages with which a node takes a target or a prompt for broken.
-var blamingMessages = []string{
-	"target is silent", "target crashed at the beginning of a response", "prompt part blocked: engines crash under its requests", "prompt part blocked by another node",
-}
+// blamingMessages are the log messages with which a node takes a target for broken, and blockMessages
+// those about prompts under which engines crash. No engine crashes in this scenario.
+var (
+	blamingMessages = []string{"target is silent", "target crashed at the beginning of a response"}
+	blockMessages   = []string{"prompt part blocked: engines crash under its requests", "prompt part blocked by another node"}
+)
 
 // logLine is the part of a node's log line that the oracle reads.
 type logLine struct {
@@ -284,11 +289,14 @@
 	if strings.Contains(line, keyMark) {
 		f.add(cutKeys, "%s logs a key: %.200s", n.name, line)
 	}
-	if !slices.ContainsFunc(blamingMessages, func(m string) bool { return strings.Contains(line, m) }) {
-		return
-	}
 	var l logLine
-	if json.Unmarshal([]byte(line), &l) != nil || s.silentAt(l.Target, l.Time, cutsStableWindow) {
+	switch {
+	case slices.ContainsFunc(blockMessages, func(m string) bool { return strings.Contains(line, m) }):
+		f.add(cutBlamed, "%s: %s", n.name, strings.TrimSpace(line))
+		return
+	case !slices.ContainsFunc(blamingMessages, func(m string) bool { return strings.Contains(line, m) }):
+		return
+	case json.Unmarshal([]byte(line), &l) != nil || s.silentAt(l.Target, l.Time, cutsStableWindow):
 		return
 	}
 	if s.cutAt(n, l.Time, cutsStableWindow) != nil {
@@ -325,7 +333,7 @@
 	for _, g := range f.cuts {
 		kind := ""
 		if g.cut.partial {
-			kind = "-partial"
+			kind = "-partial:" + strings.Join(g.cut.lost, ",")
 		}
 		fmt.Fprintf(&b, " [%s-%s%s nodes=%d at=%s others=%s strict=%s others=%s beside=%s healed=%s others=%s by-itself=%d]",
 			g.cut.who, g.cut.how, kind, len(g.cut.nodes), g.at, g.others, g.strictAt, g.strictOthers, g.beside, g.healed, g.healedOthers, g.byItself)
--- a/cmd/internal/soak/cuts_test.go
+++ b/cmd/internal/soak/cuts_test.go
@@ -96,12 +96,17 @@
 			if between(at, 10, 20) && at/(20*time.Millisecond)%2 == 0 {
 				fail(c)
 			}
-		}, []cutRule{cutOthers}},
+		}, []cutRule{cutStrict, cutOthers}},
+		"a tenth fails at the others": {func(c *cutCall, node int, at time.Duration, _ *bool) {
+			if node == 1 && between(at, 10, 20) && at/(20*time.Millisecond)%10 == 0 {
+				fail(c)
+			}
+		}, []cutRule{cutStrict}},
 		"fails after a silence": {func(c *cutCall, node int, at time.Duration, _ *bool) {
 			if node == 1 && between(at, 14, 15) {
 				fail(c)
 			}
-		}, []cutRule{cutSilence}},
+		}, []cutRule{cutStrict, cutSilence}},
 	} {
 		f := judgeTries(x.change)
 		var broken []cutRule
@@ -183,7 +188,9 @@
 		want   cutRule
 	}{
 		"blamed during the cut":       {1, 15, `"msg":"target is silent","target":"i-d0"`, cutBlamed},
-		"blamed after the cut":        {1, 22, `"msg":"prompt part blocked by another node"`, cutBlamed},
+		"blamed after the cut":        {1, 22, `"msg":"target crashed at the beginning of a response","target":"i-d0"`, cutBlamed},
+		"a blocked prompt":            {0, 13, `"msg":"prompt part blocked: engines crash under its requests"`, cutBlamed},
+		"one that another blocks":     {1, 28, `"msg":"prompt part blocked by another node"`, cutBlamed},
 		"blamed later":                {1, 24, `"msg":"target is silent","target":"i-d0"`, cutKept},
 		"blamed by the node":          {0, 15, `"msg":"target is silent","target":"i-d0"`, cutKept},
 		"target was silent":           {1, 13, `"msg":"target is silent","target":"i-s0"`, cutKept},
