--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -142,7 +142,7 @@
 // newCall returns a call with the fields that all stages share.
 func (x *exchange) newCall(t *directory.Target, s Stage) *Call {
 	return &Call{
-		Request: x.r, Target: t, Stage: s, Caller: x.caller, Deadline: x.deadline, Priority: -1,
+		Request: x.r, Target: t, Stage: s, Caller: x.currentCaller(), Deadline: x.deadline, Priority: -1,
 		ProgressTimeout: x.deadline.Sub(x.now()), ResumeAfter: x.r.ResumeAfter, RequireLiveConnection: !x.route.Repeatable(),
 		RequireLifetime: x.requiresLifetime(t),
 	}
--- a/gateway/identity.go
+++ b/gateway/identity.go
@@ -48,3 +48,12 @@
 	}
 	return types.RefusedCredentialUnknown
 }
+
+// currentCaller returns the caller for a call that begins now. A request that arrived before the
+// configuration had workspaces shows targets no credential once there are some.
+func (x *exchange) currentCaller() Caller {
+	if t := x.g.table.Load(); x.caller.ForwardCredential && t.Workspaces != nil {
+		return Caller{}
+	}
+	return x.caller
+}
--- a/gateway/identity_test.go
+++ b/gateway/identity_test.go
@@ -111,3 +111,39 @@
 		}
 	})
 }
+
+// Guards against a credential that a target gets with a retry, a decode or a resumption after the first
+// configuration with workspaces is in force.
+func TestCredentialsAreSecretOnceThereAreWorkspaces(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for path, stages := range map[string]string{"/resume/": "pdw", "/chat/": "pd", "/read/": "ww"} {
+			w := newTestGateway()
+			prefill, introduced := w.targets.prefill, false
+			introduce := func() (first bool) {
+				first, introduced = !introduced, true
+				if first {
+					w.setWorkspaces(2, workspaces.NewWorkspace("a", nil, []string{"k1"}))
+				}
+				return first
+			}
+			w.targets.prefill = func(c *Call) (Handle, error) {
+				introduce()
+				return prefill(c)
+			}
+			w.targets.send = func(_ context.Context, c *Call) (Response, error) {
+				switch {
+				case introduce():
+					return nil, ErrRefused
+				case path == "/resume/" && c.Stage == StageDecode:
+					return &fakeResponse{status: 200, pieces: []string{"id: 1\n\n"}, err: ErrInvalidResponse}, nil
+				}
+				return &fakeResponse{status: 200, pieces: []string{"id: 2\n\n"}}, nil
+			}
+			assert.Equal(t, outcomeText(w.serveCredential(path, workspaces.ForKey("k1")).Outcome), "answered", path)
+			assert.Equal(t, w.targets.stages(), stages, path)
+			for i, c := range w.targets.calls {
+				assert.DeepEqual(t, c.Caller, Caller{ForwardCredential: i == 0})
+			}
+		}
+	})
+}
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -120,7 +120,7 @@
 // errNoPeer if the request may still be sent to targets; any other error ends it.
 func (x *exchange) sendThroughPeers(f Forwarded, resumeAfter string, use func(Response) error) error {
 	x.peersTried = true
-	f.ConfigVersion, f.Caller, f.Priority = x.table.Version, x.caller, x.route.Priority
+	f.ConfigVersion, f.Caller, f.Priority = x.table.Version, x.currentCaller(), x.route.Priority
 	f.Bound, f.Version = x.binding.bound, x.binding.version
 	f.Attempts, f.Runs, f.Prefills = x.attempts, x.runs, x.prefills
 	call := &PeerCall{Request: x.r, Forwarded: f, Deadline: x.deadline, ResumeAfter: resumeAfter}
