--- a/server/node/counters.go
+++ b/server/node/counters.go
@@ -35,6 +35,8 @@
 	byFeed       [loadshare.Feeds]metric.MeasurementOption
 	// skipped counts the configurations that were not decoded because newer ones replace them.
 	skipped metric.Int64Counter
+	// rejected counts the configurations that could not be decoded or lack the list of workspaces.
+	rejected metric.Int64Counter
 	// changesCalls counts the calls to other nodes for missing changes, by result.
 	changesCalls *daemon.ReasonCounter
 	// leaving, pauses and invalidPauses count what targets report about themselves.
@@ -135,6 +137,9 @@
 	if c.skipped, err = m.Meter.Int64Counter("lentilpick_configurations_skipped", metric.WithDescription("Configurations that this node has not decoded, because newer ones replace them.")); err != nil {
 		return nil, err
 	}
+	if c.rejected, err = m.Meter.Int64Counter("lentilpick_configurations_rejected", metric.WithDescription("Configurations that could not be decoded or lack the list of workspaces of an earlier one.")); err != nil {
+		return nil, err
+	}
 	if c.feedDuration, err = m.Meter.Float64Histogram("lentilpick_feed_call", metric.WithUnit("s"),
 		metric.WithDescription("Duration of the calls to the store that returned records, by feed."), metric.WithExplicitBucketBoundaries(firstEventBuckets...)); err != nil {
 		return nil, err
--- a/server/node/feeds.go
+++ b/server/node/feeds.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"errors"
 	"time"
 
@@ -108,6 +109,7 @@
 type configHandler struct {
 	outageLogger
 	gateway  *gateway.Gateway
+	counters *counters
 	onLoaded func()
 	// readState returns the read state of the configuration feed, for the log.
 	readState func() loadshare.ReadState
@@ -142,6 +144,7 @@
 	for _, i := range items {
 		switch {
 		case i.Err != nil:
+			f.counters.rejected.Add(context.Background(), 1)
 			f.log.WithError(i.Err).Error("configuration could not be decoded; skipped")
 		case i.Skipped:
 			skipped++
--- a/server/node/feeds_test.go
+++ b/server/node/feeds_test.go
@@ -6,6 +6,8 @@
 	"errors"
 	"fmt"
 	"io"
+	"net/http"
+	"net/http/httptest"
 	"runtime"
 	"strings"
 	"testing"
@@ -67,11 +69,16 @@
 }
 
 // Guards against a known key that is refused while the store is away, when an older configuration or
-// one that cannot be decoded is read, or because of invalid entries, which are logged once.
+// one that cannot be decoded is read, or because of invalid entries, which are logged once, and against
+// an undecoded configuration that is not counted.
 func TestKnownKeysStayValid(t *testing.T) {
 	var out bytes.Buffer
+	m, err := daemon.NewMetrics("test")
+	assert.NilError(t, err)
+	c, err := newCounters(m)
+	assert.NilError(t, err)
 	g := gateway.New(gateway.Settings{Now: time.Now, Demand: &demand.Table{}}, directory.New(), nil, nil, testObserver(t, io.Discard, 1))
-	h := &configHandler{outageLogger: outageLogger{log: daemon.NewLogger(&out, "warn", "node")}, gateway: g, onLoaded: func() {}, readState: func() loadshare.ReadState { return loadshare.ReadState{} }}
+	h := &configHandler{outageLogger: outageLogger{log: daemon.NewLogger(&out, "warn", "node")}, gateway: g, counters: c, onLoaded: func() {}, readState: func() loadshare.ReadState { return loadshare.ReadState{} }}
 	table := func(version uint64, all ...*workspaces.Workspace) *routes.Table {
 		x := routes.NewTable(version, routes.Limits{}, []routes.Route{{Name: "r", Host: "h", Prefix: "/", Timeout: time.Second}}, []routes.Service{{}})
 		x.Workspaces = workspaces.Next(nil, all)
@@ -101,6 +108,9 @@
 			assert.Equal(t, reason, want, "%s: %s", name, key)
 		}
 	}
+	scrape := httptest.NewRecorder()
+	m.Handler.ServeHTTP(scrape, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	assert.Assert(t, strings.Contains(scrape.Body.String(), "\nlentilpick_configurations_rejected_total 1\n"), "%s", scrape.Body)
 	assert.Equal(t, strings.Count(out.String(), "left out"), 1, "%s", out.String())
 	assert.Assert(t, strings.Contains(out.String(), `"invalid":2`) && !strings.Contains(out.String(), "k-"), "%s", out.String())
 }
--- a/server/node/node.go
+++ b/server/node/node.go
@@ -415,7 +415,7 @@
 	go n.crashes.recordBlocks(ctx, n.store)
 	go n.crashes.restoreBlocks(ctx, platform.Keyed(n.store, blocksTopic, decodeBlock))
 	go followFeed(ctx, n.newSharedFeed(feedConfig, 0, n.settings.ConfigurationWait), n.store.Configurations(), &configHandler{
-		outageLogger: source("configuration"), gateway: n.gateway, onLoaded: n.recordConfigurationInForce,
+		outageLogger: source("configuration"), gateway: n.gateway, counters: n.counters, onLoaded: n.recordConfigurationInForce,
 		readState: func() loadshare.ReadState { return n.exchanger.ReadState(feedConfig, clock.Now()) },
 	}, minReadBackoff, maxReadBackoff)
 	go followFeed(ctx, n.newSharedFeed(feedRegistrations, n.settings.RegistrationInterval, 0), n.store.Registrations(), &registrationHandler{
--- a/tools/mutations/faults.go
+++ b/tools/mutations/faults.go
@@ -201,6 +201,7 @@
 	{"callers: lists of workspaces are not remembered", "platform/configuration.go", "d.listed.CompareAndSwap(listed, t.Version+1)", "true", "platform TestMissingWorkspacesDoNotOpenTheSystem"},
 	{"callers: older version without workspaces is an error", "platform/configuration.go", "	case t.Version < listed:", "	case t.Version < listed && t.Workspaces != nil:", "platform TestMissingWorkspacesDoNotOpenTheSystem"},
 	{"callers: requests from before the workspaces keep their key", "gateway/identity.go", "x.caller.ForwardCredential && t.Workspaces != nil", "x.caller.ForwardCredential && t == nil", "gateway TestCredentialsAreSecretOnceThereAreWorkspaces"},
+	{"callers: rejected configurations are not counted", "server/node/feeds.go", "f.counters.rejected.Add(context.Background(), 1)", "f.counters.rejected.Add(context.Background(), 0)", "server/node TestKnownKeysStayValid"},
 	{"callers: rejected input is quoted", "platform/front.go", "withoutContents(err))", "err)", "platform TestRejectedInputIsNotQuoted"},
 	{"callers: names with spaces", "platform/front.go", `bytes.ContainsAny(name, " \t")`, `bytes.ContainsAny(name, "\t")`, "platform TestRejectedInputIsNotQuoted"},
 	{"callers: left-out entries are not logged", "server/node/feeds.go", "			f.logProblems(*i.Value)\n", "", "server/node TestKnownKeysStayValid"},
