--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -215,6 +215,9 @@
 		t.Load.Leaving.Store(true)
 	case errors.Is(err, ErrWrongRole):
 		t.Load.RetryAfter.Store(clock.Nanos(now.Add(wrongRolePause)))
+	case x.g.settings.Peers.TargetsLost():
+		// The failure is due to the lost link of this daemon.
+		x.unreachable++
 	case errors.Is(err, ErrNotSent):
 		x.unreachable++
 		t.Load.RecordUnreachable(now)
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -119,7 +119,6 @@
 // sendThroughPeers sends the request through another daemon. use passes the response on. The error is
 // errNoPeer if the request may still be sent to targets; any other error ends it.
 func (x *exchange) sendThroughPeers(f Forwarded, resumeAfter string, use func(Response) error) error {
-	x.peersTried = true
 	f.ConfigVersion, f.Caller, f.Priority = x.table.Version, x.currentCaller(), x.route.Priority
 	f.Bound, f.Version = x.binding.bound, x.binding.version
 	f.Attempts, f.Runs, f.Prefills = x.attempts, x.runs, x.prefills
@@ -130,7 +129,7 @@
 		if !ok {
 			break
 		}
-		tried = append(tried, to)
+		tried, x.peersTried = append(tried, to), true
 		resp, err := x.sendToPeer(to, call)
 		if err == nil {
 			defer resp.Close()
--- a/gateway/peers_test.go
+++ b/gateway/peers_test.go
@@ -63,6 +63,22 @@
 	}
 }
 
+// Guards against a request that stays at a daemon without targets because no other one was known when it
+// arrived, as after a restart, and against targets that are avoided because of the lost links.
+func TestPeerFoundLater(t *testing.T) {
+	w, p := newForwardingGateway(true)
+	names := p.names
+	p.names = nil
+	w.targets.send = func(context.Context, *Call) (Response, error) {
+		p.names = names
+		return nil, ErrNotSent
+	}
+	r, _ := w.serve(context.Background(), "/once/x")
+	assert.Equal(t, outcomeText(r.Outcome), "answered")
+	assert.Equal(t, len(w.targets.calls), 1)
+	assert.Assert(t, !w.targets.calls[0].Target.Load.Failing())
+}
+
 // Guards against a refusal without an attempt when no other daemon accepts requests, and against a
 // daemon that uses others while it reaches the targets.
 func TestTargetsAreTriedWithoutPeers(t *testing.T) {
