--- a/server/node/crashes.go
+++ b/server/node/crashes.go
@@ -63,6 +63,8 @@
 			return checkReachable
 		case d.linkExplains(t):
 			return checkUnknown
+		case d.reachable(t):
+			return checkReachable // the link has returned during the check
 		}
 		return checkCrashed
 	})
--- a/server/node/reach_test.go
+++ b/server/node/reach_test.go
@@ -208,3 +208,17 @@
 		assert.Equal(t, d.guard.KnownCrash(directory.Lifetime{Target: 7}), !explained)
 	}
 }
+
+// Guards against a cut that ends during the check of a target and counts as a crash: the target cannot
+// be reached, and the others can be reached afterwards.
+func TestLinkThatReturnsDuringCheckIsNoCrash(t *testing.T) {
+	var returned atomic.Bool
+	d := newTestDetector(t, func() bool { return returned.Load() })
+	d.linkExplains = func(*directory.Target) bool {
+		returned.Store(true)
+		return false
+	}
+	d.RecordBroken(&directory.Target{Hash: 7}, []directory.Part{{ID: 0xbad}}, 0)
+	evaluateChecks(t, d)
+	assert.Assert(t, !d.guard.KnownCrash(directory.Lifetime{Target: 7}))
+}
