--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -338,7 +338,9 @@
 	if reason, ok := x.accept(); !ok {
 		return x.end(x.callerAttempt.Refuse(reason))
 	}
-	x.serviceID = x.route.PickService(r.serviceHash())
+	if r.Forwarded == nil {
+		x.serviceID = x.route.PickService(r.serviceHash())
+	}
 	x.service = x.table.Service(x.serviceID)
 	x.deadline = r.Arrived.Add(x.route.Timeout)
 	if !r.Deadline.IsZero() && r.Deadline.Before(x.deadline) {
--- a/gateway/pacing.go
+++ b/gateway/pacing.go
@@ -36,7 +36,7 @@
 		return min(rateDelayLimit(t), x.route.Objective-elapsed)
 	case x.route.Kind != routes.KindStream:
 		return time.Duration(maxWaitShare * float64(x.deadline.Sub(x.now())))
-	case x.events > 0:
+	case x.begun():
 		return time.Duration(maxWaitShare * float64(x.eventWaitLimit()))
 	}
 	return time.Duration(maxWaitShare*float64(x.eventWaitLimit())) - elapsed
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -65,6 +65,10 @@
 	Attempts, Runs, Prefills int
 	// Offered reports whether the request was recorded as demand.
 	Offered bool
+	// Begun reports whether the caller has received events of the response.
+	Begun bool
+	// Service is the one that the route has chosen for the request.
+	Service types.ServiceID
 }
 
 // PeerRefusal is the end of a forwarded request without a response of a target.
@@ -92,8 +96,7 @@
 	}
 	switch e.Reason {
 	case types.RefusedPeerCredential, types.RefusedPeerConfiguration, types.RefusedPeerTargets, types.RefusedPoolFull,
-		types.RefusedStopping, types.RefusedNoConfiguration, types.RefusedUnknownRoute, types.RefusedTargetUnreachable,
-		types.RefusedInternal:
+		types.RefusedStopping, types.RefusedNoConfiguration, types.RefusedUnknownRoute, types.RefusedTargetUnreachable:
 		return true
 	}
 	return false
@@ -120,7 +123,7 @@
 // errNoPeer if the request may still be sent to targets; any other error ends it.
 func (x *exchange) sendThroughPeers(f Forwarded, resumeAfter string, use func(Response) error) error {
 	f.ConfigVersion, f.Caller, f.Priority = x.table.Version, x.currentCaller(), x.route.Priority
-	f.Bound, f.Version = x.binding.bound, x.binding.version
+	f.Service, f.Bound, f.Version, f.Begun = x.serviceID, x.binding.bound, x.binding.version, x.events > 0
 	f.Attempts, f.Runs, f.Prefills = x.attempts, x.runs, x.prefills
 	call := &PeerCall{Request: x.r, Forwarded: f, Deadline: x.deadline, ResumeAfter: resumeAfter}
 	var tried []types.VMID
@@ -194,28 +197,37 @@
 // acceptForwarded takes over the state of a request that another daemon forwards. It returns false
 // and a reason if this daemon cannot serve it.
 func (x *exchange) acceptForwarded(f *Forwarded) (reason types.RefusalReason, ok bool) {
-	if x.table.Version < f.ConfigVersion {
+	if x.table.Version < f.ConfigVersion || !x.route.Uses(f.Service) {
 		return types.RefusedPeerConfiguration, false
 	}
 	if x.g.settings.Peers.TargetsLost() {
 		return types.RefusedPeerTargets, false
 	}
-	x.caller = f.Caller
+	x.caller, x.serviceID = f.Caller, f.Service
 	x.route = x.route.WithPriority(f.Priority)
 	x.binding = versionBinding{f.Version, f.Bound}
 	x.attempts, x.runs, x.prefills = f.Attempts, f.Runs, f.Prefills
 	return 0, true
 }
 
-// endForwarded ends a request of another daemon that no target has received, once this daemon has lost
-// its links to the targets: the other daemon sends it to the next one. It returns nil otherwise.
+// endForwarded ends a request of another daemon that no target has received, once this daemon does not
+// reach the targets either: the other daemon sends it to the next one. It returns nil otherwise.
 func (x *exchange) endForwarded() types.Outcome {
-	if x.r.Forwarded == nil || x.callerAttempt.Sent() || x.started || !x.g.settings.Peers.TargetsLost() {
+	if x.r.Forwarded == nil || x.callerAttempt.Sent() || x.started {
+		return nil
+	}
+	if x.unreachable < maxUnreachable && !x.g.settings.Peers.TargetsLost() {
 		return nil
 	}
 	return x.refuse(types.RefusedPeerTargets, 0)
 }
 
+// begun reports whether the caller has received events of the response, from this daemon or from the
+// one that forwards the request.
+func (x *exchange) begun() bool {
+	return x.events > 0 || x.r.Forwarded != nil && x.r.Forwarded.Begun
+}
+
 // forwardPlain sends a request of a plain service through another daemon.
 func (x *exchange) forwardPlain() error {
 	return x.sendThroughPeers(Forwarded{}, x.r.ResumeAfter, func(resp Response) error {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -128,7 +128,7 @@
 	if s.service == nil || s.service.Engine == nil || s.r.Prompt == nil {
 		return s.runCombined(placement.Available{}, placement.PlainScorer{Costs: s.g.settings.Costs, ServiceTime: plainServiceTime})
 	}
-	if s.events > 0 {
+	if s.begun() {
 		return s.runCombined(placement.GeneratesTokens{}, s.combinedScorer())
 	}
 	if s.handle.ID != "" {
@@ -287,7 +287,7 @@
 		return &outcomeError{s.noTarget()}
 	}
 	if s.r.Prompt != nil && s.service != nil && s.service.Engine != nil {
-		if s.events == 0 {
+		if !s.begun() {
 			if err := s.checkOverload(c); err != nil {
 				return err
 			}
@@ -401,7 +401,7 @@
 
 // progressTimeout returns how long a target may make no progress on the stream.
 func (s *stream) progressTimeout() time.Duration {
-	if s.route.Resumable && s.runs+1 < s.route.MaxRuns && s.events > 0 {
+	if s.route.Resumable && s.runs+1 < s.route.MaxRuns && s.begun() {
 		return max(resumeAfterIntervals*s.route.TokenInterval, minRetryAfter)
 	}
 	return s.eventWaitLimit() + s.route.TokenInterval
@@ -527,7 +527,7 @@
 // may have none left, but if another target has broken off, an end that is not marked is more
 // likely that of a target that has crashed as well.
 func (s *stream) mustHaveEvents(resp Response) bool {
-	if s.events > 0 {
+	if s.begun() {
 		return !resp.EndMarked()
 	}
 	return s.lastEvent == ""
--- a/routes/routes.go
+++ b/routes/routes.go
@@ -3,6 +3,7 @@
 package routes
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -73,6 +74,11 @@
 // Repeatable reports whether a request may run more than once.
 func (r *Route) Repeatable() bool { return r.Kind == KindIdempotent }
 
+// Uses reports whether the route sends requests to the service.
+func (r *Route) Uses(id types.ServiceID) bool {
+	return slices.ContainsFunc(r.Services, func(s WeightedService) bool { return s.Service == id })
+}
+
 // PickService returns the service for a request, or "" if the route has none. The hash
 // distributes requests over the services by weight; equal hashes give the same service.
 // If no weight is positive, it returns the first service.
--- a/tools/mutations/faults.go
+++ b/tools/mutations/faults.go
@@ -20,6 +20,8 @@
 	durations = "shutdown/durations.go"
 	link      = "reach/reach.go"
 	versions  = "gateway/versions.go"
+	peers     = "gateway/peers.go"
+	hop       = "platform/forward.go"
 	choice    = "carriers/carriers.go"
 	attempts  = "carriers/attempt.go"
 	identity  = "peerauth/identity.go"
@@ -304,7 +306,6 @@
 	{"reach: idle connections end with a deadline", "transport/conn.go", "	if err := c.SetReadDeadline(time.Time{}); err != nil {\n", "	if false {\n", "transport TestIdleConnectionOutlivesDeadlineOfItsResponse"},
 	{"reach: lifetimes are not checked after a cut", "directory/forget.go", "min(l.consecutiveFailures.Load(), 1)", "0", "server/node TestLostLinkIsFoundByProbes"},
 	{"reach: keep-alive probes end long requests", "transport/pool.go", "p.dialer.KeepAlive = -1", "p.dialer.KeepAlive = 0", "transport TestLostProbeDoesNotEndAConnection"},
-}
 	{"peers: forwarded again", peers, "x.r.Forwarded == nil && !x.peersTried &&", "!x.peersTried &&", "gateway TestForwardedOnce"},
 	{"peers: older configuration serves", peers, "if x.table.Version < f.ConfigVersion || ", "if ", "gateway TestForwardedOnce"},
 	{"peers: failure counts as not run", peers, "errors.As(err, &refusal) && refusal.NotRun {", "errors.As(err, &refusal) {", "gateway TestOutcomesOfPeers"},
@@ -329,3 +330,4 @@
 	{"peers: dials go on after the loss", "platform/link.go", "	defer context.AfterFunc(t.dials.Load().ctx, cancel)()\n", "", "platform TestAbandonedDials"},
 	{"peers: own record is not published", "server/node/pace.go", "p.publishNext.Swap(false) || p.readsForPeers", "p.readsForPeers", "server/node TestOwnChangeIsPublished"},
 	{"reach: loss during a round waits", link, "		t.nextRound, t.nextExcusedRound = now, now\n		t.resolve()\n", "		t.resolve()\n", "reach TestLossDuringRoundIsNotDelayed"},
+}
