--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -114,9 +114,15 @@
 var errNoPeer = errors.New("no other daemon serves the request")
 
 // mustForward reports whether the request is sent to another daemon before any target. A request is
-// forwarded once at most.
+// forwarded once at most. A prefill that was made is in vain then, and the next one is a retry.
 func (x *exchange) mustForward() bool {
-	return x.r.Forwarded == nil && !x.peersTried && (x.unreachable >= maxUnreachable || x.g.settings.Peers.TargetsLost())
+	if x.r.Forwarded != nil || x.peersTried {
+		return false
+	}
+	if x.g.settings.Peers.TargetsLost() {
+		return x.prefills == 0 || x.budget.Spend()
+	}
+	return x.unreachable >= maxUnreachable && x.attempts+x.prefills == 0
 }
 
 // sendThroughPeers sends the request through another daemon. use passes the response on. The error is
@@ -210,10 +216,12 @@
 	return 0, true
 }
 
-// endForwarded ends a request of another daemon that no target has received, once this daemon does not
-// reach the targets either: the other daemon sends it to the next one. It returns nil otherwise.
+// endForwarded ends a request of another daemon once this one does not reach the targets either: the
+// other daemon sends it to the next one. It returns nil otherwise, also if a target has received a part
+// of the request from here, such as its prefill: the other daemon would have it made again.
 func (x *exchange) endForwarded() types.Outcome {
-	if x.r.Forwarded == nil || x.callerAttempt.Sent() || x.started {
+	f := x.r.Forwarded
+	if f == nil || x.started || x.attempts+x.prefills > f.Attempts+f.Prefills {
 		return nil
 	}
 	if x.unreachable < maxUnreachable && !x.g.settings.Peers.TargetsLost() {
--- a/gateway/peers_test.go
+++ b/gateway/peers_test.go
@@ -181,6 +181,32 @@
 	assert.Equal(t, len(p.calls), 1)
 }
 
+// Guards against prefills that are made again by one daemon after the other while engines crash under
+// their decodes (tainted, seed 1029697948215: 379 arrivals beyond the first, 206 were allowed).
+func TestPrefillsAreNotRepeatedByPeers(t *testing.T) {
+	for name, serve := range map[string]func(*testGateway) Result{
+		"of a caller": func(w *testGateway) Result {
+			r, _ := w.serve(context.Background(), "/chat/x")
+			return r
+		},
+		"forwarded": func(w *testGateway) Result { return w.serveForwarded("/chat/x", Forwarded{}) },
+	} {
+		w, p := newForwardingGateway(false)
+		w.targets.send = func(context.Context, *Call) (Response, error) { return nil, ErrNotSent }
+		assert.Equal(t, outcomeText(serve(w).Outcome), "not_run no_target", name)
+		assert.Equal(t, w.targets.stages(), "pdd", name)
+		assert.Equal(t, len(p.calls), 0, name)
+		w, p = newForwardingGateway(false)
+		w.g.SetRetryLimits(admission.RetryLimits{})
+		w.targets.send = func(context.Context, *Call) (Response, error) {
+			p.lost = true
+			return nil, ErrNotSent
+		}
+		serve(w)
+		assert.Equal(t, len(p.calls), 0, "%s: the budget has no second prefill", name)
+	}
+}
+
 // serveForwarded serves a request of another daemon.
 func (w *testGateway) serveForwarded(path string, f Forwarded) Result {
 	if f.Service == "" {
@@ -245,7 +271,7 @@
 				p.lost = true
 				return nil, err
 			}
-			assert.Equal(t, outcomeText(w.serveForwarded(path, Forwarded{}).Outcome), want, path)
+			assert.Equal(t, outcomeText(w.serveForwarded(path, Forwarded{Begun: path == "/resume/x"}).Outcome), want, path)
 		}
 	}
 }
