--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -114,15 +114,12 @@
 var errNoPeer = errors.New("no other daemon serves the request")
 
 // mustForward reports whether the request is sent to another daemon before any target. A request is
-// forwarded once at most. A prefill that was made is in vain then, and the next one is a retry.
+// forwarded once at most.
 func (x *exchange) mustForward() bool {
 	if x.r.Forwarded != nil || x.peersTried {
 		return false
 	}
-	if x.g.settings.Peers.TargetsLost() {
-		return x.prefills == 0 || x.budget.Spend()
-	}
-	return x.unreachable >= maxUnreachable && x.attempts+x.prefills == 0
+	return x.g.settings.Peers.TargetsLost() || x.unreachable >= maxUnreachable && x.attempts+x.prefills == 0
 }
 
 // sendThroughPeers sends the request through another daemon. use passes the response on. The error is
@@ -138,6 +135,9 @@
 		if !ok {
 			break
 		}
+		if !x.peersTried && x.prefills > 0 && !x.budget.Spend() {
+			break // the prefill was in vain, and another one is a retry
+		}
 		tried, x.peersTried = append(tried, to), true
 		resp, err := x.sendToPeer(to, call)
 		if err == nil {
@@ -238,9 +238,7 @@
 
 // forwardPlain sends a request of a plain service through another daemon.
 func (x *exchange) forwardPlain() error {
-	return x.sendThroughPeers(Forwarded{}, x.r.ResumeAfter, func(resp Response) error {
-		return x.passResponse(resp)
-	})
+	return x.sendThroughPeers(Forwarded{}, x.r.ResumeAfter, x.passResponse)
 }
 
 // passResponse passes the complete response of another daemon to the caller. It always returns an
--- a/tools/mutations/faults.go
+++ b/tools/mutations/faults.go
@@ -317,7 +317,7 @@
 	{"peers: link that returns during a check", "server/node/crashes.go", "		case d.reachable(t):\n			return checkReachable //", "		case false:\n			return checkReachable //", "server/node TestLinkThatReturnsDuringCheckIsNoCrash"},
 	{"peers: carriers repeat prefills", peers, " || x.attempts+x.prefills > f.Attempts+f.Prefills {", " {", "gateway TestPrefillsAreNotRepeatedByPeers"},
 	{"peers: unreachable targets repeat prefills", peers, "x.unreachable >= maxUnreachable && x.attempts+x.prefills == 0", "x.unreachable >= maxUnreachable", "gateway TestPrefillsAreNotRepeatedByPeers"},
-	{"peers: repeated prefills are free", peers, "x.prefills == 0 || x.budget.Spend()", "true", "gateway TestPrefillsAreNotRepeatedByPeers"},
+	{"peers: repeated prefills are free", peers, "x.prefills > 0 && !x.budget.Spend()", "false", "gateway TestPrefillsAreNotRepeatedByPeers"},
 	{"peers: version is forgotten", peers, "	x.binding = versionBinding{f.Version, f.Bound}\n", "", "gateway TestStateOfForwardedRequest"},
 	{"peers: request earns twice", "gateway/gateway.go", "	if r.Forwarded == nil {\n		x.budget.Earn()", "	if true {\n		x.budget.Earn()", "gateway TestStateOfForwardedRequest"},
 	{"peers: demand counts twice", "gateway/stream.go", "s.offered || s.r.Forwarded != nil && s.r.Forwarded.Offered", "s.offered", "gateway TestStateOfForwardedRequest"},
