--- a/review/cases/deployment_test.go
+++ b/review/cases/deployment_test.go
@@ -4,11 +4,13 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -63,10 +65,52 @@
 
 // attempt is a request as its requester sees it.
 type attempt struct {
-	at, ended time.Time
-	path      string
-	status    int
-	complete  bool
+	id, path, node string
+	at, ended      time.Time
+	status         int
+	complete       bool
+}
+
+// begin records that a requester sends a request to a node.
+func (d *deployment) begin(n *node, id, path string) *attempt {
+	a := &attempt{id: id, path: path, node: n.name, at: time.Now()}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.sent[id] = a
+	return a
+}
+
+// end records the answer to a request. status is 0 without one.
+func (d *deployment) end(a *attempt, status int, complete bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	a.ended, a.status, a.complete = time.Now(), status, complete
+}
+
+// recordRequests writes what was sent, answered and run.
+func (d *deployment) recordRequests() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	ranBy := map[string][]string{}
+	for _, v := range append(slices.Clone(d.gone), d.servers...) {
+		v.mu.Lock()
+		for _, r := range v.runs {
+			ranBy[r.request] = append(ranBy[r.request], fmt.Sprintf("%s at %.3f s", v.id, r.at.Sub(d.record.began).Seconds()))
+		}
+		v.mu.Unlock()
+	}
+	all := slices.SortedFunc(maps.Values(d.sent), func(a, b *attempt) int { return a.at.Compare(b.at) })
+	for _, a := range all {
+		answer := "no answer"
+		if !a.ended.IsZero() {
+			answer = fmt.Sprintf("answered %d at %.3f s, in full: %v", a.status, a.ended.Sub(d.record.began).Seconds(), a.complete)
+		}
+		ran := "not run"
+		if by := ranBy[a.id]; len(by) > 0 {
+			ran = "run by " + strings.Join(by, " and ")
+		}
+		d.record.printf("request %s %s sent to %s at %.3f s, %s, %s", a.id, a.path, a.node, a.at.Sub(d.record.began).Seconds(), answer, ran)
+	}
 }
 
 type node struct {
@@ -304,10 +348,7 @@
 
 // send sends a request to a node and reads the answer to its end.
 func (d *deployment) send(n *node, id, path, deadline, usage, prefix string) *attempt {
-	a := &attempt{path: path, at: time.Now()}
-	d.mu.Lock()
-	d.sent[id] = a
-	d.mu.Unlock()
+	a := d.begin(n, id, path)
 	req, err := http.NewRequest(http.MethodPost, "http://"+n.front()+path, nil)
 	if err != nil {
 		return a
@@ -328,9 +369,7 @@
 		_ = resp.Body.Close()
 		complete = err == nil
 	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	a.ended, a.status, a.complete = time.Now(), status, complete
+	d.end(a, status, complete)
 	return a
 }
 
--- a/review/cases/head_test.go
+++ b/review/cases/head_test.go
@@ -72,6 +72,8 @@
 // booking sends a request that is not idempotent on a new channel. It returns the bytes of the answer, its
 // status and its body, and an error unless the answer is complete.
 func (d *deployment) booking(n *node, id string) (raw []byte, status int, body string, err error) {
+	a := d.begin(n, id, "/booking/x")
+	defer func() { d.end(a, status, err == nil) }()
 	c, err := net.DialTimeout("tcp4", n.front(), time.Second)
 	if err != nil {
 		return nil, 0, "", err
--- a/review/cases/main_test.go
+++ b/review/cases/main_test.go
@@ -61,6 +61,7 @@
 	}
 	defer d.close()
 	r, err := cases[name](d, os.Getenv("TROUBLE") != "0")
+	d.recordRequests()
 	switch {
 	case err != nil:
 		record.printf("case could not run: %s", err)
--- a/review/cases/takeup_test.go
+++ b/review/cases/takeup_test.go
@@ -189,6 +189,8 @@
 	if err != nil {
 		return 0, false, 0, ""
 	}
+	a := d.begin(n, id, "/roster/q")
+	defer func() { d.end(a, status, done) }()
 	req.Host = host
 	for name, v := range map[string]string{
 		"X-Request-Id": id, "X-Deadline-Ms": strconv.FormatInt(time.Until(end).Milliseconds(), 10), "X-Model": "m", "X-Token-Usage": takeUpUsage,
