transport: a head with a line that HTTP does not have is no response

Cause: ReadHead and ResponseConn check the status line and leave the fields to the HTTP library. It takes a blank in a name as part of another name, so that "Transfer Encoding: chunked" states no framing and the chunks become the body. It also removes blanks before the colon, joins folded lines and ends lines at a bare line feed. net/http, in calls between nodes, takes blanks in names too.

Change: each line of a head is checked as it arrives, interim heads included, on connections to targets, to the store and to the log. A transport for calls between daemons checks the names. What RFC 9110 and 9112 let a sender write still passes.

--- a/server/control/peers.go
+++ b/server/control/peers.go
@@ -45,7 +45,7 @@
 
 func newPeerClients(peers []Peer, listen string, traffic *daemon.Traffic) []peerClient {
 	dialer := daemon.Dialer(listen, fetchTimeout)
-	h := &http.Client{Transport: wire.ProgressTransport{RoundTripper: &http.Transport{
+	h := &http.Client{Transport: wire.ProgressTransport{RoundTripper: wire.CheckedTransport{RoundTripper: &http.Transport{
 		MaxIdleConnsPerHost: 4, IdleConnTimeout: 30 * time.Second,
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := dialer.DialContext(ctx, network, address)
@@ -54,7 +54,7 @@
 			}
 			return traffic.Conn(conn), nil
 		},
-	}}}
+	}}}}
 	out := make([]peerClient, 0, len(peers))
 	for _, p := range peers {
 		out = append(out, peerClient{
--- a/server/localview/client.go
+++ b/server/localview/client.go
@@ -45,9 +45,9 @@
 // Connections are made from the IP address of listen.
 func NewClient(vm, listen string, store *Store, addresses []string, log *logrus.Entry) *Client {
 	c := &Client{vm: vm, store: store, log: log, addresses: addresses}
-	h := &http.Client{Transport: wire.ProgressTransport{RoundTripper: &http.Transport{
+	h := &http.Client{Transport: wire.ProgressTransport{RoundTripper: wire.CheckedTransport{RoundTripper: &http.Transport{
 		DialContext: daemon.Dialer(listen, dialTimeout).DialContext, MaxIdleConnsPerHost: 64, IdleConnTimeout: 30 * time.Second,
-	}}}
+	}}}}
 	for _, a := range addresses {
 		c.clients = append(c.clients, peerv1connect.NewViewServiceClient(h, "http://"+a, wire.NoCompression()))
 	}
--- a/server/node/seeds.go
+++ b/server/node/seeds.go
@@ -57,7 +57,7 @@
 func newPeerTransport() http.RoundTripper {
 	// A transport does not end the dialling of a connection with the request.
 	d := net.Dialer{Timeout: fetchTimeout}
-	return &http.Transport{DisableKeepAlives: true, DialContext: d.DialContext}
+	return wire.CheckedTransport{RoundTripper: &http.Transport{DisableKeepAlives: true, DialContext: d.DialContext}}
 }
 
 var (
--- a/transport/head.go
+++ b/transport/head.go
@@ -20,9 +20,9 @@
 // parseStatus returns the status code of a status line. The library that decodes the header takes
 // any three digits for a status, 000 for 200, and any version of the protocol for HTTP/1.0.
 func parseStatus(line []byte) (int, error) {
-	version, rest, _ := bytes.Cut(bytes.TrimSuffix(line, []byte("\r")), []byte(" "))
+	version, rest, _ := bytes.Cut(line, []byte(" "))
 	code, _, _ := bytes.Cut(rest, []byte(" "))
-	if v := string(version); v != "HTTP/1.1" && v != "HTTP/1.0" || len(code) != 3 {
+	if v := string(version); v != "HTTP/1.1" && v != "HTTP/1.0" || len(code) != 3 || !isFieldValue(rest) {
 		return 0, fmt.Errorf("status line %.40q: %w", line, ErrInvalidHead)
 	}
 	status := 0
@@ -41,41 +41,35 @@
 // readHead reads the heads of interim responses and that of the response, and returns its status.
 func readHead(r *bufio.Reader, h *fasthttp.ResponseHeader) (int, error) {
 	for range maxInterimHeads {
-		line, err := peekLine(r)
+		var c headChecker
+		head, err := peekHead(r, &c)
 		if err != nil {
 			return 0, err
 		}
-		status, err := parseStatus(line)
-		if err != nil {
-			return 0, err
-		}
-		if err := checkFraming(r, line); err != nil {
+		if err := checkFraming(head); err != nil {
 			return 0, err
 		}
 		if err := h.Read(r); err != nil {
 			return 0, err
 		}
-		if status >= fasthttp.StatusOK {
-			return status, nil
+		if c.status >= fasthttp.StatusOK {
+			return c.status, nil
 		}
 	}
 	return 0, fmt.Errorf("more than %d interim responses: %w", maxInterimHeads, ErrInvalidHead)
 }
 
-// peekLine returns the next line without its line feed and leaves it in the buffer. The error
-// wraps ErrTooLarge if the line does not fit into the buffer.
-func peekLine(r *bufio.Reader) ([]byte, error) {
-	return peekUntil(r, func(b []byte) int { return bytes.IndexByte(b, '\n') })
-}
-
-// peekUntil returns the next bytes up to the index that find returns for them, which is negative
-// until they have arrived, and leaves them in the buffer.
-func peekUntil(r *bufio.Reader, find func(b []byte) int) ([]byte, error) {
+// peekHead returns the next head, which it checks as it arrives, and leaves it in the buffer. The
+// error wraps ErrTooLarge if the head does not fit into the buffer.
+func peekHead(r *bufio.Reader, c *headChecker) ([]byte, error) {
 	for n := 1; ; n = r.Buffered() + 1 {
 		_, err := r.Peek(n)
 		b, _ := r.Peek(r.Buffered())
-		if i := find(b); i >= 0 {
-			return b[:i], nil
+		if err := c.feed(b[c.bytes:]); err != nil {
+			return nil, err
+		}
+		if c.done {
+			return b[:c.bytes], nil
 		}
 		switch {
 		case errors.Is(err, bufio.ErrBufferFull):
@@ -90,28 +84,15 @@
 	}
 }
 
-// endOfHead returns the index of the empty line that ends a head, or a negative number.
-func endOfHead(b []byte) int {
-	crlf, lf := bytes.Index(b, []byte("\n\r\n")), bytes.Index(b, []byte("\n\n"))
-	if crlf < 0 || lf >= 0 && lf < crlf {
-		return lf
-	}
-	return crlf
-}
-
 // checkFraming returns an error for a response of HTTP/1.0 with a transfer encoding, which that
 // version does not have. The library ignores the field and would pass the chunks on as the body.
-func checkFraming(r *bufio.Reader, line []byte) error {
-	if !bytes.HasPrefix(line, []byte("HTTP/1.0")) {
+func checkFraming(head []byte) error {
+	if !bytes.HasPrefix(head, []byte("HTTP/1.0")) {
 		return nil
 	}
-	head, err := peekUntil(r, endOfHead)
-	if err != nil {
-		return err
-	}
 	for field := range bytes.Lines(head) {
 		name, _, _ := bytes.Cut(field, []byte(":"))
-		if strings.EqualFold(string(bytes.TrimSpace(name)), fasthttp.HeaderTransferEncoding) {
+		if strings.EqualFold(string(name), fasthttp.HeaderTransferEncoding) {
 			return fmt.Errorf("HTTP/1.0 with a transfer encoding: %w", ErrInvalidHead)
 		}
 	}
