authority, node: fencing numbers rise over returns of the store

Cause: the number was the offset of the claim plus one. A return takes claims back and gives out their offsets again. A node without memory claimed number 1 a second time, one with memory went on from a claim that was gone. A read from beyond the end of the returned topic was repeated without a pause, because its 410 names no higher offset.

A new era resets the lease, and a node waits a whole lease before it claims then, also if it starts after a return. A grant ends with its era. Without a stated era a node raises its number beyond what it has read. The records of the lease stay as they are, and the numbers of the first era too, so that releases before and after agree. Where engines do not check numbers, a node orders nothing after a return while a node of an older release is listed.

--- a/authority/lease.go
+++ b/authority/lease.go
@@ -37,9 +37,9 @@
 	Kind       Kind               `json:"kind"`
 	DataCentre types.DataCentreID `json:"data_centre"`
 	Holder     Holder             `json:"holder"`
-	// Term is the fencing number: the offset of a valid claim plus one. Renewals
-	// and releases repeat it for readers that start after the claim has expired
-	// from the log.
+	// Term is the offset of a valid claim plus one. Renewals and releases repeat it
+	// for readers that start after the claim has expired from the log. It does not
+	// depend on the era, so that all releases accept the same claims.
 	Term types.FencingNumber `json:"term"`
 	// Previous is set on claims only. It is the offset of the last record that
 	// the claimant had read, or -1 for an empty stream.
@@ -77,14 +77,28 @@
 	return time.Duration(float64(d)*ClockRateError) + 100*time.Millisecond
 }
 
+// fenceEraBit is the lowest bit of a fencing number that states the era of its claim. It leaves room
+// for 2^32 records in an era, and for 2^21 eras in the 53 bits of an integer that each JSON decoder
+// keeps.
+const fenceEraBit = 32
+
+// fencingNumber returns the fencing number of the claim with a Term, which rises with the offsets of an
+// era and with the eras. In the first era it is the Term alone, as in releases that know no eras.
+func fencingNumber(era types.Era, term types.FencingNumber) types.FencingNumber {
+	return types.FencingNumber(max(era-types.FirstEra, 0))<<fenceEraBit + term
+}
+
 // Lease is one daemon's replica of the lease state machine of a data centre.
 // It is not safe for concurrent use. All times must carry a monotonic clock
 // reading of the same process.
 type Lease struct {
 	settings Settings
+	era      types.Era // of the log, 0 if it has not stated one
 	next     types.Offset
 	holder   Holder
-	fence    types.FencingNumber
+	term     types.FencingNumber // of the holder's claim
+	// highest is the highest fencing number of a valid claim that was read in any era.
+	highest types.FencingNumber
 	// unclaimed is true while the lease is released or was never claimed.
 	unclaimed bool
 	// claimRead is false after records have expired unread, until a valid claim is
@@ -119,7 +133,38 @@
 // Holder returns the current holder and its fencing number; ok is false while
 // the lease is unclaimed.
 func (l *Lease) Holder() (h Holder, f types.FencingNumber, ok bool) {
-	return l.holder, l.fence, !l.unclaimed
+	return l.holder, fencingNumber(l.era, l.term), !l.unclaimed
+}
+
+// Era returns the era of the log in which the state was read, 0 if the log has not stated one.
+func (l *Lease) Era() types.Era { return l.era }
+
+// EnterEra records the era that the log states with the records that are read next. After a change of
+// the era the log may lack claims and gives out their offsets again: the state is reset as by Return, and
+// EnterEra returns true. Eras only rise. That also holds for a daemon that starts after a return, which may have taken
+// back the claim of a daemon that still sends orders.
+func (l *Lease) EnterEra(era types.Era, now time.Time) bool {
+	if era <= l.era {
+		return false
+	}
+	unchanged := l.era == 0 && era == types.FirstEra
+	l.era = era
+	if !unchanged {
+		l.Return(now)
+	}
+	return !unchanged
+}
+
+// Return resets the state and continues at offset 0, because the log has returned from an older copy.
+// The daemon then waits as after SkipExpired.
+func (l *Lease) Return(now time.Time) { l.reset(0, now) }
+
+// MissingRecords returns how many records must precede the next claim so that its fencing number is
+// higher than all that this daemon knows. It is 0 unless the log has returned from an older copy
+// without stating an era.
+func (l *Lease) MissingRecords() int {
+	next := fencingNumber(l.era, types.FencingNumber(l.next)+1)
+	return int(l.highest+1) - int(min(next, l.highest+1))
 }
 
 // Observe applies the record at offset o, read at now. A nil record is one that
@@ -154,15 +199,19 @@
 // before it have expired. The daemon then waits for a full lease duration plus
 // margin from now, or from the last renewal that it reads, before it claims.
 func (l *Lease) SkipExpired(oldest types.Offset, now time.Time) {
-	if oldest <= l.next {
-		return
+	if oldest > l.next {
+		l.reset(oldest, now)
 	}
+}
+
+// reset forgets the holder and continues at next. An unknown holder may still send orders.
+func (l *Lease) reset(next types.Offset, now time.Time) {
 	if !l.unclaimed {
 		l.earlierHolders[l.holder] = now
 	}
 	l.earlierHolders[Holder{}] = now
-	l.next = oldest
-	l.holder, l.fence = Holder{}, 0
+	l.next = next
+	l.holder, l.term = Holder{}, 0
 	l.unclaimed, l.claimRead = false, false
 	l.lastReadAt = now
 	l.heldUntil = time.Time{}
@@ -179,7 +228,8 @@
 		l.earlierHolders[l.holder] = now
 	}
 	l.dropExpiredQuarantines(now)
-	l.holder, l.fence = r.Holder, r.Term
+	l.holder, l.term = r.Holder, r.Term
+	l.highest = max(l.highest, fencingNumber(l.era, r.Term))
 	l.unclaimed, l.claimRead = false, true
 	l.lastReadAt = now
 	l.heldUntil = time.Time{}
@@ -189,12 +239,12 @@
 func (l *Lease) observeRenew(r *Record, now time.Time) {
 	if !l.claimRead {
 		// The claim has expired from the log, but its holder may still be running.
-		if r.Term >= l.fence {
-			l.holder, l.fence, l.lastReadAt = r.Holder, r.Term, now
+		if r.Term >= l.term {
+			l.holder, l.term, l.lastReadAt = r.Holder, r.Term, now
 		}
 		return
 	}
-	if l.unclaimed || r.Holder != l.holder || r.Term != l.fence {
+	if l.unclaimed || r.Holder != l.holder || r.Term != l.term {
 		return
 	}
 	l.lastReadAt = now
@@ -205,7 +255,7 @@
 // has not been read, because the release may then be a late one of an earlier
 // holder.
 func (l *Lease) observeRelease(r *Record, now time.Time) {
-	if !l.claimRead || l.unclaimed || r.Holder != l.holder || r.Term != l.fence {
+	if !l.claimRead || l.unclaimed || r.Holder != l.holder || r.Term != l.term {
 		return
 	}
 	l.unclaimed = true
@@ -247,7 +297,7 @@
 		if now.Before(due) {
 			return nil, due
 		}
-		return l.newRecord(KindRenew, l.fence, now), now.Add(l.settings.RenewInterval)
+		return l.newRecord(KindRenew, l.term, now), now.Add(l.settings.RenewInterval)
 	}
 	if !l.unclaimed {
 		claimable := l.lastReadAt.Add(l.settings.Duration + l.settings.Margin)
@@ -273,7 +323,7 @@
 	if !held {
 		return nil
 	}
-	return l.newRecord(KindRelease, l.fence, now)
+	return l.newRecord(KindRelease, l.term, now)
 }
 
 func (l *Lease) newRecord(k Kind, term types.FencingNumber, now time.Time) *Record {
@@ -309,7 +359,7 @@
 	if !l.holderIsSelf() || l.heldUntil.IsZero() {
 		return Grant{}
 	}
-	g := Grant{Fence: l.fence, Until: l.heldUntil}
+	g := Grant{Fence: fencingNumber(l.era, l.term), Until: l.heldUntil}
 	for h, at := range l.earlierHolders {
 		// No quarantine for this process itself, because it tracks its own orders.
 		if h != l.settings.Self {
--- a/logclient/log.go
+++ b/logclient/log.go
@@ -38,6 +38,8 @@
 
 // Batch is the result of a read.
 type Batch struct {
+	// Era is the era of the log, 0 if it does not state one.
+	Era types.Era
 	// Oldest is the offset of the oldest record that the log retains.
 	Oldest types.Offset
 	// Next is the offset that will be assigned to the next appended record.
@@ -56,9 +58,12 @@
 	Read(ctx context.Context, stream string, from types.Offset, limit int, wait time.Duration) (Batch, error)
 }
 
-// ExpiredError carries the oldest offset that can still be read. It wraps
-// ErrExpired.
-type ExpiredError struct{ Oldest types.Offset }
+// ExpiredError carries the oldest offset that can still be read, and the era of the
+// log as in Batch. It wraps ErrExpired.
+type ExpiredError struct {
+	Era    types.Era
+	Oldest types.Offset
+}
 
 // Error implements error.
 func (e *ExpiredError) Error() string {
--- a/server/node/lease.go
+++ b/server/node/lease.go
@@ -26,10 +26,22 @@
 	leasePeriods = 2
 	// maxClaimAttempts bounds the records that one call of claim appends.
 	maxClaimAttempts = 4
+	// maxLeaseRestarts bounds how often one read of the stream begins again, because its records have
+	// expired or the store has returned from an older copy meanwhile.
+	maxLeaseRestarts = 3
+	// maxFillers bounds the records that are appended at once to raise the number of the next claim.
+	maxFillers = 1024
 )
 
-// errLeaseNotHeld reports that another node holds the lease, or may hold it.
-var errLeaseNotHeld = errors.New("lease not held by this node")
+var (
+	// errLeaseNotHeld reports that another node holds the lease, or may hold it.
+	errLeaseNotHeld = errors.New("lease not held by this node")
+	// errOlderMembers reports that engines, which do not check fencing numbers, might get a lower one from
+	// a node of an older release afterwards.
+	errOlderMembers = errors.New("no orders after a return of the store beside nodes of an older release")
+	// errLeaseUnread reports that the stream of the lease changed while it was read.
+	errLeaseUnread = errors.New("stream of the lease changed while it was read")
+)
 
 // leaseClaimer claims the lease for orders to all engines. It is not safe for concurrent use.
 type leaseClaimer struct {
@@ -39,8 +51,13 @@
 	orderWindow time.Duration
 	// fenced reports whether engines refuse the orders of earlier holders. If they do not, a new
 	// holder waits until no order of an earlier one can be in progress.
-	fenced    bool
-	lastGrant grant
+	fenced bool
+	// era returns the newest known era of the store.
+	era func() types.Era
+	// olderMembers reports whether a node of the fleet runs a release whose fencing numbers do not
+	// depend on the era.
+	olderMembers func() bool
+	lastGrant    grant
 }
 
 // leaseScope identifies the lease in its records, in the field for the data centre of a lease: a
@@ -51,12 +68,12 @@
 // suspensions of the platform's machines and than delayed orders take.
 const quarantine = 30 * time.Second
 
-func newLeaseClaimer(log logclient.Log, self authority.Holder, period time.Duration, fenced bool) *leaseClaimer {
+func newLeaseClaimer(log logclient.Log, self authority.Holder, period time.Duration, fenced bool, era func() types.Era, olderMembers func() bool) *leaseClaimer {
 	d := leasePeriods * period
 	s := authority.Settings{
 		DataCentre: leaseScope, Self: self, Duration: d, RenewInterval: period, Margin: authority.MarginFor(d), Quarantine: quarantine,
 	}
-	return &leaseClaimer{log: log, orderWindow: period, fenced: fenced, lease: authority.NewLease(s, time.Now())}
+	return &leaseClaimer{log: log, orderWindow: period, fenced: fenced, era: era, olderMembers: olderMembers, lease: authority.NewLease(s, time.Now())}
 }
 
 // grant is the permission to send orders until end.
@@ -64,14 +81,18 @@
 	fence types.FencingNumber
 	// end is a time of bootTime's clock.
 	end time.Duration
+	// claimedIn is the era of the store with the claim, and era the newest known one. Both are 0 and
+	// nil in the zero value, which has expired.
+	claimedIn types.Era
+	era       func() types.Era
 }
 
-// errGrantExpired reports that the end of a grant has passed.
+// errGrantExpired reports that the end of a grant has passed, or that the store may have lost its claim.
 var errGrantExpired = errors.New("grant to send orders has expired")
 
 // check returns errGrantExpired if no order may be sent under the grant any more.
 func (g grant) check() error {
-	if bootTime() >= g.end {
+	if bootTime() >= g.end || g.era() > g.claimedIn {
 		return errGrantExpired
 	}
 	return nil
@@ -98,6 +119,15 @@
 		if err := c.readLog(ctx); err != nil {
 			return grant{}, err
 		}
+		if !c.fenced && c.lease.Era() > types.FirstEra && c.olderMembers() {
+			return grant{}, errOlderMembers
+		}
+		if n := c.lease.MissingRecords(); n > 0 {
+			if err := c.appendFillers(ctx, n); err != nil {
+				return grant{}, err
+			}
+			continue
+		}
 		sent := bootTime()
 		record, at := c.lease.Step(time.Now())
 		if record == nil {
@@ -117,26 +147,51 @@
 			if !c.fenced && !g.QuarantineOver(time.Now(), func(types.VMID) bool { return false }) {
 				return grant{}, fmt.Errorf("%w: %w", errLeaseNotHeld, authority.ErrQuarantine)
 			}
-			c.lastGrant = grant{g.Fence, sent + c.orderWindow}
+			c.lastGrant = grant{g.Fence, sent + c.orderWindow, c.lease.Era(), c.era}
 			return c.lastGrant, nil
 		}
 	}
 	return grant{}, errLeaseNotHeld
 }
 
-// readLog applies the records up to the end of the stream to the state of the lease.
+// appendFillers appends records that say nothing, each of which raises the number of the next claim.
+func (c *leaseClaimer) appendFillers(ctx context.Context, n int) error {
+	fillers := make([][]byte, min(n, maxFillers))
+	for i := range fillers {
+		fillers[i] = []byte("{}")
+	}
+	_, err := c.log.Append(ctx, leaseTopic, fillers)
+	return err
+}
+
+// readLog applies the records up to the end of the stream to the state of the lease. The error wraps
+// errLeaseUnread if that takes too many attempts.
 func (c *leaseClaimer) readLog(ctx context.Context) error {
-	for {
-		b, err := c.log.Read(ctx, leaseTopic, c.lease.NextOffset(), leaseReadBatch, 0)
+	for restarts := 0; restarts <= maxLeaseRestarts; {
+		from := c.lease.NextOffset()
+		b, err := c.log.Read(ctx, leaseTopic, from, leaseReadBatch, 0)
+		now := time.Now()
 		var expired *logclient.ExpiredError
-		if errors.As(err, &expired) {
-			c.lease.SkipExpired(expired.Oldest, time.Now())
+		switch {
+		case errors.As(err, &expired):
+			restarts++
+			if !c.lease.EnterEra(expired.Era, now) && expired.Oldest <= from {
+				c.lease.Return(now) // the stream ends before from
+			}
+			c.lease.SkipExpired(expired.Oldest, now)
 			continue
-		}
-		if err != nil {
+		case err != nil:
 			return err
+		case b.Era < c.lease.Era():
+			return errLeaseUnread
+		case c.lease.EnterEra(b.Era, now):
+			restarts++
+			continue
+		case b.Next < from:
+			restarts++
+			c.lease.Return(now)
+			continue
 		}
-		now := time.Now()
 		for _, r := range b.Records {
 			// A record that cannot be decoded is passed on as nil, so that its offset counts.
 			rec, _ := records.DecodeLease(r.Data)
@@ -148,4 +203,5 @@
 			return nil
 		}
 	}
+	return errLeaseUnread
 }
--- a/server/node/members.go
+++ b/server/node/members.go
@@ -30,6 +30,9 @@
 	// Key is the public key of the node's process (peerauth.Identity). A record of an earlier version
 	// has none: its node neither passes requests to others nor carries those of others.
 	Key string `json:"key,omitempty"`
+	// Eras reports that the fencing numbers of the node depend on the era of the store. A record of an
+	// earlier release does not have it.
+	Eras bool `json:"eras,omitempty"`
 }
 
 func (m Member) peer() loadshare.Peer {
--- a/server/node/node.go
+++ b/server/node/node.go
@@ -11,6 +11,7 @@
 	"net/netip"
 	"os"
 	"runtime/debug"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -430,7 +431,7 @@
 		holder := authority.Holder{VM: n.machine.VM, Incarnation: strconv.FormatUint(rand.Uint64(), 36)}
 		k := &roleController{
 			log: n.log, gateway: n.gateway, directory: n.directory, targets: n.targets, self: n.machine.VM,
-			lease:      newLeaseClaimer(n.store, holder, n.machine.MinHolderGap, n.machine.ChecksFencing),
+			lease:      newLeaseClaimer(n.store, holder, n.machine.MinHolderGap, n.machine.ChecksFencing, n.store.Era, n.hasOlderMembers),
 			fixedShare: float64(n.settings.PrefillShare) / 1000, bootstrap: n.machine.Bootstrap, demand: n.exchanger.Demand, rank: n.rank, linkLost: n.link.Lost, notifySuspended: n.exchanger.NotifyLoadChange,
 		}
 		go k.run(serving)
@@ -487,10 +488,17 @@
 func (n *Node) self() Member {
 	return Member{
 		VM: n.machine.VM, DataCentre: n.machine.DataCentre, Key: n.identity.PublicKey(),
-		Address: netip.AddrPortFrom(n.machine.IP, uint16(n.machine.InternalPort)), Cores: n.machine.Cores,
+		Address: netip.AddrPortFrom(n.machine.IP, uint16(n.machine.InternalPort)), Cores: n.machine.Cores, Eras: true,
 	}
 }
 
+// hasOlderMembers reports whether a node is listed whose fencing numbers do not depend on the era of the
+// store, or the list is not known.
+func (n *Node) hasOlderMembers() bool {
+	members := n.peers.Load()
+	return members == nil || slices.ContainsFunc(*members, func(m Member) bool { return !m.Eras })
+}
+
 // ready reports whether a configuration, the registrations and the plans of the software versions are
 // loaded and the node is not stopping.
 func (n *Node) ready() bool {
--- a/server/node/roles_test.go
+++ b/server/node/roles_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"testing"
 	"testing/synctest"
@@ -22,11 +23,18 @@
 
 // fakeLog is an in-memory log with one stream.
 type fakeLog struct {
-	records   []logclient.Record
-	oldest    types.Offset
-	appendErr error // returned by the next append, which still stores its records
+	records []logclient.Record
+	oldest  types.Offset
+	era     types.Era
+	reads   int
+	// olderMembers reports whether a node of an older release runs beside.
+	olderMembers bool
+	appendErr    error // returned by the next append, which still stores its records
 }
 
+// returnFrom replaces the records by the first n of them, as a store does that returns from a copy.
+func (l *fakeLog) returnFrom(n int, era types.Era) { l.records, l.era = l.records[:n:n], era }
+
 func (l *fakeLog) Append(_ context.Context, _ string, data [][]byte) (types.Offset, error) {
 	o := l.oldest + types.Offset(len(l.records))
 	for i, d := range data {
@@ -38,10 +46,12 @@
 }
 
 func (l *fakeLog) Read(_ context.Context, _ string, from types.Offset, _ int, _ time.Duration) (logclient.Batch, error) {
-	if from < l.oldest {
-		return logclient.Batch{}, &logclient.ExpiredError{Oldest: l.oldest}
+	l.reads++
+	next := l.oldest + types.Offset(len(l.records))
+	if from < l.oldest || from > next {
+		return logclient.Batch{}, &logclient.ExpiredError{Era: l.era, Oldest: l.oldest}
 	}
-	b := logclient.Batch{Oldest: l.oldest, Next: l.oldest + types.Offset(len(l.records))}
+	b := logclient.Batch{Era: l.era, Oldest: l.oldest, Next: next}
 	b.Records = l.records[from-l.oldest:]
 	return b, nil
 }
@@ -49,7 +59,91 @@
 const leasePeriod = 3 * time.Second
 
 func newTestClaimer(l *fakeLog, vm types.VMID) *leaseClaimer {
-	return newLeaseClaimer(l, authority.Holder{VM: vm, Incarnation: "1"}, leasePeriod, true)
+	return newLeaseClaimer(l, authority.Holder{VM: vm, Incarnation: "1"}, leasePeriod, true, func() types.Era { return l.era }, func() bool { return l.olderMembers })
+}
+
+// Guards against engines that do not check fencing numbers and get a lower one from a node of an older
+// release, whose numbers do not depend on the era.
+func TestNoClaimAfterReturnBesideOlderRelease(t *testing.T) {
+	for _, c := range []struct {
+		era    types.Era
+		fenced bool
+		err    error
+	}{{0, false, nil}, {1, false, nil}, {2, false, errOlderMembers}, {2, true, errLeaseNotHeld}} {
+		l := &fakeLog{era: c.era, olderMembers: true}
+		claimer := newTestClaimer(l, "a")
+		claimer.fenced = c.fenced
+		g, err := claimer.claim(t.Context())
+		assert.Assert(t, errors.Is(err, c.err), "%+v: %v", c, err)
+		if c.err == nil {
+			assert.Equal(t, g.fence, types.FencingNumber(1), "as in the older release")
+		}
+	}
+}
+
+// Guards against two nodes that order the same target with one fencing number, in quick succession or
+// with a lower number than before, because the store has returned from a copy without their claims: with
+// nodes that have read the lost claims, that have claimed themselves and that start without memory, with
+// none, one or two claims in the copy, several returns, and a log that states no era.
+func TestLeaseOverReturnsOfTheStore(t *testing.T) {
+	for _, stated := range []bool{true, false} {
+		for copied := range 3 {
+			t.Run(fmt.Sprintf("stated %v, %d claims in the copy", stated, copied), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) { testReturns(t, copied, stated) })
+			})
+		}
+	}
+}
+
+func testReturns(t *testing.T, copied int, stated bool) {
+	l := &fakeLog{}
+	if stated {
+		l.era = types.FirstEra
+	}
+	a, b := newTestClaimer(l, "a"), newTestClaimer(l, "b")
+	holders, ordered, highest, last := map[types.FencingNumber]*leaseClaimer{}, time.Time{}, types.FencingNumber(0), a
+	order := func(c *leaseClaimer) bool {
+		reads := l.reads
+		g, err := c.claim(t.Context())
+		assert.Assert(t, l.reads-reads <= 4*maxClaimAttempts)
+		if err != nil {
+			assert.Assert(t, errors.Is(err, errLeaseNotHeld), "%v", err)
+			return false
+		}
+		assert.Assert(t, holders[g.fence] == nil || holders[g.fence] == c, "number %d of two nodes", g.fence)
+		assert.Assert(t, g.fence >= highest, "%d after %d", g.fence, highest)
+		assert.Assert(t, last == c || time.Since(ordered) >= leasePeriod, "orders of two holders within %s", time.Since(ordered))
+		holders[g.fence], ordered, highest, last = c, time.Now(), g.fence, c
+		return true
+	}
+	claimInTurn := func(all ...*leaseClaimer) {
+		for _, c := range all {
+			for !order(c) {
+				time.Sleep(leasePeriod / 4)
+			}
+			time.Sleep(leasePeriods*leasePeriod + time.Second)
+		}
+	}
+	for range 2 {
+		claimInTurn(a, b)
+		if !stated {
+			order(a) // reads the claim of b, of whose loss it could not know
+			l.returnFrom(copied, 0)
+			continue
+		}
+		for !order(a) {
+			time.Sleep(leasePeriod / 4)
+		}
+		l.returnFrom(copied, l.era+1) // while a may still send orders
+		started := newTestClaimer(l, "started")
+		for range 4 {
+			order(started)
+			order(a)
+			time.Sleep(leasePeriod / 2)
+		}
+		claimInTurn(started)
+	}
+	claimInTurn(b, a)
 }
 
 // Guards against two nodes that may send orders at the same time, or in such quick succession that
--- a/types/ids.go
+++ b/types/ids.go
@@ -38,7 +38,21 @@
 // stream has offset 0.
 type Offset int64
 
+// Era counts how often the store has returned from an older copy of its records. It gives out
+// offsets again then, so that offsets of two eras must not be compared. 0 means that the store has
+// not stated an era.
+type Era int64
+
+// FirstEra is the era of a store that has never returned from an older copy.
+const FirstEra Era = 1
+
+// Position is an offset in one era of the store.
+type Position struct {
+	Era    Era
+	Offset Offset
+}
+
 // FencingNumber orders the holders of a lease; a later holder has a higher number.
-// It is the offset of the holder's claim plus one, so that 0 means that there is
-// no authority to send orders.
+// It is formed from the era and the offset of the holder's claim (see package
+// authority). 0 means that there is no authority to send orders.
 type FencingNumber uint64
