versions: a version that has gone has begun no stream that is taken up

Cause: a stream is refused if two possible plans assign it to different versions, and earlier plans stay possible for the propagation bound and the age of streams, also if one of their versions has no targets. They were replaced late as well: a loss counted only from when the plan before was in force.

Change: a plan does not count for a stream that it assigns to a version that has gone (decision 0016). So that this holds (ORDER), no node begins a stream at a version that it has not registered, that has just returned, or that the next plan lacks. A loss counts from when it was registered.

--- a/server/node/feeds.go
+++ b/server/node/feeds.go
@@ -196,6 +196,8 @@
 	// outage, so that its target stays in use until then.
 	graceUntil time.Time
 	onLoaded   func()
+	// onChange, if not nil, is called after changes of the registered targets.
+	onChange func()
 }
 
 // HandleListing implements feed.Handler.
@@ -241,6 +243,9 @@
 		f.logMalformed(i)
 	}
 	f.logChanges(changes)
+	if len(changes) > 0 && f.onChange != nil {
+		f.onChange()
+	}
 	return changed
 }
 
--- a/server/node/node.go
+++ b/server/node/node.go
@@ -426,6 +426,7 @@
 	}, minReadBackoff, maxReadBackoff)
 	go followFeed(ctx, n.newSharedFeed(feedRegistrations, n.settings.RegistrationInterval, 0), n.store.Registrations(), &registrationHandler{
 		outageLogger: source("registrations"), directory: n.directory, onLoaded: n.recordRegistrationsLoaded,
+		onChange: func() { registerVersions(n.versions, n.directory) },
 	}, minReadBackoff, maxReadBackoff)
 	members := n.newSharedFeed(feedMembers, memberReadInterval, 0)
 	go registerMember(serving, n.announcingStore(members.pacer), n.self(), n.members.isListed, n.log)
@@ -478,7 +479,7 @@
 	topic := func() *platform.Topic[versions.Record] { return platform.Keyed(n.store, versionsTopic, decodeVersions) }
 	p := &versionPlanner{
 		log: n.log, counters: n.counters, table: n.versions, directory: n.directory, store: n.store, source: topic(), now: clock.Now, rank: n.rank,
-		confirmed: n.versionsConfirmed(h), registered: n.registrationsLoaded.Load, due: map[types.ServiceID]dueProposal{},
+		confirmed: n.newestAsOf(feedVersions, h), viewed: n.newestAsOf(feedRegistrations, h), registered: n.registrationsLoaded.Load, due: map[types.ServiceID]dueProposal{},
 		mayWrite: func() bool {
 			return n.configLoaded.Load() && n.registrationsLoaded.Load() && n.versionsLoaded.Load() && !h.failing.Load()
 		},
--- a/server/node/versions.go
+++ b/server/node/versions.go
@@ -159,6 +159,8 @@
 	rank      func() int
 	// confirmed returns a time as of which the table has the newest records.
 	confirmed func(now clock.Instant) clock.Instant
+	// viewed returns the same for the registrations.
+	viewed func(now clock.Instant) clock.Instant
 	// registered reports whether the registrations are loaded.
 	registered func() bool
 	// mayWrite reports whether this node knows the records and the targets, and the store answers.
@@ -181,6 +183,7 @@
 			registerVersions(p.table, p.directory)
 		}
 		p.table.Confirm(p.confirmed(p.now()))
+		p.table.ConfirmView(p.viewed(p.now()))
 		if !daemon.Sleep(ctx, versionsInterval) {
 			return
 		}
@@ -231,6 +234,10 @@
 	d, known := p.due[id]
 	if !known || d.reason != reason {
 		d = dueProposal{reason: reason, since: p.now()}
+		if reason == versions.ReasonLost {
+			// The loss may have lasted while an earlier plan was on its way.
+			d.since = min(d.since, p.table.LostSince(id))
+		}
 		p.due[id] = d
 	}
 	return p.now().Sub(d.since) >= p.delay(reason) && p.now() >= d.earliest
@@ -298,17 +305,18 @@
 	p.log.WithError(err).WithField(daemon.FieldService, id).Info("failed to write the plan of software versions")
 }
 
-// versionsConfirmed returns a time as of which this node has the newest plans. While the store fails
-// for this node but most of the others are heard and report no newer one, the store fails for all of
-// them, so that none of them can write one. A node that is cut off from most others has no such proof.
-func (n *Node) versionsConfirmed(h *versionHandler) func(clock.Instant) clock.Instant {
+// newestAsOf returns a time as of which this node has the newest records of a feed. While the store fails
+// for this node but most of the others are heard and report no newer ones, the store fails for all of
+// them, so that none of them can write or read one. A node that is cut off from most others has no such
+// proof.
+func (n *Node) newestAsOf(index int, h *versionHandler) func(clock.Instant) clock.Instant {
 	return func(now clock.Instant) clock.Instant {
-		s := n.exchanger.ReadState(feedVersions, now)
+		s := n.exchanger.ReadState(index, now)
 		age := s.Local
 		if !s.Pending {
 			age = min(age, s.Peer)
 		}
-		lacks := s.Pending || n.exchanger.Feed(feedVersions).KnownUpTo() > max(s.Next, s.ClaimedUpTo)
+		lacks := s.Pending || n.exchanger.Feed(index).KnownUpTo() > max(s.Next, s.ClaimedUpTo)
 		if h.failing.Load() && !lacks && n.versionsLoaded.Load() && n.hearsMajority() {
 			age = 0
 		}
--- a/versions/plan.go
+++ b/versions/plan.go
@@ -117,6 +117,14 @@
 	return r.Writer > other.Writer
 }
 
+// newest returns the plan that was introduced last.
+func (r *Record) newest() Plan {
+	if r.Next != nil {
+		return *r.Next
+	}
+	return r.Current
+}
+
 // active reports whether the plan is Current or Next.
 func (r *Record) active(p Plan) bool {
 	return r.Current.Equal(p) || r.Next != nil && r.Next.Equal(p)
--- a/versions/propose.go
+++ b/versions/propose.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/lentilpick/lentilpick/clock"
 	"github.com/lentilpick/lentilpick/types"
 )
 
@@ -159,6 +160,26 @@
 	return ""
 }
 
+// LostSince returns since when the current plan of a service has had a version without targets: the latest
+// loss of several. It returns the current time if there is none.
+func (t *Table) LostSince(id types.ServiceID) clock.Instant {
+	s := (*t.snapshot.Load())[id]
+	now := t.settings.Now()
+	if s == nil || s.record == nil || s.registered == nil {
+		return now
+	}
+	since, found := now, false
+	for _, share := range s.record.Current.Shares {
+		if s.registered[share.Version] > 0 {
+			continue
+		}
+		if lost := s.lostSince(share.Version); !found || lost > since {
+			since, found = lost, true
+		}
+	}
+	return since
+}
+
 func (p Plan) weight(v types.SoftwareVersion) int {
 	i := slices.IndexFunc(p.Shares, func(s Share) bool { return s.Version == v })
 	if i < 0 {
--- a/versions/table.go
+++ b/versions/table.go
@@ -31,10 +31,11 @@
 type Table struct {
 	settings Settings
 	snapshot atomic.Pointer[map[types.ServiceID]*service]
-	// confirmed is the clock.Instant as of which the plans are known to be the newest ones.
-	confirmed atomic.Int64
-	maxAge    atomic.Int64 // time.Duration
-	begun     begunStreams
+	// confirmed is the clock.Instant as of which the plans are known to be the newest ones, and viewed that
+	// as of which the registered targets are, 0 if it is not tracked.
+	confirmed, viewed atomic.Int64
+	maxAge            atomic.Int64 // time.Duration
+	begun             begunStreams
 
 	mu sync.Mutex // serialises writers
 }
@@ -50,6 +51,8 @@
 	// the first registration on.
 	lost        map[types.SoftwareVersion]clock.Instant
 	lostDefault clock.Instant
+	// withdrawn holds since when the newest plan lacks a version of an earlier one.
+	withdrawn map[types.SoftwareVersion]clock.Instant
 	// returned holds when versions last had targets again.
 	returned map[types.SoftwareVersion]clock.Instant
 	// unplanned are the versions that were registered without a record.
@@ -93,9 +96,18 @@
 	}
 }
 
-// outdated reports whether there may be a record that every other daemon has.
+// ConfirmView records that the registered targets were the newest ones at the given time.
+func (t *Table) ConfirmView(at clock.Instant) { t.viewed.Store(int64(max(at, 1))) }
+
+// viewMargin is the time beyond Settings.ViewAge for which the registered targets may be unconfirmed. They
+// are confirmed every half second.
+const viewMargin = time.Second
+
+// outdated reports whether there may be a record that every other daemon has, or a change of the targets
+// that every other daemon has registered.
 func (t *Table) outdated() bool {
-	return t.settings.Now().Sub(clock.Instant(t.confirmed.Load())) > t.settings.Propagation
+	now, viewed := t.settings.Now(), clock.Instant(t.viewed.Load())
+	return now.Sub(clock.Instant(t.confirmed.Load())) > t.settings.Propagation || viewed != 0 && now.Sub(viewed) > t.settings.ViewAge+viewMargin
 }
 
 // Assign returns the version at which a stream begins. It returns false if there is no plan, or if
@@ -119,7 +131,25 @@
 			return next, true
 		}
 	}
-	return v, ok
+	return v, ok && t.mayBegin(s, v)
+}
+
+// mayBegin reports whether streams may begin at a version of the current plan: others may count one as gone
+// (see goneSince) that this daemon has not registered. If several versions are in use, the same holds for
+// one that has just returned, which others may not register if it is lost again, and for one that the next
+// plan lacks, because it had lost its targets.
+func (t *Table) mayBegin(s *service, v types.SoftwareVersion) bool {
+	switch {
+	case s.registered == nil:
+		return true
+	case s.registered[v] == 0:
+		return false
+	case !t.several(s):
+		return true
+	}
+	at, returned := s.returned[v]
+	recent := returned && t.settings.Now().Sub(at) <= t.settings.ViewAge
+	return s.record.newest().weight(v) > 0 && !recent
 }
 
 // isLost reports whether a version has been without targets for so long that its streams may begin by
@@ -131,11 +161,7 @@
 	if t.settings.ViewAge <= 0 || len(s.registered) == 0 || s.registered[v] > 0 || now.Sub(s.learned) <= t.settings.ViewAge {
 		return false
 	}
-	since, known := s.lost[v]
-	if !known {
-		since = s.lostDefault
-	}
-	return now.Sub(since) > 2*t.settings.ViewAge
+	return now.Sub(s.lostSince(v)) > 2*t.settings.ViewAge
 }
 
 // Resolve returns the version that began a stream at most maxAge ago. first is the ID of the request
@@ -149,26 +175,58 @@
 	if s == nil || s.record == nil || maxAge > t.longestAge() || t.several(s) && t.outdated() {
 		return "", false
 	}
-	version, ok := s.record.Current.resolve(first)
-	agrees := func(p Plan) {
-		v, known := p.resolve(first)
-		ok = ok && known && v == version
-	}
+	oldest := t.settings.Now().Add(-t.settings.Propagation - maxAge)
+	plans := []Plan{s.record.Current}
 	if s.record.Next != nil {
-		agrees(*s.record.Next)
+		plans = append(plans, *s.record.Next)
 	}
-	oldest := t.settings.Now().Add(-t.settings.Propagation - maxAge)
 	for _, p := range s.past {
 		if p.replaced >= oldest {
-			agrees(p.Plan)
+			plans = append(plans, p.Plan)
 		}
 	}
+	version, ok := t.resolve(s, plans, first, oldest)
 	if !ok || s.absentSince(version, oldest) {
 		return "", false
 	}
 	return version, true
 }
 
+// resolve returns the version at which a stream can only have begun since the given time, by one of the
+// plans. A plan has begun no such stream at a version that has gone.
+func (t *Table) resolve(s *service, plans []Plan, first types.RequestID, oldest clock.Instant) (version types.SoftwareVersion, found bool) {
+	lost := oldest.Add(t.settings.Propagation - t.settings.ViewAge - viewMargin)
+	gone := func(v types.SoftwareVersion) bool { return t.goneSince(s, v, lost) }
+	for _, p := range plans {
+		v, known := p.resolve(first, gone)
+		switch {
+		case !known:
+			return "", false
+		case gone(v):
+		case found && v != version:
+			return "", false
+		default:
+			version, found = v, true
+		}
+	}
+	return version, found
+}
+
+// goneSince reports whether the version has had no targets since the given time and no stream has begun
+// there later than every daemon that begins streams has registered that. A return that this daemon has not
+// registered was shorter than Settings.ViewAge, within which no stream begins there, or has happened later
+// than every daemon had the plan that lacks the version, by which no stream begins there again.
+func (t *Table) goneSince(s *service, v types.SoftwareVersion, then clock.Instant) bool {
+	if s.registered == nil || s.registered[v] > 0 {
+		return false
+	}
+	withdrawn, planned := s.learned, s.record.newest().weight(v) > 0
+	if at, ok := s.withdrawn[v]; ok {
+		withdrawn = at
+	}
+	return !planned && s.lostSince(v) < then && t.settings.Now().Sub(withdrawn) > t.settings.Propagation
+}
+
 // absentSince reports whether the version had no targets at some time since then. Its streams may
 // have begun by a next plan that this daemon does not have yet.
 func (s *service) absentSince(v types.SoftwareVersion, then clock.Instant) bool {
@@ -179,12 +237,22 @@
 	return s.registered[v] == 0 || returned && at >= then
 }
 
-// resolve is Version, or the only version if the ID is unknown.
-func (p Plan) resolve(id types.RequestID) (types.SoftwareVersion, bool) {
-	if id == "" {
-		return p.single()
+// resolve is Version, or the only version that has not gone if the ID is unknown. If all have, it
+// returns one of them.
+func (p Plan) resolve(id types.RequestID, gone func(types.SoftwareVersion) bool) (v types.SoftwareVersion, ok bool) {
+	if id != "" {
+		return p.Version(id)
+	}
+	for _, share := range p.Shares {
+		if ok && gone(share.Version) {
+			continue
+		}
+		if ok && !gone(v) {
+			return "", false
+		}
+		v, ok = share.Version, true
 	}
-	return p.Version(id)
+	return v, ok
 }
 
 // Several reports whether more than one version of the service is registered or may be in use.
@@ -216,11 +284,37 @@
 		applied = true
 		now := t.settings.Now()
 		s.past = t.replacedPlans(s, &r, now)
+		s.withdrawn = s.withdrawnBy(&r, now)
 		s.record, s.learned, s.unsaved = &r, now, false
 	})
 	return applied
 }
 
+// withdrawnBy returns the versions of earlier plans that the newest plan of a record lacks, and since when.
+func (s *service) withdrawnBy(r *Record, now clock.Instant) map[types.SoftwareVersion]clock.Instant {
+	withdrawn, newest := map[types.SoftwareVersion]clock.Instant{}, r.newest()
+	earlier := []Plan{r.Current}
+	for _, p := range r.Previous {
+		earlier = append(earlier, p.Plan)
+	}
+	if s.record != nil {
+		earlier = append(earlier, s.record.newest())
+	}
+	for _, p := range earlier {
+		for _, share := range p.Shares {
+			if newest.weight(share.Version) == 0 {
+				withdrawn[share.Version] = now
+			}
+		}
+	}
+	for v, since := range s.withdrawn {
+		if newest.weight(v) == 0 {
+			withdrawn[v] = since
+		}
+	}
+	return withdrawn
+}
+
 // replacedPlans returns the past plans after a record. A plan keeps the earliest time by which it is
 // known to have been replaced: when this daemon learned it, or the time that follows from its age.
 func (t *Table) replacedPlans(s *service, r *Record, now clock.Instant) (past []pastPlan) {
@@ -297,6 +391,14 @@
 	return returned
 }
 
+// lostSince returns since when a version without targets has had none.
+func (s *service) lostSince(v types.SoftwareVersion) clock.Instant {
+	if since, known := s.lost[v]; known {
+		return since
+	}
+	return s.lostDefault
+}
+
 // lostVersions returns the lost versions of a service after a change of its targets.
 func lostVersions(s *service, targets map[types.SoftwareVersion]int, now clock.Instant) map[types.SoftwareVersion]clock.Instant {
 	lost := map[types.SoftwareVersion]clock.Instant{}
