--- a/directory/directory.go
+++ b/directory/directory.go
@@ -323,12 +323,15 @@
 }
 
 // Replace folds a complete list of registrations. Targets that are missing from the
-// list are removed as by Remove.
-func (d *Directory) Replace(all []Entry, now time.Time, grace time.Duration) []Change {
+// list are removed as by Remove, unless the list has an unusable registration of them, as in unusable.
+func (d *Directory) Replace(all []Entry, unusable []types.TargetID, now time.Time, grace time.Duration) []Change {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var changes []Change
 	listed := make(map[types.TargetID]bool, len(all))
+	for _, id := range unusable {
+		listed[id] = true
+	}
 	for _, e := range all {
 		listed[e.ID] = true
 		changes = d.put(e, changes)
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -51,7 +51,7 @@
 	d := New()
 	d.Put(entry("a"))
 	d.Remove("a", start, time.Second)
-	d.Replace(nil, start.Add(900*time.Millisecond), time.Second)
+	d.Replace(nil, nil, start.Add(900*time.Millisecond), time.Second)
 	d.Expire(start.Add(time.Second))
 	assert.Equal(t, d.Load().Len(), 0)
 }
@@ -80,7 +80,7 @@
 	d := New()
 	d.Put(entry("a"))
 	d.Put(entry("b"))
-	changes := d.Replace([]Entry{entry("b"), entry("c")}, start, 0)
+	changes := d.Replace([]Entry{entry("b"), entry("c")}, nil, start, 0)
 	assert.Equal(t, len(changes), 2)
 	assert.Assert(t, d.Load().Target("a") == nil)
 	assert.Assert(t, d.Load().Target("c") != nil)
@@ -197,3 +197,12 @@
 		assert.Assert(t, a.Usable(at(maxBackoff)))
 	}
 }
+
+// Guards against a known target that is removed, or replaced, by an unusable registration of another writer.
+func TestUnusableRegistrationRemovesNothing(t *testing.T) {
+	d := New()
+	d.Put(entry("a"))
+	d.Put(entry("b"))
+	assert.Equal(t, len(d.Replace(nil, []types.TargetID{"a"}, start, 0)), 1)
+	assert.Assert(t, d.Load().Target("a") != nil && d.Load().Target("b") == nil)
+}
--- a/placement/candidates_test.go
+++ b/placement/candidates_test.go
@@ -21,7 +21,7 @@
 			all[i].Role = types.RoleDecode
 		}
 	}
-	d.Replace(all, now, 0)
+	d.Replace(all, nil, now, 0)
 	return d
 }
 
--- a/server/node/feeds.go
+++ b/server/node/feeds.go
@@ -205,13 +205,17 @@
 	f.logRegained()
 	grace := f.grace(unavailable)
 	var all []directory.Entry
+	var unusable []types.TargetID
 	for _, i := range l.Items {
-		if i.Value != nil {
+		switch {
+		case i.Value != nil:
 			all = append(all, *i.Value)
+		case i.Err != nil:
+			unusable = append(unusable, types.TargetID(i.Key))
 		}
 		f.logMalformed(i)
 	}
-	f.logChanges(f.directory.Replace(all, time.Now(), grace))
+	f.logChanges(f.directory.Replace(all, unusable, time.Now(), grace))
 	f.onLoaded()
 }
 
