directory: a registration that is older than a known one is ignored

Not reproduced with processes here.

Cause, shown by a test: after a return the list of registrations is that of the copy. A server that has said since then that it drains is ready there, and one that was removed has an entry again. A node took that for news and sent requests until the server wrote again.

Change: registrations state how often their target has written. An older one of the same lifetime is ignored, and after a removal only a newer one counts.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -32,6 +32,9 @@
 	// StartedAt is the start time of the target in Unix milliseconds, which tells a
 	// restarted target from the earlier one. 0 means unknown.
 	StartedAt int64
+	// Sequence counts the registrations that the target has written since StartedAt. 0 means unknown. It
+	// is 0 in snapshots.
+	Sequence int64
 }
 
 // Target is a target in a snapshot. All fields except Load are immutable.
@@ -159,7 +162,9 @@
 	lapsedUntil map[types.TargetID]time.Time
 	// left holds the lifetimes that have declared that they are leaving. They outlive the
 	// registration, which may lapse and return during an outage of the store.
-	left    lifetimeSet
+	left lifetimeSet
+	// written holds the newest known registration of each target, also of those that were removed.
+	written writtenRegistrations
 	holders HolderIndex
 }
 
@@ -168,7 +173,7 @@
 
 // New returns an empty directory.
 func New() *Directory {
-	d := &Directory{current: map[types.TargetID]*Target{}, lapsedUntil: map[types.TargetID]time.Time{}}
+	d := &Directory{current: map[types.TargetID]*Target{}, lapsedUntil: map[types.TargetID]time.Time{}, written: writtenRegistrations{}}
 	d.publish()
 	return d
 }
@@ -209,6 +214,10 @@
 }
 
 func (d *Directory) put(e Entry, changes []Change) []Change {
+	if !d.written.accept(e, d.current[e.ID] != nil) {
+		return changes
+	}
+	e.Sequence = 0
 	_, lapsed := d.lapsedUntil[e.ID]
 	delete(d.lapsedUntil, e.ID)
 	old := d.current[e.ID]
@@ -371,6 +380,7 @@
 }
 
 func (d *Directory) publish() {
+	d.written.prune(d.current)
 	s := &Snapshot{
 		byService: map[types.ServiceID][]*Target{},
 		byVersion: map[types.ServiceID][]VersionTargets{},
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -206,3 +206,35 @@
 	assert.Equal(t, len(d.Replace(nil, []types.TargetID{"a"}, start, 0)), 1)
 	assert.Assert(t, d.Load().Target("a") != nil && d.Load().Target("b") == nil)
 }
+
+// Guards against requests to a target that has left, because the store has returned from a copy in which it
+// is ready: while it drains, and after its removal.
+func TestOlderRegistrationsAreIgnored(t *testing.T) {
+	d := New()
+	written := func(sequence int64, draining bool) Entry {
+		e := entry("a")
+		e.Sequence, e.Draining = sequence, draining
+		return e
+	}
+	leaving := func() bool { a := d.Load().Target("a"); return a == nil || a.Leaving() }
+	d.Put(written(5, false))
+	d.Put(written(7, true))
+	d.Replace([]Entry{written(5, false)}, nil, start, 0)
+	assert.Assert(t, d.Load().Target("a") != nil && leaving())
+	d.Put(written(8, false))
+	assert.Assert(t, !leaving(), "written again by the target itself")
+	d.Remove("a", start, 0)
+	for _, sequence := range []int64{5, 8} {
+		d.Replace([]Entry{written(sequence, false)}, nil, start, 0)
+		assert.Assert(t, leaving(), "removed, then listed with sequence %d", sequence)
+	}
+	d.Put(written(9, false))
+	assert.Assert(t, !leaving(), "registered again")
+	d.Remove("a", start, 0)
+	restarted := written(1, false)
+	restarted.StartedAt = 2
+	d.Put(restarted)
+	assert.Assert(t, !leaving())
+	d.Put(written(0, true))
+	assert.Assert(t, leaving(), "no sequence is stated")
+}
--- a/tools/mutations/faults.go
+++ b/tools/mutations/faults.go
@@ -175,6 +175,8 @@
 	{"eras: a feed is read on", follower, "return f.s.Era != nil && f.s.Era() > f.era", "return false", "feed TestNewEraIsListed"},
 	{"eras: updates of another one are applied", follower, "u.Era != 0 && u.Era != f.era || ", "", "feed TestNewEraIsListed"},
 	{"eras: later lists from daemons of the same one", "mirror/mirror.go", "s.listed && r.value.Era <= s.era {", "s.listed && r.value.Era < s.era-1 {", "mirror TestLaterListFromPeersIsOfLaterEra"},
+	{"registrations: older ones count", "directory/written.go", "e.Sequence < old.sequence || ", "", "directory TestOlderRegistrationsAreIgnored"},
+	{"registrations: a removed target returns with the copy", "directory/written.go", " || e.Sequence == old.sequence && !registered", "", "directory TestOlderRegistrationsAreIgnored"},
 	{"store: era is ignored", "platform/store.go", "case now > from.Era:", "case now > from.Era+1:", "platform TestStoreThatReturnedIsListedAgain"},
 	{"limits: header is ignored", "platform/signals.go", "	t.readLimit(target, string(h.Peek(headerLimit)))\n", "", "server/node TestNodesShareTheLimitOfATarget"},
 	{"limits: requests are not charged", "ratelimit/limiter.go", "return time.Duration(max(next-tolerance(interval)-now, 0))", "l.next.Store(0)\n			return time.Duration(max(next-tolerance(interval)-now, 0))", "gateway TestPlainRequestsKeepToLimits"},
