--- a/versions/table.go
+++ b/versions/table.go
@@ -294,8 +294,8 @@
 func (s *service) withdrawnBy(r *Record, now clock.Instant) map[types.SoftwareVersion]clock.Instant {
 	withdrawn, newest := map[types.SoftwareVersion]clock.Instant{}, r.newest()
 	earlier := []Plan{r.Current}
-	for _, p := range r.Previous {
-		earlier = append(earlier, p.Plan)
+	for i := range r.Previous {
+		earlier = append(earlier, r.Previous[i].Plan)
 	}
 	if s.record != nil {
 		earlier = append(earlier, s.record.newest())
