--- a/tools/mutations/faults.go
+++ b/tools/mutations/faults.go
@@ -144,7 +144,7 @@
 	{"versions: a lost version counts as gone at once", "versions/table.go", "!planned && s.lostSince(v) < then &&", "!planned &&", "versions TestStreamsResolveToTheirVersionOrNotAtAll"},
 	{"versions: a version in use counts as gone", "versions/table.go", "return !planned && ", "return ", "versions TestStreamsResolveToTheirVersionOrNotAtAll"},
 	{"versions: streams begin at a version that has gone", "versions/table.go", "	case s.registered[v] == 0:\n		return false", "	case s.registered[v] < 0:\n		return false", "versions TestStreamsResolveToTheirVersionOrNotAtAll"},
-	{"versions: earlier plans are not learned", "versions/table.go", "range r.Previous {", "range r.Previous[:0] {", "versions TestRestartedNodeKnowsEarlierPlans"},
+	{"versions: earlier plans are not learned", "versions/table.go", "for _, p := range r.Previous {", "for _, p := range r.Previous[:0] {", "versions TestRestartedNodeKnowsEarlierPlans"},
 	{"versions: first plan counts for earlier streams", "versions/propose.go", "if len(s.unplanned) > 1 {", "if false {", "versions TestStreamsResolveToTheirVersionOrNotAtAll"},
 	{"versions: second version begins streams without a plan", "versions/table.go", "case s.record == nil && len(s.unplanned) > 1:", "case s.record == nil && len(s.unplanned) < 0:", "versions TestReplacedVersionBeforeTheFirstRecord"},
 	{"versions: outdated plan is resolved", "versions/table.go", "|| t.several(s) && t.outdated() {", "|| t.several(s) && false {", "versions TestOutdatedPlanIsNotUsed"},
