--- a/server/node/lease.go
+++ b/server/node/lease.go
@@ -81,8 +81,8 @@
 	fence types.FencingNumber
 	// end is a time of bootTime's clock.
 	end time.Duration
-	// claimedIn is the era of the store with the claim, and era the newest known one. Both are 0 and
-	// nil in the zero value, which has expired.
+	// claimedIn is the era of the store with the claim, and era returns the newest known one. nil stands
+	// for a store without eras.
 	claimedIn types.Era
 	era       func() types.Era
 }
@@ -92,7 +92,7 @@
 
 // check returns errGrantExpired if no order may be sent under the grant any more.
 func (g grant) check() error {
-	if bootTime() >= g.end || g.era() > g.claimedIn {
+	if bootTime() >= g.end || g.era != nil && g.era() > g.claimedIn {
 		return errGrantExpired
 	}
 	return nil
