--- a/tools/mutations/faults.go
+++ b/tools/mutations/faults.go
@@ -142,7 +142,7 @@
 	{"versions: next plan is not resolved", "versions/table.go", "	if s.record.Next != nil {\n		plans", "	if false {\n		plans", "versions TestStreamsResolveToTheirVersionOrNotAtAll"},
 	{"versions: no propagation time", "versions/table.go", "Add(-t.settings.Propagation - maxAge)", "Add(-maxAge)", "versions TestStreamsResolveToTheirVersionOrNotAtAll"},
 	{"versions: a lost version counts as gone at once", "versions/table.go", "!planned && s.lostSince(v) < then &&", "!planned &&", "versions TestStreamsResolveToTheirVersionOrNotAtAll"},
-	{"versions: a version in use counts as gone", "versions/table.go", "return !planned && ", "return ", "versions TestStreamsResolveToTheirVersionOrNotAtAll"},
+	{"versions: a version in use counts as gone", "versions/table.go", "return !planned && ", "return (planned || !planned) && ", "versions TestStreamsResolveToTheirVersionOrNotAtAll"},
 	{"versions: streams begin at a version that has gone", "versions/table.go", "	case s.registered[v] == 0:\n		return false", "	case s.registered[v] < 0:\n		return false", "versions TestStreamsResolveToTheirVersionOrNotAtAll"},
 	{"versions: earlier plans are not learned", "versions/table.go", "for _, p := range r.Previous {", "for _, p := range r.Previous[:0] {", "versions TestRestartedNodeKnowsEarlierPlans"},
 	{"versions: first plan counts for earlier streams", "versions/propose.go", "if len(s.unplanned) > 1 {", "if false {", "versions TestStreamsResolveToTheirVersionOrNotAtAll"},
